--- /dev/null
+++ b/cicadaford-bench/src/main/java/org/cicadaford/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks of decisions and of whole processes. */
+package org.cicadaford.bench;
--- /dev/null
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command {@code cicadaford}. */
+package org.cicadaford.cli;
--- /dev/null
+++ b/cicadaford-daemon/src/main/java/org/cicadaford/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The entry daemon: settings, HTTP controllers and the program's start. */
+package org.cicadaford.daemon;
--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/package-info.java
@@ -0,0 +1,2 @@
+/** Pure decision logic: records and the present time in, decisions out. */
+package org.cicadaford.decision;
--- /dev/null
+++ b/cicadaford-description/src/main/java/org/cicadaford/description/package-info.java
@@ -0,0 +1,2 @@
+/** Reads and checks description files. */
+package org.cicadaford.description;
--- /dev/null
+++ b/cicadaford-model/src/main/java/org/cicadaford/model/package-info.java
@@ -0,0 +1,2 @@
+/** Records that all modules share, and their MessagePack codec. */
+package org.cicadaford.model;
--- /dev/null
+++ b/cicadaford-wire/src/main/java/org/cicadaford/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Protocol between entry daemons: TCP frames with MessagePack. */
+package org.cicadaford.wire;
