Add the reducers of the three streams and the interfaces to the platform

Cause: the parts of the scheduler need one set of types to be built against. Ruled out: immutable maps for the zone's state (copying 8,300 tasks for each batch), a lease on ownership (a claim is safe without one, since readers reject batches of a former epoch). Change: ConfigState, RequestLedger and ZoneState fold the streams; ZoneOwnerLogic joins thin versions of admission, leases, placement and allotments; platform interfaces with typed errors. Before: no decision code. Conclusion: batches carry a sequence number, so a lost answer needs no wait before the next try.

--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/RequestAdmitter.java
@@ -0,0 +1,48 @@
+package org.cicadaford.decision;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.cicadaford.model.JobState;
+import org.cicadaford.model.RequestRecord;
+import org.cicadaford.model.RequestRecord.CallClaimed;
+import org.cicadaford.model.RequestRecord.CallFinished;
+import org.cicadaford.model.RequestRecord.JobCancelled;
+import org.cicadaford.model.RequestRecord.JobSubmitted;
+import org.cicadaford.model.ZoneChange;
+import org.cicadaford.model.ZoneChange.JobAdmitted;
+import org.cicadaford.model.ZoneChange.JobClosed;
+
+/** Copies accepted submissions and cancellations into the zone's stream, each exactly once. */
+final class RequestAdmitter {
+
+  private final String zone;
+
+  RequestAdmitter(String zone) {
+    this.zone = zone;
+  }
+
+  List<ZoneChange> decide(OwnerInputs inputs, long nowMillis) {
+    List<ZoneChange> changes = new ArrayList<>();
+    for (RequestRecord request : inputs.newRequests()) {
+      switch (request) {
+        case JobSubmitted submitted -> admit(submitted, changes);
+        case JobCancelled cancelled ->
+            changes.add(
+                new JobClosed(
+                    cancelled.jobId(), JobState.CANCELLED, "cancelled by its team", nowMillis));
+        case CallClaimed claimed -> {}
+        case CallFinished finished -> {}
+      }
+    }
+    return changes;
+  }
+
+  private void admit(JobSubmitted submitted, List<ZoneChange> changes) {
+    List<Integer> indexes = submitted.taskIndexesByZone().get(zone);
+    if (indexes != null && !indexes.isEmpty()) {
+      changes.add(
+          new JobAdmitted(
+              submitted.jobId(), submitted.description(), indexes, submitted.submittedAtMillis()));
+    }
+  }
+}
--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/TaskStatus.java
@@ -0,0 +1,96 @@
+package org.cicadaford.decision;
+
+import org.cicadaford.model.Resources;
+import org.cicadaford.model.TaskEnd;
+import org.cicadaford.model.TaskId;
+
+/**
+ * A task of an admitted job, as recorded in its zone.
+ *
+ * @param taskId the task
+ * @param phase where it stands
+ * @param attempt number of its last placement; 0 before the first
+ * @param workerId worker of the last placement, or empty
+ * @param reserved amounts committed while it is placed
+ * @param placedAtMillis time of the last placement, or 0
+ * @param failureCount placements that failed
+ * @param lastEnd how the last placement ended, or null
+ * @param answer what the task answered, or why it failed
+ * @param endedAtMillis time at which the last placement ended, or 0
+ */
+public record TaskStatus(
+    TaskId taskId,
+    Phase phase,
+    int attempt,
+    String workerId,
+    Resources reserved,
+    long placedAtMillis,
+    int failureCount,
+    TaskEnd lastEnd,
+    String answer,
+    long endedAtMillis) {
+
+  /** Where a task stands. */
+  public enum Phase {
+    /** The task waits for a placement. */
+    WAITING,
+    /** Capacity is committed to the task; it runs or is about to. */
+    PLACED,
+    /** The task is being stopped; its capacity stays committed. */
+    STOPPING,
+    /** The task will not run again. */
+    ENDED
+  }
+
+  static TaskStatus waiting(TaskId taskId) {
+    return new TaskStatus(taskId, Phase.WAITING, 0, "", Resources.NONE, 0, 0, null, "", 0);
+  }
+
+  /** Returns whether a worker's capacity is committed to the task. */
+  public boolean isCommitted() {
+    return phase == Phase.PLACED || phase == Phase.STOPPING;
+  }
+
+  TaskStatus placed(int newAttempt, String worker, Resources amounts, long nowMillis) {
+    return new TaskStatus(
+        taskId,
+        Phase.PLACED,
+        newAttempt,
+        worker,
+        amounts,
+        nowMillis,
+        failureCount,
+        null,
+        answer,
+        0);
+  }
+
+  TaskStatus stopping(TaskEnd reason) {
+    return new TaskStatus(
+        taskId,
+        Phase.STOPPING,
+        attempt,
+        workerId,
+        reserved,
+        placedAtMillis,
+        failureCount,
+        reason,
+        answer,
+        0);
+  }
+
+  TaskStatus ended(Phase nextPhase, TaskEnd end, String newAnswer, long nowMillis) {
+    int failures = failureCount + (end == TaskEnd.FAILED ? 1 : 0);
+    return new TaskStatus(
+        taskId,
+        nextPhase,
+        attempt,
+        workerId,
+        Resources.NONE,
+        placedAtMillis,
+        failures,
+        end,
+        newAnswer,
+        nowMillis);
+  }
+}
--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneSnapshotAssembler.java
@@ -0,0 +1,43 @@
+package org.cicadaford.decision;
+
+import java.io.ByteArrayOutputStream;
+import java.util.Optional;
+import org.cicadaford.model.MalformedRecordException;
+import org.cicadaford.model.RecordCodec;
+import org.cicadaford.model.ZoneRecord.ZoneSnapshotChunk;
+
+/**
+ * Joins the chunks of a snapshot. A snapshot counts only if its chunks stand right behind the
+ * record that it is as of, one after the other; otherwise it would miss the records in between.
+ */
+final class ZoneSnapshotAssembler {
+
+  private final ByteArrayOutputStream content = new ByteArrayOutputStream();
+  private String snapshotId = "";
+  private int nextIndex;
+
+  /** Adds a chunk and returns the whole content if it was the last one. */
+  Optional<ZoneSnapshotContent> add(long offset, ZoneSnapshotChunk chunk) {
+    boolean inPlace = offset == chunk.asOfOffset() + 1 + chunk.index();
+    if (chunk.index() == 0) {
+      content.reset();
+      snapshotId = chunk.snapshotId();
+      nextIndex = 0;
+    }
+    if (!inPlace || !chunk.snapshotId().equals(snapshotId) || chunk.index() != nextIndex) {
+      snapshotId = "";
+      return Optional.empty();
+    }
+    content.writeBytes(chunk.content());
+    nextIndex++;
+    return nextIndex == chunk.count() ? decode() : Optional.empty();
+  }
+
+  private Optional<ZoneSnapshotContent> decode() {
+    try {
+      return Optional.of(RecordCodec.decode(content.toByteArray(), ZoneSnapshotContent.class));
+    } catch (MalformedRecordException e) {
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneSnapshotContent.java
@@ -0,0 +1,41 @@
+package org.cicadaford.decision;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.cicadaford.model.RecordCodec;
+import org.cicadaford.model.ZoneRecord.ZoneSnapshotChunk;
+
+/** Whole state of a zone, as carried by snapshot chunks. */
+record ZoneSnapshotContent(
+    long epoch,
+    String ownerInstanceId,
+    long sequence,
+    long lastBatchAtMillis,
+    long previousOwnersLastBatchAtMillis,
+    long requestsOffset,
+    List<WorkerStatus> workers,
+    List<JobStatus> jobs,
+    List<TaskStatus> tasks) {
+
+  List<ZoneSnapshotChunk> toChunks(
+      String snapshotId, long writerEpoch, long asOfOffset, int maxChunkBytes) {
+    byte[] bytes = RecordCodec.encode(this);
+    int count = Math.max(1, (bytes.length + maxChunkBytes - 1) / maxChunkBytes);
+    List<ZoneSnapshotChunk> chunks = new ArrayList<>(count);
+    for (int index = 0; index < count; index++) {
+      int from = index * maxChunkBytes;
+      int to = Math.min(bytes.length, from + maxChunkBytes);
+      chunks.add(
+          new ZoneSnapshotChunk(
+              snapshotId + "-" + index,
+              writerEpoch,
+              snapshotId,
+              asOfOffset,
+              index,
+              count,
+              Arrays.copyOfRange(bytes, from, to)));
+    }
+    return chunks;
+  }
+}
--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneState.java
@@ -0,0 +1,214 @@
+package org.cicadaford.decision;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import org.cicadaford.model.TaskId;
+import org.cicadaford.model.ZoneChange;
+import org.cicadaford.model.ZoneRecord;
+import org.cicadaford.model.ZoneRecord.OwnerBatch;
+import org.cicadaford.model.ZoneRecord.OwnerClaimed;
+import org.cicadaford.model.ZoneRecord.ZoneSnapshotChunk;
+
+/**
+ * State of a zone's workers, jobs and tasks: the fold over the {@code zone-<name>} stream.
+ *
+ * <p>The reducer is the last line of defence for the capacity of workers: a placement that does not
+ * fit, or that is written by a former owner, has no effect for any reader. Not safe for use by
+ * several threads.
+ */
+public final class ZoneState {
+
+  private final ZoneTables tables = new ZoneTables();
+  private final ZoneSnapshotAssembler snapshotAssembler = new ZoneSnapshotAssembler();
+  private long appliedOffset = ConfigState.NO_OFFSET;
+  private long epoch = ConfigState.NO_OFFSET;
+  private String ownerInstanceId = "";
+  private long sequence;
+  private long lastBatchAtMillis;
+  private long previousOwnersLastBatchAtMillis;
+  private long requestsOffset;
+  private boolean complete;
+
+  /** Applies the record at {@code offset} and returns what it did. */
+  public ZoneVerdict apply(long offset, ZoneRecord record) {
+    if (offset <= appliedOffset) {
+      return new ZoneVerdict.Ignored("offset " + offset + " was applied before");
+    }
+    appliedOffset = offset;
+    complete = complete || offset == 0;
+    if (!complete && !(record instanceof ZoneSnapshotChunk)) {
+      return new ZoneVerdict.Ignored("records before the first kept snapshot cannot be applied");
+    }
+    return switch (record) {
+      case OwnerClaimed claimed -> claim(offset, claimed);
+      case OwnerBatch batch -> applyBatch(batch);
+      case ZoneSnapshotChunk chunk -> applyChunk(offset, chunk);
+    };
+  }
+
+  private ZoneVerdict claim(long offset, OwnerClaimed claimed) {
+    previousOwnersLastBatchAtMillis = Math.max(previousOwnersLastBatchAtMillis, lastBatchAtMillis);
+    epoch = offset;
+    ownerInstanceId = claimed.instanceId();
+    sequence = 0;
+    lastBatchAtMillis = claimed.claimedAtMillis();
+    return new ZoneVerdict.Applied(List.of());
+  }
+
+  private ZoneVerdict applyBatch(OwnerBatch batch) {
+    if (batch.epoch() != epoch) {
+      return new ZoneVerdict.Ignored("epoch " + batch.epoch() + " is not the current " + epoch);
+    }
+    if (batch.sequence() != sequence + 1) {
+      return new ZoneVerdict.Ignored("batch " + batch.sequence() + " does not follow " + sequence);
+    }
+    sequence = batch.sequence();
+    lastBatchAtMillis = Math.max(lastBatchAtMillis, batch.writtenAtMillis());
+    requestsOffset = Math.max(requestsOffset, batch.requestsOffset());
+    tables.forgetClosedJobs(batch.writtenAtMillis());
+    List<ZoneChange> rejected = new ArrayList<>();
+    for (ZoneChange change : batch.changes()) {
+      if (!tables.apply(change)) {
+        rejected.add(change);
+      }
+    }
+    return new ZoneVerdict.Applied(rejected);
+  }
+
+  private ZoneVerdict applyChunk(long offset, ZoneSnapshotChunk chunk) {
+    if (complete) {
+      return new ZoneVerdict.Applied(List.of());
+    }
+    Optional<ZoneSnapshotContent> content = snapshotAssembler.add(offset, chunk);
+    content.ifPresent(this::fill);
+    return new ZoneVerdict.Applied(List.of());
+  }
+
+  private void fill(ZoneSnapshotContent content) {
+    tables.fill(content);
+    epoch = content.epoch();
+    ownerInstanceId = content.ownerInstanceId();
+    sequence = content.sequence();
+    lastBatchAtMillis = content.lastBatchAtMillis();
+    previousOwnersLastBatchAtMillis = content.previousOwnersLastBatchAtMillis();
+    requestsOffset = content.requestsOffset();
+    complete = true;
+  }
+
+  /**
+   * Returns the state as snapshot chunks of at most {@code maxChunkBytes}. The snapshot is valid
+   * only if its chunks are written right after the last applied record, with no other record in
+   * between.
+   */
+  public List<ZoneSnapshotChunk> snapshot(String snapshotId, int maxChunkBytes) {
+    ZoneSnapshotContent content =
+        new ZoneSnapshotContent(
+            epoch,
+            ownerInstanceId,
+            sequence,
+            lastBatchAtMillis,
+            previousOwnersLastBatchAtMillis,
+            requestsOffset,
+            tables.workerList(),
+            tables.jobList(),
+            tables.taskList());
+    return content.toChunks(snapshotId, epoch, appliedOffset, maxChunkBytes);
+  }
+
+  /** Returns whether all records from the first one, or from a snapshot, on were applied. */
+  public boolean isComplete() {
+    return complete;
+  }
+
+  /** Returns the offset of the last record applied, or -1. */
+  public long appliedOffset() {
+    return appliedOffset;
+  }
+
+  /** Returns the current ownership epoch, or -1 before the first claim. */
+  public long epoch() {
+    return epoch;
+  }
+
+  /** Returns the entry instance that owns the zone, or an empty string before the first claim. */
+  public String ownerInstanceId() {
+    return ownerInstanceId;
+  }
+
+  /** Returns the number of the last batch of the current epoch, or 0. */
+  public long sequence() {
+    return sequence;
+  }
+
+  /** Returns the owner's clock at its claim or last batch, in milliseconds. */
+  public long lastBatchAtMillis() {
+    return lastBatchAtMillis;
+  }
+
+  /** Returns the latest clock of a batch of any earlier owner, in milliseconds; 0 if none. */
+  public long previousOwnersLastBatchAtMillis() {
+    return previousOwnersLastBatchAtMillis;
+  }
+
+  /** Returns the offset before which all requests are reflected in this state. */
+  public long requestsOffset() {
+    return requestsOffset;
+  }
+
+  /** Returns the worker of this id. */
+  public Optional<WorkerStatus> worker(String workerId) {
+    return Optional.ofNullable(tables.worker(workerId));
+  }
+
+  /** Returns all workers in the order of their ids. */
+  public Collection<WorkerStatus> workers() {
+    return tables.workers();
+  }
+
+  /** Returns the job of this id. */
+  public Optional<JobStatus> job(String jobId) {
+    return Optional.ofNullable(tables.job(jobId));
+  }
+
+  /** Returns all jobs in the order of their admission. */
+  public Collection<JobStatus> jobs() {
+    return tables.jobs();
+  }
+
+  /** Returns the jobs with waiting tasks in the order of their admission. */
+  public Collection<JobStatus> waitingJobs() {
+    return tables.waitingJobs();
+  }
+
+  /** Returns the task of this id. */
+  public Optional<TaskStatus> task(TaskId taskId) {
+    return Optional.ofNullable(tables.task(taskId));
+  }
+
+  /** Returns the tasks of a job in the order of their indexes. */
+  public Collection<TaskStatus> tasksOf(String jobId) {
+    return tables.tasksOf(jobId);
+  }
+
+  /** Returns the waiting tasks of a job in the order of their indexes. */
+  public Collection<TaskStatus> waitingTasksOf(String jobId) {
+    return tables.waitingTasksOf(jobId);
+  }
+
+  /** Returns the tasks that the worker's capacity is committed to. */
+  public Collection<TaskStatus> committedTasksOn(String workerId) {
+    return tables.committedTasksOn(workerId);
+  }
+
+  /** Returns the processors committed to the team's tasks in this zone, in millicores. */
+  public long committedMillicores(String team) {
+    return tables.committedMillicores(team);
+  }
+
+  /** Returns the number of tasks that capacity is committed to. */
+  public int committedTaskCount() {
+    return tables.committedTaskCount();
+  }
+}
--- a/cicadaford-model/src/main/java/org/cicadaford/model/ConfigRecord.java
+++ b/cicadaford-model/src/main/java/org/cicadaford/model/ConfigRecord.java
@@ -45,18 +45,41 @@
   /** Withdraws a key for good: the same key cannot be granted again. */
   record KeyWithdrawn(String recordId, String keyHash) implements ConfigRecord {}
 
-  /** Takes an availability zone out: no task starts there. */
-  record ZoneTakenOut(String recordId, String zone) implements ConfigRecord {}
+  /**
+   * Takes an availability zone out: no task starts there.
+   *
+   * @param baseVersion offset of the last change of this zone that the operator saw, or -1
+   */
+  record ZoneTakenOut(String recordId, String zone, long baseVersion) implements ConfigRecord {}
 
-  /** Brings an availability zone back in. */
-  record ZoneBroughtIn(String recordId, String zone) implements ConfigRecord {}
+  /**
+   * Brings an availability zone back in.
+   *
+   * @param baseVersion offset of the last change of this zone that the operator saw, or -1
+   */
+  record ZoneBroughtIn(String recordId, String zone, long baseVersion) implements ConfigRecord {}
 
-  /** Adds to a zone's allotment of a team's limit; valid only within the limit. */
-  record AllotmentTaken(String recordId, String team, String zone, long millicores)
+  /**
+   * Adds to a zone's allotment of a team's limit; valid only within the limit.
+   *
+   * @param epoch ownership epoch of the writer; a record of an older epoch than one seen before is
+   *     rejected, so that an owner that was replaced cannot change the allotments any more
+   * @param sequence number of the record within the epoch; a late duplicate is rejected by it
+   * @param millicores amount added; 0 only raises the epoch
+   */
+  record AllotmentTaken(
+      String recordId, String zone, long epoch, long sequence, String team, long millicores)
       implements ConfigRecord {}
 
-  /** Returns a part of a zone's allotment, which the zone no longer uses. */
-  record AllotmentReleased(String recordId, String team, String zone, long millicores)
+  /**
+   * Returns a part of a zone's allotment, which the zone no longer uses.
+   *
+   * @param epoch ownership epoch of the writer, as in {@link AllotmentTaken}
+   * @param sequence number of the record within the epoch
+   * @param millicores amount returned
+   */
+  record AllotmentReleased(
+      String recordId, String zone, long epoch, long sequence, String team, long millicores)
       implements ConfigRecord {}
 
   /**
@@ -64,7 +87,9 @@
    *
    * @param asOfOffset offset of the last record that the snapshot includes
    * @param publishVersion version of the last accepted publish
+   * @param zoneVersions offset of the last change of each zone that was ever taken out
    * @param allotments allotments in millicores by team, then by zone
+   * @param allotmentFences newest writer of allotments of each zone
    */
   record ConfigSnapshot(
       String recordId,
@@ -76,6 +101,16 @@
       Map<String, String> teamByKeyHash,
       List<String> withdrawnKeyHashes,
       List<String> zonesOut,
-      Map<String, Map<String, Long>> allotments)
+      Map<String, Long> zoneVersions,
+      Map<String, Map<String, Long>> allotments,
+      Map<String, AllotmentFence> allotmentFences)
       implements ConfigRecord {}
+
+  /**
+   * Names the newest writer of a zone's allotments.
+   *
+   * @param epoch its ownership epoch
+   * @param sequence number of its last record
+   */
+  record AllotmentFence(long epoch, long sequence) {}
 }
--- a/cicadaford-model/src/main/java/org/cicadaford/model/RequestRecord.java
+++ b/cicadaford-model/src/main/java/org/cicadaford/model/RequestRecord.java
@@ -45,6 +45,7 @@
   /**
    * States how a claimed call ended.
    *
+   * @param claimOffset offset of the claim that ended
    * @param outcome whether it ran
    * @param statusCode the endpoint's HTTP status, or 0 where there was no answer
    * @param body the endpoint's answer, or empty where it was larger than the ledger keeps
@@ -53,6 +54,7 @@
   record CallFinished(
       String recordId,
       String requestId,
+      long claimOffset,
       RunOutcome outcome,
       int statusCode,
       String contentType,
--- a/cicadaford-model/src/main/java/org/cicadaford/model/ZoneRecord.java
+++ b/cicadaford-model/src/main/java/org/cicadaford/model/ZoneRecord.java
@@ -21,6 +21,8 @@
    * Records decisions of the zone's owner; rejected whole if its epoch is not the current one.
    *
    * @param epoch offset of the owner's claim
+   * @param sequence number of the batch within the epoch, from 1; after a lost answer the owner
+   *     writes the next batch with the same number, and the first of the two in the stream wins
    * @param writtenAtMillis the owner's clock when it decided
    * @param configVersion offset of the last configuration record that it had applied
    * @param requestsOffset offset before which all requests are reflected in the zone's state
@@ -29,6 +31,7 @@
   record OwnerBatch(
       String recordId,
       long epoch,
+      long sequence,
       long writtenAtMillis,
       long configVersion,
       long requestsOffset,
--- a/cicadaford-model/src/test/java/org/cicadaford/model/RecordCodecTest.java
+++ b/cicadaford-model/src/test/java/org/cicadaford/model/RecordCodecTest.java
@@ -23,6 +23,7 @@
             1,
             2,
             3,
+            4,
             List.of(
                 new ZoneChange.TaskPlaced(
                     new TaskId(id, 7), attempt, "w", new Resources(amount, 2, 3), 4),
