--- /dev/null
+++ b/cicadaford-platform/src/main/java/org/cicadaford/platform/internal/RequestDeadlineHandler.java
@@ -0,0 +1,89 @@
+package org.cicadaford.platform.internal;
+
+import io.micronaut.http.client.netty.NettyClientCustomizer;
+import io.micronaut.http.netty.channel.ChannelPipelineCustomizer;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.cicadaford.platform.PlatformRoutes;
+
+/**
+ * Closes a connection whose request is not answered within its timeout, so that a connection that
+ * went silent is never used again.
+ *
+ * <p>Also closes it when an answer states no length, because a cut could not be told from its end.
+ */
+final class RequestDeadlineHandler extends ChannelDuplexHandler {
+
+  private Future<?> deadline;
+
+  /** Adds a handler to each new connection. */
+  static final class Customizer implements NettyClientCustomizer {
+
+    @Override
+    public NettyClientCustomizer specializeForChannel(Channel channel, ChannelRole role) {
+      return new NettyClientCustomizer() {
+        @Override
+        public void onStreamPipelineBuilt() {
+          channel
+              .pipeline()
+              .addAfter(
+                  ChannelPipelineCustomizer.HANDLER_HTTP_CLIENT_CODEC,
+                  "request-deadline",
+                  new RequestDeadlineHandler());
+        }
+      };
+    }
+  }
+
+  @Override
+  public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+    if (message instanceof HttpRequest request) {
+      long timeoutMillis = Long.parseLong(request.headers().get(PlatformRoutes.TIMEOUT_HEADER));
+      cancelDeadline();
+      deadline =
+          context.executor().schedule(() -> context.close(), timeoutMillis, TimeUnit.MILLISECONDS);
+    }
+    context.write(message, promise);
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    if (message instanceof HttpResponse response && !statesLength(response)) {
+      ReferenceCountUtil.release(message);
+      context.close();
+      return;
+    }
+    if (message instanceof LastHttpContent) {
+      cancelDeadline();
+    }
+    context.fireChannelRead(message);
+  }
+
+  private static boolean statesLength(HttpResponse response) {
+    return response.status().code() == 204
+        || HttpUtil.isContentLengthSet(response)
+        || HttpUtil.isTransferEncodingChunked(response);
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    cancelDeadline();
+    context.fireChannelInactive();
+  }
+
+  private void cancelDeadline() {
+    if (deadline != null) {
+      deadline.cancel(false);
+      deadline = null;
+    }
+  }
+}
--- /dev/null
+++ b/cicadaford-platform/src/main/java/org/cicadaford/platform/internal/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP clients for the interfaces to the platform. */
+package org.cicadaford.platform.internal;
