Add stand-ins for the log, the membership list, workers and endpoints

Nothing could run end to end without a platform. The module cicadaford-standin now has three programs on loopback (log, workers, endpoints) with one main class, each with fault switches at /faults: down, slow, lost answers, silent connections, expired records, lagging list, failing or paused worker, leaving or refusing endpoint. docs/platform.md lists the assumptions about the platform, the routes and the bodies.

The JDK's HTTP server is used rather than Micronaut's, because it needs no bean context. Its connections hold small answers back for up to 40 ms unless its nodelay property is set, so it is.

Two timeouts of 300 ms in tests were raised to 2 s: the first request in a fresh JVM took longer than 300 ms in one run, which failed WorkerStandinTest. No assertion was changed.

mvn -pl cicadaford-standin -am verify passed twice. The programs were started by hand from the jar; resident after a few seconds: log 96 MiB, 30 workers 128 MiB, 3 endpoints 153 MiB (JVM defaults). Not run: the limit of 64 connections of an endpoint.

--- /dev/null
+++ b/cicadaford-standin/src/main/java/org/cicadaford/standin/Announcer.java
@@ -0,0 +1,58 @@
+package org.cicadaford.standin;
+
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cicadaford.platform.Member;
+import org.cicadaford.platform.MembershipUnavailableException;
+import org.cicadaford.platform.PlatformClients;
+import org.cicadaford.platform.PlatformSettings;
+
+/** Announces the instances of a stand-in to the membership list. */
+final class Announcer {
+
+  private static final Logger LOG = LogManager.getLogger(Announcer.class);
+
+  private final PlatformClients clients;
+  private final long intervalMillis;
+  private final Supplier<List<Member>> members;
+  private final ScheduledExecutorService executor =
+      Executors.newSingleThreadScheduledExecutor(
+          Thread.ofPlatform().daemon().name("announcer").factory());
+  private boolean listReached = true;
+
+  Announcer(PlatformSettings settings, long intervalMillis, Supplier<List<Member>> members) {
+    this.clients = new PlatformClients(settings);
+    this.intervalMillis = intervalMillis;
+    this.members = members;
+  }
+
+  void start() {
+    clients.start();
+    executor.scheduleAtFixedRate(this::announce, 0, intervalMillis, TimeUnit.MILLISECONDS);
+  }
+
+  void stop() {
+    executor.shutdownNow();
+    clients.stop();
+  }
+
+  private void announce() {
+    boolean reached = true;
+    for (Member member : members.get()) {
+      try {
+        clients.membershipService().announce(member);
+      } catch (MembershipUnavailableException e) {
+        reached = false;
+      }
+    }
+    if (reached != listReached) {
+      LOG.info("membership list {}", reached ? "is reached again" : "is not reached");
+      listReached = reached;
+    }
+  }
+}
