Add the peer protocol

Cause: entry daemons tell each other heartbeats, configuration and handovers. Ruled out: HTTP between peers (headers alone are larger than a heartbeat); an age of the confirmation in heartbeats (it grows younger on a slow connection), so an absolute time is sent. Change: TCP frames with MessagePack through Netty's length decoder, at most 1 MiB; answers matched by id; a silent connection is replaced by one opened beside it. Before: none. Conclusion: ready for the entry library.

--- /dev/null
+++ b/cicadaford-wire/src/main/java/org/cicadaford/wire/PeerFrameCodec.java
@@ -0,0 +1,55 @@
+package org.cicadaford.wire;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.ByteToMessageCodec;
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import java.util.List;
+import org.cicadaford.model.MalformedRecordException;
+import org.cicadaford.model.RecordCodec;
+
+/** Reads and writes {@link PeerFrame}s behind a 4-byte length. */
+final class PeerFrameCodec extends ByteToMessageCodec<PeerFrame> {
+
+  private static final int LENGTH_FIELD_BYTES = 4;
+
+  /** Adds the handlers that turn bytes into frames and back. */
+  static void addTo(ChannelPipeline pipeline, PeerSettings settings) {
+    pipeline.addLast(
+        new LengthFieldBasedFrameDecoder(
+            settings.maxFrameBytes(), 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES));
+    pipeline.addLast(new LengthFieldPrepender(LENGTH_FIELD_BYTES));
+    pipeline.addLast(new PeerFrameCodec());
+  }
+
+  @Override
+  protected void encode(ChannelHandlerContext context, PeerFrame frame, ByteBuf out) {
+    out.writeBytes(RecordCodec.encode(frame));
+  }
+
+  @Override
+  protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) {
+    byte[] content = new byte[in.readableBytes()];
+    in.readBytes(content);
+    try {
+      out.add(checked(RecordCodec.decode(content, PeerFrame.class)));
+    } catch (MalformedRecordException e) {
+      throw new CorruptedFrameException("the peer sent a malformed frame", e);
+    }
+  }
+
+  private static PeerFrame checked(PeerFrame frame) {
+    if (frame.version() != PeerFrame.VERSION || frame.message() == null) {
+      throw new CorruptedFrameException(
+          "the peer speaks version "
+              + frame.version()
+              + " of the protocol, this daemon version "
+              + PeerFrame.VERSION
+              + "; run compatible releases");
+    }
+    return frame;
+  }
+}
--- /dev/null
+++ b/cicadaford-wire/src/main/java/org/cicadaford/wire/PeerHandler.java
@@ -0,0 +1,13 @@
+package org.cicadaford.wire;
+
+/** Answers the messages of peers. Called on a network thread, so it must not block. */
+@FunctionalInterface
+public interface PeerHandler {
+
+  /**
+   * Returns the answer to a message, for example a {@link PeerMessage.Heartbeat} to a heartbeat.
+   *
+   * @param peer who sent it
+   */
+  PeerMessage answer(PeerMessage.Hello peer, PeerMessage message);
+}
--- /dev/null
+++ b/cicadaford-wire/src/main/java/org/cicadaford/wire/PeerServer.java
@@ -0,0 +1,133 @@
+package org.cicadaford.wire;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** Accepts connections of peers and answers their messages through a {@link PeerHandler}. */
+public final class PeerServer {
+
+  private static final Logger LOGGER = LogManager.getLogger(PeerServer.class);
+
+  private final InetSocketAddress bindAddress;
+  private final PeerSettings settings;
+  private final PeerMessage.Hello self;
+  private final PeerHandler handler;
+  private final EventLoopGroup eventLoops;
+  private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private final AtomicLong rejectedFrames = new AtomicLong();
+  private Channel listener;
+
+  /** Creates the server; {@code eventLoops} is owned by the caller. */
+  public PeerServer(
+      InetSocketAddress bindAddress,
+      PeerSettings settings,
+      PeerMessage.Hello self,
+      PeerHandler handler,
+      EventLoopGroup eventLoops) {
+    this.bindAddress = bindAddress;
+    this.settings = settings;
+    this.self = self;
+    this.handler = handler;
+    this.eventLoops = eventLoops;
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @throws PeerException if the address cannot be bound
+   */
+  public void start() throws PeerException {
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(eventLoops)
+            .channel(NioServerSocketChannel.class)
+            .childHandler(new Initializer());
+    ChannelFuture bound = bootstrap.bind(bindAddress).awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw new PeerException(
+          "cannot listen for peers on " + bindAddress + "; choose a free port", bound.cause());
+    }
+    listener = bound.channel();
+  }
+
+  /** Stops listening and closes all connections. */
+  public void stop() {
+    if (listener != null) {
+      listener.close().awaitUninterruptibly();
+    }
+    connections.close().awaitUninterruptibly();
+  }
+
+  /** Returns the port that the server listens on. */
+  public int port() {
+    return ((InetSocketAddress) listener.localAddress()).getPort();
+  }
+
+  /** Returns the number of connections that were closed because of a frame that was not valid. */
+  public long rejectedFrameCount() {
+    return rejectedFrames.get();
+  }
+
+  private final class Initializer extends ChannelInitializer<SocketChannel> {
+
+    @Override
+    protected void initChannel(SocketChannel channel) {
+      if (connections.size() >= settings.maxConnections()) {
+        channel.close();
+        return;
+      }
+      connections.add(channel);
+      channel
+          .pipeline()
+          .addLast(new ReadTimeoutHandler(settings.silenceMillis(), TimeUnit.MILLISECONDS));
+      PeerFrameCodec.addTo(channel.pipeline(), settings);
+      channel.pipeline().addLast(new Answerer());
+    }
+  }
+
+  /** Answers the frames of one connection. */
+  private final class Answerer extends SimpleChannelInboundHandler<PeerFrame> {
+
+    private PeerMessage.Hello peer;
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, PeerFrame frame) {
+      PeerMessage answer = answer(frame.message());
+      context.writeAndFlush(new PeerFrame(PeerFrame.VERSION, frame.messageId(), true, answer));
+    }
+
+    private PeerMessage answer(PeerMessage message) {
+      if (message instanceof PeerMessage.Hello hello) {
+        peer = hello;
+        return self;
+      }
+      if (peer == null) {
+        return new PeerMessage.Refusal("send a hello first");
+      }
+      return handler.answer(peer, message);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      rejectedFrames.incrementAndGet();
+      LOGGER.debug("connection of {} closed: {}", peer, cause.getMessage());
+      context.close();
+    }
+  }
+}
--- a/cicadaford-wire/src/main/java/org/cicadaford/wire/package-info.java
+++ b/cicadaford-wire/src/main/java/org/cicadaford/wire/package-info.java
@@ -1,2 +1,2 @@
-/** Protocol between entry daemons: TCP frames with MessagePack. */
+/** Protocol between entry daemons: TCP frames with MessagePack, heartbeats, answers by id. */
 package org.cicadaford.wire;
--- /dev/null
+++ b/cicadaford-wire/src/test/java/org/cicadaford/wire/PeerLinkTest.java
@@ -0,0 +1,166 @@
+package org.cicadaford.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterContainer;
+
+/** Guards against connections that go silent for good, and against answers to other requests. */
+@SuppressWarnings("deprecation")
+class PeerLinkTest {
+
+  private static final EventLoopGroup EVENT_LOOPS = new NioEventLoopGroup(2);
+  private static final PeerSettings SETTINGS = new PeerSettings(4_096, 20, 400, 1_000, 8);
+  private static final PeerMessage.Heartbeat HEARTBEAT =
+      new PeerMessage.Heartbeat("client", "zone", 1, false, 2, 3);
+  private static final int ANSWER_TIMEOUT_MILLIS = 30_000;
+
+  @AfterContainer
+  static void stopEventLoops() {
+    EVENT_LOOPS.shutdownGracefully();
+  }
+
+  @Example
+  void newConnectionReplacesOneThatWentSilent() throws Exception {
+    PeerServer server = server();
+    server.start();
+    AtomicInteger heartbeats = new AtomicInteger();
+    try (Relay relay = new Relay(server.port())) {
+      PeerLink link = link(relay.port(), heartbeats);
+      link.start();
+      awaitTrue(() -> heartbeats.get() >= 3);
+
+      relay.silenceOpenConnections();
+      int before = heartbeats.get();
+
+      awaitTrue(() -> heartbeats.get() >= before + 3);
+      assertThat(relay.connectionCount()).isGreaterThanOrEqualTo(2);
+      link.stop();
+    } finally {
+      server.stop();
+    }
+  }
+
+  @Example
+  void eachRequestGetsItsOwnAnswer() throws Exception {
+    PeerServer server = server();
+    server.start();
+    AtomicInteger heartbeats = new AtomicInteger();
+    PeerLink link = link(server.port(), heartbeats);
+    link.start();
+    awaitTrue(() -> heartbeats.get() >= 1);
+
+    List<CompletableFuture<PeerMessage>> answers = new ArrayList<>();
+    for (int job = 0; job < 200; job++) {
+      answers.add(link.ask(new PeerMessage.JobStatusRequest("job-" + job), ANSWER_TIMEOUT_MILLIS));
+    }
+
+    for (int job = 0; job < answers.size(); job++) {
+      assertThat(answers.get(job).get()).isEqualTo(new PeerMessage.JobStatusRequest("job-" + job));
+    }
+    link.stop();
+    server.stop();
+  }
+
+  private static PeerServer server() {
+    return new PeerServer(
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+        SETTINGS,
+        new PeerMessage.Hello("server", "zone"),
+        (peer, message) -> message,
+        EVENT_LOOPS);
+  }
+
+  private static PeerLink link(int port, AtomicInteger heartbeats) {
+    return new PeerLink(
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
+        SETTINGS,
+        new PeerMessage.Hello("client", "zone"),
+        () -> HEARTBEAT,
+        heartbeat -> heartbeats.incrementAndGet(),
+        EVENT_LOOPS);
+  }
+
+  private static void awaitTrue(BooleanSupplier condition) throws InterruptedException {
+    while (!condition.getAsBoolean()) {
+      Thread.sleep(5);
+    }
+  }
+
+  /** Passes bytes on until told to drop those of the connections that are open. */
+  private static final class Relay implements AutoCloseable {
+
+    private final ServerSocket listener = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+    private final int targetPort;
+    private final AtomicInteger generation = new AtomicInteger();
+    private final AtomicInteger connections = new AtomicInteger();
+
+    Relay(int targetPort) throws IOException {
+      this.targetPort = targetPort;
+      Thread.ofPlatform().daemon().start(this::accept);
+    }
+
+    int port() {
+      return listener.getLocalPort();
+    }
+
+    int connectionCount() {
+      return connections.get();
+    }
+
+    void silenceOpenConnections() {
+      generation.incrementAndGet();
+    }
+
+    private void accept() {
+      try {
+        while (true) {
+          Socket client = listener.accept();
+          Socket target = new Socket(InetAddress.getLoopbackAddress(), targetPort);
+          connections.incrementAndGet();
+          int openedIn = generation.get();
+          Thread.ofPlatform().daemon().start(() -> copy(client, target, openedIn));
+          Thread.ofPlatform().daemon().start(() -> copy(target, client, openedIn));
+        }
+      } catch (IOException e) {
+        // The listener was closed at the end of the test.
+        return;
+      }
+    }
+
+    private void copy(Socket from, Socket to, int openedIn) {
+      byte[] buffer = new byte[4_096];
+      try {
+        InputStream in = from.getInputStream();
+        OutputStream out = to.getOutputStream();
+        for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
+          if (openedIn == generation.get()) {
+            out.write(buffer, 0, count);
+          }
+        }
+      } catch (IOException e) {
+        // One side closed its connection.
+        return;
+      }
+    }
+
+    @Override
+    public void close() throws IOException {
+      listener.close();
+    }
+  }
+}
