Link entry daemons with each other

Cause: a zone cut off from the log must hear of keys and zones through its peers, and a new owner must hear of the last leases of the previous one. Ruled out: a full mesh of links (grows with the square of the daemons); two links to each other zone suffice when one peer has failed. Change: PeerService keeps links, passes configuration records on by offset, confirms a version with the sender's time less the clock drift, sends handovers, asks for the state of jobs. Conclusion: to be joined with the configuration holder of the entry library.

--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/peer/PeerKnowledge.java
@@ -0,0 +1,32 @@
+package org.cicadaford.entry.peer;
+
+import org.cicadaford.wire.PeerMessage.ConfigRecordsAnswer;
+import org.cicadaford.wire.PeerMessage.HandOver;
+import org.cicadaford.wire.PeerMessage.Heartbeat;
+
+/**
+ * What this daemon tells its peers and takes from them. Called on network threads; never blocks.
+ */
+public interface PeerKnowledge {
+
+  /** Returns what this daemon states in its heartbeats. */
+  Heartbeat heartbeat();
+
+  /** Returns configuration records from {@code fromOffset} on, or a snapshot if they are gone. */
+  ConfigRecordsAnswer configRecords(long fromOffset);
+
+  /** Takes configuration records that a peer has read from the log. */
+  void offerConfig(ConfigRecordsAnswer records);
+
+  /**
+   * Takes in that the log had no configuration record newer than {@code version} at {@code
+   * confirmedAtMillis} of this daemon's clock, drift allowed for.
+   */
+  void confirmConfig(long version, long confirmedAtMillis);
+
+  /** Takes in the last leases that a previous owner of this daemon's zone granted. */
+  void takeHandOver(HandOver handOver);
+
+  /** Returns the state of a job in this zone as MessagePack; empty if the zone does not know it. */
+  byte[] jobStatus(String jobId);
+}
--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/peer/PeerSelector.java
@@ -0,0 +1,45 @@
+package org.cicadaford.entry.peer;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.cicadaford.platform.Member;
+
+/** Chooses the peers that a daemon keeps a link to. */
+final class PeerSelector {
+
+  /**
+   * Links kept to each other zone. Two let news pass when one of the peers has failed, while the
+   * number of links grows with zones rather than with daemons.
+   */
+  static final int LINKS_PER_OTHER_ZONE = 2;
+
+  private PeerSelector() {}
+
+  /** Returns all peers of the own zone and a few of each other zone, spread over the daemons. */
+  static List<Member> select(List<Member> members, String ownInstanceId, String ownZone) {
+    Map<String, List<Member>> byZone =
+        members.stream()
+            .filter(member -> member.role() == Member.Role.ENTRY && member.peerPort() > 0)
+            .filter(member -> !member.instanceId().equals(ownInstanceId))
+            .collect(Collectors.groupingBy(Member::zone, TreeMap::new, Collectors.toList()));
+    List<Member> selected = new ArrayList<>();
+    byZone.forEach(
+        (zone, peers) -> {
+          int limit = zone.equals(ownZone) ? peers.size() : LINKS_PER_OTHER_ZONE;
+          peers.stream()
+              .sorted(Comparator.comparingInt(peer -> weight(ownInstanceId, peer)))
+              .limit(limit)
+              .forEach(selected::add);
+        });
+    return selected;
+  }
+
+  /** Orders peers differently for each daemon, so that their links are spread. */
+  private static int weight(String ownInstanceId, Member peer) {
+    return (ownInstanceId + '|' + peer.instanceId()).hashCode();
+  }
+}
--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/peer/PeerService.java
@@ -0,0 +1,214 @@
+package org.cicadaford.entry.peer;
+
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+import org.cicadaford.platform.Member;
+import org.cicadaford.wire.PeerException;
+import org.cicadaford.wire.PeerHandler;
+import org.cicadaford.wire.PeerLink;
+import org.cicadaford.wire.PeerMessage;
+import org.cicadaford.wire.PeerMessage.ConfigRecordsAnswer;
+import org.cicadaford.wire.PeerMessage.ConfigRecordsRequest;
+import org.cicadaford.wire.PeerMessage.HandOver;
+import org.cicadaford.wire.PeerMessage.Heartbeat;
+import org.cicadaford.wire.PeerMessage.JobStatusAnswer;
+import org.cicadaford.wire.PeerMessage.JobStatusRequest;
+import org.cicadaford.wire.PeerMessage.Refusal;
+import org.cicadaford.wire.PeerServer;
+import org.cicadaford.wire.PeerSettings;
+
+/**
+ * Links this daemon to its peers.
+ *
+ * <p>A peer that knows a newer configuration is asked for it, so that news reaches a zone that is
+ * cut off from the log through any zone that is not.
+ */
+public final class PeerService {
+
+  private static final long ASK_TIMEOUT_MILLIS = 1_000;
+
+  private final PeerSettings settings;
+  private final PeerMessage.Hello self;
+  private final long clockDriftMillis;
+  private final PeerKnowledge knowledge;
+  private final PeerDirectory directory;
+  private final EventLoopGroup eventLoops;
+  private final LongSupplier clockMillis;
+  private final PeerServer server;
+  private final Map<String, Link> linksByInstance = new HashMap<>();
+
+  private record Link(Member member, PeerLink link) {}
+
+  /** Creates the service; {@code eventLoops} is owned by the caller. */
+  public PeerService(
+      InetSocketAddress bindAddress,
+      PeerSettings settings,
+      PeerMessage.Hello self,
+      long clockDriftMillis,
+      PeerKnowledge knowledge,
+      PeerDirectory directory,
+      EventLoopGroup eventLoops,
+      LongSupplier clockMillis) {
+    this.settings = settings;
+    this.self = self;
+    this.clockDriftMillis = clockDriftMillis;
+    this.knowledge = knowledge;
+    this.directory = directory;
+    this.eventLoops = eventLoops;
+    this.clockMillis = clockMillis;
+    PeerHandler handler = (peer, message) -> answer(message);
+    this.server = new PeerServer(bindAddress, settings, self, handler, eventLoops);
+  }
+
+  /**
+   * Starts to accept links.
+   *
+   * @throws PeerException if the address cannot be bound
+   */
+  public void start() throws PeerException {
+    server.start();
+  }
+
+  /** Closes all links. */
+  public synchronized void stop() {
+    linksByInstance.values().forEach(link -> link.link().stop());
+    linksByInstance.clear();
+    server.stop();
+  }
+
+  /** Returns the port that peers connect to. */
+  public int port() {
+    return server.port();
+  }
+
+  /** Opens and closes links so that they match the platform's list. */
+  public synchronized void updatePeers(List<Member> members) {
+    Map<String, Member> wanted = new HashMap<>();
+    PeerSelector.select(members, self.instanceId(), self.zone())
+        .forEach(peer -> wanted.put(peer.instanceId(), peer));
+    closeOthers(wanted);
+    wanted.values().stream()
+        .filter(peer -> !linksByInstance.containsKey(peer.instanceId()))
+        .forEach(this::open);
+  }
+
+  private void closeOthers(Map<String, Member> wanted) {
+    Iterator<Map.Entry<String, Link>> links = linksByInstance.entrySet().iterator();
+    while (links.hasNext()) {
+      Map.Entry<String, Link> entry = links.next();
+      Member peer = wanted.get(entry.getKey());
+      if (peer == null || !sameAddress(peer, entry.getValue().member())) {
+        entry.getValue().link().stop();
+        directory.forget(entry.getKey());
+        links.remove();
+      }
+    }
+  }
+
+  private static boolean sameAddress(Member a, Member b) {
+    return a.host().equals(b.host()) && a.peerPort() == b.peerPort();
+  }
+
+  private void open(Member peer) {
+    PeerLink link =
+        new PeerLink(
+            new InetSocketAddress(peer.host(), peer.peerPort()),
+            settings,
+            self,
+            knowledge::heartbeat,
+            heartbeat -> heard(peer.instanceId(), heartbeat),
+            eventLoops);
+    linksByInstance.put(peer.instanceId(), new Link(peer, link));
+    link.start();
+  }
+
+  private void heard(String instanceId, Heartbeat heartbeat) {
+    directory.heard(heartbeat, clockMillis.getAsLong());
+    long ownVersion = knowledge.heartbeat().configVersion();
+    if (heartbeat.configVersion() > ownVersion) {
+      ask(instanceId, new ConfigRecordsRequest(ownVersion + 1)).thenAccept(this::takeConfig);
+    } else {
+      confirm(heartbeat.configVersion(), heartbeat.configConfirmedAtMillis());
+    }
+  }
+
+  private void takeConfig(PeerMessage answer) {
+    if (answer instanceof ConfigRecordsAnswer records) {
+      knowledge.offerConfig(records);
+    }
+  }
+
+  private void confirm(long version, long confirmedAtMillis) {
+    knowledge.confirmConfig(version, confirmedAtMillis - clockDriftMillis);
+  }
+
+  private PeerMessage answer(PeerMessage message) {
+    return switch (message) {
+      case Heartbeat heartbeat -> {
+        directory.heard(heartbeat, clockMillis.getAsLong());
+        yield knowledge.heartbeat();
+      }
+      case ConfigRecordsRequest request -> knowledge.configRecords(request.fromOffset());
+      case HandOver handOver -> {
+        knowledge.takeHandOver(handOver);
+        yield knowledge.heartbeat();
+      }
+      case JobStatusRequest request ->
+          new JobStatusAnswer(request.jobId(), knowledge.jobStatus(request.jobId()));
+      case PeerMessage.Hello hello -> self;
+      case ConfigRecordsAnswer unexpected -> new Refusal("send a request");
+      case JobStatusAnswer unexpected -> new Refusal("send a request");
+      case Refusal unexpected -> new Refusal("send a request");
+    };
+  }
+
+  /** Tells all linked peers of the own zone the last leases that this daemon granted. */
+  public synchronized CompletableFuture<Void> sendHandOver(HandOver handOver) {
+    CompletableFuture<?>[] answers =
+        linksByInstance.values().stream()
+            .filter(link -> link.member().zone().equals(self.zone()))
+            .map(link -> link.link().ask(handOver, ASK_TIMEOUT_MILLIS).exceptionally(e -> null))
+            .toArray(CompletableFuture<?>[]::new);
+    return CompletableFuture.allOf(answers);
+  }
+
+  /**
+   * Asks a peer of {@code zone} for the state of a job; the answer completes exceptionally with
+   * {@link PeerException} if no such peer answers.
+   */
+  public CompletableFuture<byte[]> jobStatus(String zone, String jobId) {
+    return ask(peerIn(zone), new JobStatusRequest(jobId))
+        .thenApply(
+            answer -> answer instanceof JobStatusAnswer status ? status.content() : new byte[0]);
+  }
+
+  private synchronized String peerIn(String zone) {
+    return linksByInstance.values().stream()
+        .filter(link -> link.member().zone().equals(zone))
+        .min(
+            (a, b) ->
+                Long.compare(
+                    a.link().silentMillis(System.nanoTime()),
+                    b.link().silentMillis(System.nanoTime())))
+        .map(link -> link.member().instanceId())
+        .orElse("");
+  }
+
+  private CompletableFuture<PeerMessage> ask(String instanceId, PeerMessage message) {
+    Link link;
+    synchronized (this) {
+      link = linksByInstance.get(instanceId);
+    }
+    if (link == null) {
+      return CompletableFuture.failedFuture(
+          new PeerException("no peer is linked; wait for the platform's list to show one", null));
+    }
+    return link.link().ask(message, ASK_TIMEOUT_MILLIS);
+  }
+}
