--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/call/CallPlan.java
@@ -0,0 +1,98 @@
+package org.cicadaford.decision.call;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.cicadaford.decision.call.CallResult.Refused;
+import org.cicadaford.model.RunOutcome;
+
+/**
+ * Decides what one call does after each of its attempts, and what may be said of it.
+ *
+ * <p>Not safe for use by several threads.
+ */
+public final class CallPlan {
+
+  /** Attempts of a repeatable call, the first one included. */
+  public static final int MAX_ATTEMPTS = 3;
+
+  private final boolean repeatable;
+  private final long deadlineAtMillis;
+  private final RetryBudget budget;
+  private final Backoff backoff;
+  private final Set<String> triedIds = new HashSet<>();
+  private int attemptCount;
+  private boolean inFlight;
+  private boolean earlierMayHaveRun;
+
+  /** What a call does next. */
+  public sealed interface Step {
+
+    /** The call is tried again after a while. */
+    record Retry(long delayMillis) implements Step {}
+
+    /** The call is given up. */
+    record GiveUp(Refused result) implements Step {}
+  }
+
+  /** Creates the plan of a call that was not attempted yet, and counts it in the budget. */
+  public CallPlan(boolean repeatable, long deadlineAtMillis, RetryBudget budget, Backoff backoff) {
+    this.repeatable = repeatable;
+    this.deadlineAtMillis = deadlineAtMillis;
+    this.budget = budget;
+    this.backoff = backoff;
+    budget.onCall();
+  }
+
+  /** Returns whether the call may be sent now; one that is not repeatable is sent only once. */
+  public boolean maySend(long nowMillis) {
+    return nowMillis < deadlineAtMillis && (repeatable || attemptCount == 0);
+  }
+
+  /** Takes in that the call is sent to an endpoint and returns the timeout of the attempt. */
+  public long onSend(String endpointId, long nowMillis) {
+    attemptCount++;
+    triedIds.add(endpointId);
+    inFlight = true;
+    long leftMillis = deadlineAtMillis - nowMillis;
+    boolean mayRetry = repeatable && attemptCount < MAX_ATTEMPTS;
+    return mayRetry ? Math.max(1, leftMillis / 2) : leftMillis;
+  }
+
+  /** Returns the endpoints that the call was sent to. */
+  public Set<String> triedIds() {
+    return triedIds;
+  }
+
+  /**
+   * Takes in that an attempt got no answer.
+   *
+   * @param notStarted whether the endpoint certainly did not start the call
+   * @param retryAfterMillis time to tell the caller if the call is given up
+   */
+  public Step onFailed(boolean notStarted, long retryAfterMillis, long nowMillis) {
+    inFlight = false;
+    earlierMayHaveRun = earlierMayHaveRun || !notStarted;
+    if (repeatable && attemptCount < MAX_ATTEMPTS) {
+      long delayMillis = backoff.delayMillis(attemptCount);
+      if (nowMillis + delayMillis < deadlineAtMillis && budget.tryRetry()) {
+        return new Step.Retry(delayMillis);
+      }
+    }
+    String detail =
+        notStarted
+            ? "the endpoint refused the call; try again after the given time"
+            : "the endpoint gave no answer; repeat the call only if that does no harm";
+    return new Step.GiveUp(refused(RefusalKind.ENDPOINT_FAILED, retryAfterMillis, detail));
+  }
+
+  /** Returns whether the call may have run. */
+  public boolean mayHaveRun() {
+    return inFlight || earlierMayHaveRun;
+  }
+
+  /** Returns a refusal that says truly whether the call was run. */
+  public Refused refused(RefusalKind kind, long retryAfterMillis, String detail) {
+    RunOutcome ran = mayHaveRun() ? RunOutcome.UNKNOWN : RunOutcome.NOT_RUN;
+    return new Refused(kind, ran, retryAfterMillis, detail);
+  }
+}
--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/call/package-info.java
@@ -0,0 +1,2 @@
+/** Pure decision logic of calls to endpoints: routing, slots, retries and refusals. */
+package org.cicadaford.decision.call;
--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/call/package-info.java
@@ -0,0 +1,2 @@
+/** Calls to services: claims, routing, retries and answers. */
+package org.cicadaford.entry.call;
