--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/RefusalKind.java
@@ -0,0 +1,74 @@
+package org.cicadaford.entry;
+
+import java.util.Locale;
+
+/** Kinds of refusals, with the HTTP status that each is answered with. */
+public enum RefusalKind {
+  /** The request cannot be read. */
+  MALFORMED_REQUEST(400, "The request cannot be read"),
+  /** The body is larger than this daemon accepts. */
+  BODY_TOO_LARGE(413, "The body is too large"),
+  /** No team key came with a request that needs one. */
+  KEY_MISSING(401, "A team key is missing"),
+  /** The key is not granted, or was withdrawn. */
+  UNKNOWN_KEY(401, "The team key is not known"),
+  /** The key belongs to another team. */
+  WRONG_TEAM(403, "The team key belongs to another team"),
+  /** No description of this name is published. */
+  UNKNOWN_DESCRIPTION(404, "The description is not published"),
+  /** No job of this id is kept. */
+  UNKNOWN_JOB(404, "The job is not known"),
+  /** No such route. */
+  UNKNOWN_ROUTE(404, "The route does not exist"),
+  /** The route exists, but not for this method. */
+  WRONG_METHOD(405, "The route does not take this method"),
+  /** The body has another media type than the route takes. */
+  WRONG_MEDIA_TYPE(415, "The media type is not accepted"),
+  /** The queue is not published. */
+  UNKNOWN_QUEUE(422, "The queue is not published"),
+  /** The team is not published. */
+  UNKNOWN_TEAM(422, "The team is not published"),
+  /** No instance of the allowed zones can run the job. */
+  IMPOSSIBLE_SIZE(422, "No instance can run the job"),
+  /** The request id belongs to another request. */
+  REQUEST_ID_REUSED(409, "The request id was used for another request"),
+  /** The request id is older than the retained window. */
+  REQUEST_ID_EXPIRED(409, "The request id is too old"),
+  /** All allowed zones are out of service. */
+  NO_ZONE(503, "No allowed zone is in service"),
+  /** The configuration was not confirmed recently, so no key can be checked. */
+  CONFIG_NOT_CONFIRMED(503, "Team keys cannot be checked now"),
+  /** The log does not take records. */
+  LOG_UNAVAILABLE(503, "The log does not take records now"),
+  /** Too many requests wait. */
+  OVERLOADED(503, "Too many requests wait"),
+  /** This instance is stopping. */
+  STOPPING(503, "This instance is stopping"),
+  /** The outcome is not known yet. */
+  OUTCOME_UNKNOWN(504, "The outcome is not known yet"),
+  /** A fault of this program. */
+  INTERNAL_FAULT(500, "A fault in the scheduler");
+
+  private final int status;
+  private final String title;
+
+  RefusalKind(int status, String title) {
+    this.status = status;
+    this.title = title;
+  }
+
+  /** Returns the HTTP status. */
+  public int status() {
+    return status;
+  }
+
+  /** Returns a short text for people. */
+  public String title() {
+    return title;
+  }
+
+  /** Returns the name used in answers and metrics. */
+  public String wireName() {
+    return name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+}
--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/job/DescriptionChecker.java
@@ -0,0 +1,59 @@
+package org.cicadaford.entry.job;
+
+import org.cicadaford.entry.Refusal;
+import org.cicadaford.entry.RefusalKind;
+import org.cicadaford.entry.RefusedException;
+import org.cicadaford.model.JobDescription;
+import org.cicadaford.model.Resources;
+
+/** Checks that a description that came with a request is whole and within bounds. */
+final class DescriptionChecker {
+
+  private static final int MAX_TEXT_LENGTH = 4_096;
+
+  private DescriptionChecker() {}
+
+  static void check(JobDescription job) throws RefusedException {
+    require(isText(job.name()), "name", "a text");
+    require(isText(job.team()), "team", "the name of the team");
+    require(isText(job.queue()), "queue", "the name of a queue");
+    require(isText(job.program()), "program", "what a worker is to run");
+    require(job.kind() != null, "kind", "SERVICE, BATCH or GANG");
+    require(job.urgency() != null, "urgency", "URGENT, NORMAL or DEFERRABLE");
+    require(
+        job.taskCount() >= 1 && job.taskCount() <= JobDescription.MAX_TASK_COUNT,
+        "taskCount",
+        "from 1 to " + JobDescription.MAX_TASK_COUNT);
+    require(job.maxTasksPerRack() >= 0, "maxTasksPerRack", "0 or more");
+    require(job.deadlineMillis() >= 0, "deadlineMillis", "0 or more");
+    require(job.expectedRunMillis() >= 0, "expectedRunMillis", "0 or more");
+    checkSize(job.resourcesPerTask());
+  }
+
+  private static void checkSize(Resources size) throws RefusedException {
+    boolean positive =
+        size != null
+            && size.processorsMillicores() > 0
+            && size.memoryMebibytes() > 0
+            && size.acceleratorCount() >= 0;
+    boolean bounded =
+        positive
+            && size.processorsMillicores() < Integer.MAX_VALUE
+            && size.memoryMebibytes() < Integer.MAX_VALUE;
+    require(bounded, "resourcesPerTask", "positive processorsMillicores and memoryMebibytes");
+  }
+
+  private static boolean isText(String value) {
+    return value != null && !value.isBlank() && value.length() <= MAX_TEXT_LENGTH;
+  }
+
+  private static void require(boolean valid, String field, String expected)
+      throws RefusedException {
+    if (!valid) {
+      throw new RefusedException(
+          Refusal.notRun(
+              RefusalKind.MALFORMED_REQUEST,
+              "field " + field + " of the description must be " + expected));
+    }
+  }
+}
--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/job/JobReporter.java
@@ -0,0 +1,211 @@
+package org.cicadaford.entry.job;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.Function;
+import org.cicadaford.decision.JobStatus;
+import org.cicadaford.decision.TaskStatus;
+import org.cicadaford.decision.ZoneState;
+import org.cicadaford.entry.Refusal;
+import org.cicadaford.entry.RefusalKind;
+import org.cicadaford.entry.RefusedException;
+import org.cicadaford.entry.job.JobReport.TaskPart;
+import org.cicadaford.entry.job.JobReport.ZonePart;
+import org.cicadaford.entry.request.RequestLog;
+import org.cicadaford.entry.zone.ZoneBusyException;
+import org.cicadaford.entry.zone.ZoneOwnerService;
+import org.cicadaford.model.JobDescription;
+import org.cicadaford.model.JobState;
+import org.cicadaford.model.RequestRecord.JobSubmitted;
+
+/** Gathers the state of a job from this zone and from other zones. */
+public final class JobReporter {
+
+  private final String zone;
+  private final RequestLog requests;
+  private final ZoneOwnerService zoneOwner;
+  private final ZoneParts otherZones;
+
+  /** Whom a job is charged to, and on which queue it was accepted. */
+  record Charge(String team, String queue) {
+
+    static Charge of(JobDescription job) {
+      return new Charge(job.team(), job.queue());
+    }
+  }
+
+  private record Part(JobStatus job, ZonePart part) {}
+
+  /** Creates a reporter for an instance in {@code zone}. */
+  public JobReporter(
+      String zone, RequestLog requests, ZoneOwnerService zoneOwner, ZoneParts otherZones) {
+    this.zone = zone;
+    this.requests = requests;
+    this.zoneOwner = zoneOwner;
+    this.otherZones = otherZones;
+  }
+
+  /** Returns whom a job is charged to; completes exceptionally if the job is not known. */
+  CompletableFuture<Charge> charge(String jobId) {
+    Optional<JobSubmitted> submitted = requests.job(jobId);
+    if (submitted.isPresent()) {
+      return CompletableFuture.completedFuture(Charge.of(submitted.get().description()));
+    }
+    return ask(state -> state.job(jobId))
+        .thenApply(
+            job ->
+                job.map(status -> Charge.of(status.description()))
+                    .orElseThrow(() -> new CompletionException(unknownJob(jobId))));
+  }
+
+  /** Returns the state of a job; completes exceptionally if the job is not known. */
+  CompletableFuture<JobReport> report(String jobId) {
+    Optional<JobSubmitted> submitted = requests.job(jobId);
+    return ask(state -> ownPart(state, jobId)).thenCompose(own -> assemble(jobId, submitted, own));
+  }
+
+  /** Returns this zone's part of a job. */
+  public CompletableFuture<Optional<ZonePart>> findOwnPart(String jobId) {
+    return ask(state -> ownPart(state, jobId)).thenApply(own -> own.map(Part::part));
+  }
+
+  private <T> CompletableFuture<T> ask(Function<ZoneState, T> reader) {
+    return zoneOwner
+        .query(reader)
+        .exceptionallyCompose(
+            failure ->
+                CompletableFuture.failedFuture(
+                    failure instanceof ZoneBusyException
+                        ? new RefusedException(
+                            Refusal.later(RefusalKind.OVERLOADED, failure.getMessage(), 1_000))
+                        : failure));
+  }
+
+  private CompletableFuture<JobReport> assemble(
+      String jobId, Optional<JobSubmitted> submitted, Optional<Part> own) {
+    if (submitted.isEmpty()) {
+      return own.map(part -> toReport(part.job(), List.of(part.part())))
+          .map(CompletableFuture::completedFuture)
+          .orElseGet(() -> CompletableFuture.failedFuture(unknownJob(jobId)));
+    }
+    JobSubmitted job = submitted.get();
+    List<CompletableFuture<ZonePart>> parts = new ArrayList<>();
+    job.taskIndexesByZone().forEach((name, indexes) -> parts.add(part(name, indexes, jobId, own)));
+    return CompletableFuture.allOf(parts.toArray(CompletableFuture[]::new))
+        .thenApply(
+            done ->
+                toReport(
+                    jobId,
+                    job.description(),
+                    job.submittedAtMillis(),
+                    parts.stream().map(CompletableFuture::join).toList()));
+  }
+
+  private CompletableFuture<ZonePart> part(
+      String name, List<Integer> indexes, String jobId, Optional<Part> own) {
+    if (name.equals(zone)) {
+      boolean cancelled = requests.isJobCancelled(jobId);
+      return CompletableFuture.completedFuture(
+          own.map(Part::part).orElseGet(() -> notAdmitted(name, indexes, cancelled)));
+    }
+    return otherZones
+        .find(name, jobId)
+        .thenApply(found -> found.orElseGet(() -> notAsked(name, indexes)));
+  }
+
+  private static ZonePart notAdmitted(String zone, List<Integer> indexes, boolean cancelled) {
+    String state = cancelled ? "cancelled" : "waiting";
+    return new ZonePart(
+        zone,
+        state,
+        "the zone's owner has not taken the job over yet",
+        indexes.stream().map(index -> taskIn(zone, index, state)).toList());
+  }
+
+  private static ZonePart notAsked(String zone, List<Integer> indexes) {
+    return new ZonePart(
+        zone,
+        "unknown",
+        "zone " + zone + " cannot be asked from here; ask an entry instance of that zone",
+        indexes.stream().map(index -> taskIn(zone, index, "unknown")).toList());
+  }
+
+  private static TaskPart taskIn(String zone, int index, String state) {
+    return new TaskPart(index, state, 0, "", zone, 0, 0, "", "");
+  }
+
+  private Optional<Part> ownPart(ZoneState state, String jobId) {
+    return state.job(jobId).map(job -> new Part(job, toPart(job, state.tasksOf(jobId))));
+  }
+
+  private ZonePart toPart(JobStatus job, Collection<TaskStatus> tasks) {
+    return new ZonePart(
+        zone, lower(job.state()), job.reason(), tasks.stream().map(this::toPart).toList());
+  }
+
+  private TaskPart toPart(TaskStatus task) {
+    return new TaskPart(
+        task.taskId().index(),
+        lower(task.phase()),
+        task.attempt(),
+        task.workerId(),
+        zone,
+        task.placedAtMillis(),
+        task.endedAtMillis(),
+        task.lastEnd() == null ? "" : lower(task.lastEnd()),
+        task.answer());
+  }
+
+  private static JobReport toReport(JobStatus job, List<ZonePart> parts) {
+    return toReport(job.jobId(), job.description(), job.submittedAtMillis(), parts);
+  }
+
+  private static JobReport toReport(
+      String jobId, JobDescription job, long submittedAtMillis, List<ZonePart> parts) {
+    ZonePart decisive = decisive(parts);
+    return new JobReport(
+        jobId,
+        job.name(),
+        job.team(),
+        lower(job.kind()),
+        decisive.state(),
+        decisive.reason(),
+        submittedAtMillis,
+        parts);
+  }
+
+  /** Returns the part whose state holds for the whole job. */
+  private static ZonePart decisive(List<ZonePart> parts) {
+    List<String> order =
+        List.of(
+            lower(JobState.FAILED),
+            lower(JobState.IMPOSSIBLE),
+            lower(JobState.CANCELLED),
+            lower(JobState.ACTIVE),
+            "waiting",
+            "unknown",
+            lower(JobState.COMPLETED));
+    return parts.stream()
+        .min((a, b) -> order.indexOf(a.state()) - order.indexOf(b.state()))
+        .orElseThrow();
+  }
+
+  private static String lower(Enum<?> value) {
+    return value.name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+
+  private static RefusedException unknownJob(String jobId) {
+    return new RefusedException(
+        Refusal.notRun(
+            RefusalKind.UNKNOWN_JOB,
+            "job "
+                + jobId
+                + " is not known here, or ended more than an hour ago; check the id and ask an"
+                + " entry instance of a zone where it ran"));
+  }
+}
--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/job/JobService.java
@@ -0,0 +1,194 @@
+package org.cicadaford.entry.job;
+
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.cicadaford.entry.Refusal;
+import org.cicadaford.entry.RefusalKind;
+import org.cicadaford.entry.RefusedException;
+import org.cicadaford.entry.config.ConfigHolder;
+import org.cicadaford.entry.config.ConfigView;
+import org.cicadaford.entry.membership.MembershipPoller;
+import org.cicadaford.entry.request.AppendedRequest;
+import org.cicadaford.entry.request.RequestLog;
+import org.cicadaford.entry.request.RequestNotAppendedException;
+import org.cicadaford.model.JobDescription;
+import org.cicadaford.model.RequestRecord;
+import org.cicadaford.model.RequestRecord.JobCancelled;
+import org.cicadaford.model.RequestRecord.JobSubmitted;
+
+/** Accepts and cancels jobs and tells their state. */
+public final class JobService {
+
+  private static final long RETRY_AFTER_MILLIS = 1_000;
+
+  private final ConfigHolder config;
+  private final RequestLog requests;
+  private final MembershipPoller membership;
+  private final JobReporter reporter;
+
+  /** Creates the service. */
+  public JobService(
+      ConfigHolder config, RequestLog requests, MembershipPoller membership, JobReporter reporter) {
+    this.config = config;
+    this.requests = requests;
+    this.membership = membership;
+    this.reporter = reporter;
+  }
+
+  /**
+   * Accepts a job and completes once that is recorded. A repeated request gets the receipt of the
+   * first one. Completes exceptionally with {@link RefusedException}.
+   *
+   * @throws RefusedException if the job is refused at once
+   */
+  public CompletableFuture<JobReceipt> submit(JobRequest request, long nowMillis)
+      throws RefusedException {
+    ConfigView view = config.view();
+    JobDescription job = describe(request, view);
+    checkPublished(job, view);
+    TeamKeys.check(view, job.queue(), job.team(), request.key(), nowMillis);
+    var earlier = requests.submission(request.requestId());
+    if (earlier.isPresent()) {
+      return CompletableFuture.completedFuture(receipt(earlier.get(), job));
+    }
+    Map<String, List<Integer>> zones =
+        ZoneChooser.choose(
+            job, view.state(), membership.current().members(), request.requestId().hashCode());
+    JobSubmitted record =
+        new JobSubmitted(
+            "submit-" + UUID.randomUUID(),
+            request.requestId(),
+            "job-" + request.requestId(),
+            job,
+            zones,
+            nowMillis);
+    return append(record).thenApply(appended -> settle(record, appended));
+  }
+
+  private static JobDescription describe(JobRequest request, ConfigView view)
+      throws RefusedException {
+    if (request.description() != null) {
+      DescriptionChecker.check(request.description());
+      return request.description();
+    }
+    return view.state()
+        .description(request.publishedName())
+        .orElseThrow(
+            () ->
+                new RefusedException(
+                    Refusal.notRun(
+                        RefusalKind.UNKNOWN_DESCRIPTION,
+                        "no description named "
+                            + request.publishedName()
+                            + " is published; publish it or correct the name")));
+  }
+
+  private static void checkPublished(JobDescription job, ConfigView view) throws RefusedException {
+    if (view.state().queue(job.queue()).isEmpty()) {
+      throw new RefusedException(
+          Refusal.notRun(
+              RefusalKind.UNKNOWN_QUEUE,
+              "queue " + job.queue() + " is not published; publish it or name another queue"));
+    }
+    if (view.state().team(job.team()).isEmpty()) {
+      throw new RefusedException(
+          Refusal.notRun(
+              RefusalKind.UNKNOWN_TEAM,
+              "team " + job.team() + " is not published; publish it or correct the name"));
+    }
+  }
+
+  private JobReceipt settle(JobSubmitted record, AppendedRequest appended) {
+    if (appended.verdict().isAccepted()) {
+      return new JobReceipt(record.jobId(), record.requestId(), record.taskIndexesByZone());
+    }
+    try {
+      JobSubmitted winner =
+          requests
+              .submission(record.requestId())
+              .orElseThrow(() -> new RefusedException(outcomeUnknown()));
+      return receipt(winner, record.description());
+    } catch (RefusedException e) {
+      throw new CompletionException(e);
+    }
+  }
+
+  private static JobReceipt receipt(JobSubmitted winner, JobDescription asked)
+      throws RefusedException {
+    JobDescription accepted = winner.description();
+    if (!accepted.team().equals(asked.team()) || !accepted.name().equals(asked.name())) {
+      throw new RefusedException(
+          Refusal.notRun(
+              RefusalKind.REQUEST_ID_REUSED,
+              "request id " + winner.requestId() + " belongs to another job; use a new id"));
+    }
+    return new JobReceipt(winner.jobId(), winner.requestId(), winner.taskIndexesByZone());
+  }
+
+  /**
+   * Cancels a job and completes once that is recorded. Completes exceptionally with {@link
+   * RefusedException}.
+   */
+  public CompletableFuture<Void> cancel(String jobId, String key, long nowMillis) {
+    return authorise(jobId, key, nowMillis)
+        .thenCompose(
+            charge -> append(new JobCancelled("cancel-" + UUID.randomUUID(), jobId, charge.team())))
+        .thenApply(appended -> null);
+  }
+
+  /**
+   * Returns the state of a job and its tasks. Completes exceptionally with {@link
+   * RefusedException}.
+   */
+  public CompletableFuture<JobReport> report(String jobId, String key, long nowMillis) {
+    return authorise(jobId, key, nowMillis).thenCompose(charge -> reporter.report(jobId));
+  }
+
+  private CompletableFuture<JobReporter.Charge> authorise(String jobId, String key, long nowMillis) {
+    ConfigView view = config.view();
+    return reporter
+        .charge(jobId)
+        .thenApply(
+            charge -> {
+              try {
+                TeamKeys.check(view, charge.queue(), charge.team(), key, nowMillis);
+                return charge;
+              } catch (RefusedException e) {
+                throw new CompletionException(e);
+              }
+            });
+  }
+
+  private CompletableFuture<AppendedRequest> append(RequestRecord record) {
+    return requests.append(record).exceptionallyCompose(this::refuse);
+  }
+
+  private CompletableFuture<AppendedRequest> refuse(Throwable failure) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    Refusal refusal =
+        cause instanceof RequestNotAppendedException refused
+            ? notAppended(refused)
+            : outcomeUnknown();
+    return CompletableFuture.failedFuture(new RefusedException(refusal));
+  }
+
+  private static Refusal notAppended(RequestNotAppendedException refused) {
+    RefusalKind kind =
+        switch (refused.reason()) {
+          case LOG_UNAVAILABLE -> RefusalKind.LOG_UNAVAILABLE;
+          case OVERLOADED -> RefusalKind.OVERLOADED;
+          case STOPPING -> RefusalKind.STOPPING;
+        };
+    return Refusal.later(kind, refused.getMessage(), RETRY_AFTER_MILLIS);
+  }
+
+  private static Refusal outcomeUnknown() {
+    return Refusal.unknown(
+        RefusalKind.OUTCOME_UNKNOWN,
+        "the log did not confirm the request in time; repeat it with the same request id",
+        RETRY_AFTER_MILLIS);
+  }
+}
--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/job/TeamKeys.java
@@ -0,0 +1,92 @@
+package org.cicadaford.entry.job;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import org.cicadaford.decision.ConfigState;
+import org.cicadaford.entry.Refusal;
+import org.cicadaford.entry.RefusalKind;
+import org.cicadaford.entry.RefusedException;
+import org.cicadaford.entry.config.ConfigView;
+import org.cicadaford.model.QueuePolicy;
+
+/** Checks that a request comes from the team that it is charged to. */
+public final class TeamKeys {
+
+  /** Age of the configuration beyond which no key is accepted, in milliseconds. */
+  public static final long MAX_CONFIG_AGE_MILLIS = 5_000;
+
+  private static final long RETRY_AFTER_MILLIS = 2_000;
+
+  private TeamKeys() {}
+
+  /** Returns the SHA-256 of a key in hexadecimal. */
+  public static String hashOf(String key) {
+    try {
+      MessageDigest digest = MessageDigest.getInstance("SHA-256");
+      return HexFormat.of().formatHex(digest.digest(key.getBytes(StandardCharsets.UTF_8)));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform has SHA-256", e);
+    }
+  }
+
+  /** Returns whether work is accepted on the queue without a key. */
+  public static boolean isOpen(ConfigState config, String queue) {
+    return config.queue(queue).map(QueuePolicy::openToAll).orElse(false);
+  }
+
+  /**
+   * Checks that {@code key} belongs to {@code team}, unless the queue is open to all.
+   *
+   * @param key the key that came with the request; null or empty if none did
+   * @throws RefusedException if the request is not accepted
+   */
+  public static void check(ConfigView config, String queue, String team, String key, long nowMillis)
+      throws RefusedException {
+    if (isOpen(config.state(), queue)) {
+      return;
+    }
+    String holder = teamOf(config, key, nowMillis);
+    if (!holder.equals(team)) {
+      throw new RefusedException(
+          Refusal.notRun(
+              RefusalKind.WRONG_TEAM,
+              "the key belongs to another team than " + team + "; use a key of team " + team));
+    }
+  }
+
+  /**
+   * Returns the team that the key belongs to.
+   *
+   * @throws RefusedException if there is no key, it is not granted, or it cannot be checked now
+   */
+  public static String teamOf(ConfigView config, String key, long nowMillis)
+      throws RefusedException {
+    if (key == null || key.isEmpty()) {
+      throw new RefusedException(
+          Refusal.notRun(
+              RefusalKind.KEY_MISSING,
+              "send the team's key in the header Cicadaford-Key, or use a queue open to all"));
+    }
+    if (!config.isFresh(MAX_CONFIG_AGE_MILLIS, nowMillis)) {
+      throw new RefusedException(
+          Refusal.later(
+              RefusalKind.CONFIG_NOT_CONFIRMED,
+              "the configuration was not confirmed for "
+                  + MAX_CONFIG_AGE_MILLIS / 1_000
+                  + " s, so a withdrawn key could not be told; repeat the request later or use a"
+                  + " queue open to all",
+              RETRY_AFTER_MILLIS));
+    }
+    return config
+        .state()
+        .teamOfKeyHash(hashOf(key))
+        .orElseThrow(
+            () ->
+                new RefusedException(
+                    Refusal.notRun(
+                        RefusalKind.UNKNOWN_KEY,
+                        "the key is not granted or was withdrawn; ask an operator for a new key")));
+  }
+}
--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/job/package-info.java
@@ -0,0 +1,2 @@
+/** Submission, cancellation and status of jobs. */
+package org.cicadaford.entry.job;
--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/membership/MembershipPoller.java
@@ -0,0 +1,138 @@
+package org.cicadaford.entry.membership;
+
+import java.time.InstantSource;
+import java.util.List;
+import java.util.concurrent.locks.LockSupport;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cicadaford.entry.metrics.EntryMetrics;
+import org.cicadaford.platform.Member;
+import org.cicadaford.platform.Member.Role;
+import org.cicadaford.platform.Member.State;
+import org.cicadaford.platform.MembershipService;
+import org.cicadaford.platform.MembershipUnavailableException;
+
+/** Reads the list of instances every second and announces this instance. */
+public final class MembershipPoller {
+
+  private static final Logger LOG = LogManager.getLogger(MembershipPoller.class);
+  private static final long POLL_MILLIS = 1_000;
+  private static final long ANNOUNCE_MILLIS = 5_000;
+
+  private final MembershipService service;
+  private final InstantSource clock;
+  private final EntryMetrics metrics;
+  private final Thread thread;
+  private volatile Member self;
+  private volatile MemberList current = new MemberList(List.of(), 0);
+  private volatile boolean stopping;
+  private boolean answering = true;
+  private State announcedState;
+  private long announcedAtMillis;
+
+  /**
+   * The last list that was read.
+   *
+   * @param members instances
+   * @param readAtMillis time before the list was asked for; 0 if none was read yet
+   */
+  public record MemberList(List<Member> members, long readAtMillis) {
+
+    /** Copies the list of members. */
+    public MemberList {
+      members = List.copyOf(members);
+    }
+
+    /** Returns the instances of {@code role} in {@code zone}. */
+    public List<Member> in(String zone, Role role) {
+      return members.stream().filter(m -> m.role() == role && m.zone().equals(zone)).toList();
+    }
+
+    /** Returns the instances of {@code role} in all zones. */
+    public List<Member> all(Role role) {
+      return members.stream().filter(member -> member.role() == role).toList();
+    }
+  }
+
+  /** Creates a poller that announces {@code self} and is not started. */
+  public MembershipPoller(
+      MembershipService service, Member self, InstantSource clock, EntryMetrics metrics) {
+    this.service = service;
+    this.self = self;
+    this.clock = clock;
+    this.metrics = metrics;
+    this.thread = new Thread(this::run, "membership");
+  }
+
+  /** Starts the poller's thread. */
+  public void start() {
+    thread.start();
+  }
+
+  /** Stops the poller and waits for its thread to end. */
+  public void stop() throws InterruptedException {
+    stopping = true;
+    thread.interrupt();
+    thread.join(5_000);
+  }
+
+  /** Returns the last list that was read. */
+  public MemberList current() {
+    return current;
+  }
+
+  /** Announces at the next moment that this instance is about to leave. */
+  public void announceLeaving() {
+    self =
+        new Member(
+            self.instanceId(),
+            self.role(),
+            self.zone(),
+            self.rack(),
+            self.host(),
+            self.port(),
+            self.peerPort(),
+            self.service(),
+            self.capacity(),
+            State.LEAVING);
+    LockSupport.unpark(thread);
+  }
+
+  private void run() {
+    while (!stopping) {
+      poll();
+      LockSupport.parkNanos(POLL_MILLIS * 1_000_000);
+    }
+  }
+
+  private void poll() {
+    long nowMillis = clock.millis();
+    try {
+      Member announced = self;
+      if (announced.state() != announcedState || nowMillis - announcedAtMillis >= ANNOUNCE_MILLIS) {
+        service.announce(announced);
+        announcedState = announced.state();
+        announcedAtMillis = nowMillis;
+      }
+      current = new MemberList(service.list(), nowMillis);
+      markAnswering();
+    } catch (MembershipUnavailableException e) {
+      markSilent(e);
+    }
+  }
+
+  private void markAnswering() {
+    if (!answering) {
+      answering = true;
+      LOG.info("membership list is answered again");
+    }
+  }
+
+  private void markSilent(MembershipUnavailableException cause) {
+    metrics.retry("membership");
+    if (answering && !stopping) {
+      answering = false;
+      LOG.warn("membership list is not answered, the last one is kept: {}", cause.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/metrics/EntryMetrics.java
@@ -0,0 +1,141 @@
+package org.cicadaford.entry.metrics;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/** Counts what an entry daemon does. Safe for use by several threads. */
+public final class EntryMetrics {
+
+  /** Upper bounds of the waiting-time buckets, in seconds; 1.2 s is the target of urgent work. */
+  private static final double[] WAITING_BOUNDS = {0.05, 0.1, 0.3, 1.2, 5, 30, 300, 3600};
+
+  private static final double[] CALL_BOUNDS = {0.005, 0.02, 0.1, 0.5, 2, 10};
+
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final Counter recordsRead =
+      counter("cicadaford_log_records_read_total", "Records read from the log.", "stream");
+  private final Counter appends =
+      counter("cicadaford_log_appends_total", "Appends to the log by result.", "writer", "result");
+  private final Counter decisions =
+      counter("cicadaford_decisions_total", "Changes that took effect in the zone.", "kind");
+  private final Counter invalidChanges =
+      counter("cicadaford_invalid_changes_total", "Changes that the reducer rejected.", "kind");
+  private final Counter orders =
+      counter("cicadaford_worker_orders_total", "Commands to workers by result.", "kind", "result");
+  private final Counter refusals =
+      counter("cicadaford_refusals_total", "Requests refused by kind.", "kind");
+  private final Counter requests =
+      counter("cicadaford_requests_total", "Requests answered by outcome.", "route", "outcome");
+  private final Counter retries =
+      counter("cicadaford_retries_total", "Attempts repeated after a failure.", "kind");
+  private final Counter takeovers =
+      counter("cicadaford_ownership_takeovers_total", "Times this instance became owner.");
+  private final Counter faults =
+      counter("cicadaford_faults_total", "Faults met and handled, by kind.", "kind");
+  private final Gauge owner =
+      Gauge.builder()
+          .name("cicadaford_zone_owner")
+          .help("1 while this instance owns its zone.")
+          .register(registry);
+  private final Gauge configAge =
+      Gauge.builder()
+          .name("cicadaford_config_confirmation_age_seconds")
+          .help("Time since the configuration was last confirmed to be the newest.")
+          .register(registry);
+  private final Histogram waiting =
+      histogram(
+          "cicadaford_task_waiting_seconds", "Time from submission to start.", WAITING_BOUNDS);
+  private final Histogram calls =
+      histogram("cicadaford_call_duration_seconds", "Time to answer a call.", CALL_BOUNDS);
+
+  private Counter counter(String name, String help, String... labels) {
+    return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
+  }
+
+  private Histogram histogram(String name, String help, double[] bounds) {
+    return Histogram.builder()
+        .name(name)
+        .help(help)
+        .classicOnly()
+        .classicUpperBounds(bounds)
+        .labelNames("team", "class")
+        .register(registry);
+  }
+
+  /** Returns the registry that holds all metrics. */
+  public PrometheusRegistry registry() {
+    return registry;
+  }
+
+  /** Counts records read from a stream. */
+  public void recordsRead(String stream, int count) {
+    recordsRead.labelValues(stream).inc(count);
+  }
+
+  /** Counts an append by its result. */
+  public void append(String writer, String result) {
+    appends.labelValues(writer, result).inc();
+  }
+
+  /** Counts a change that took effect. */
+  public void decision(String kind) {
+    decisions.labelValues(kind).inc();
+  }
+
+  /** Counts a change that the reducer rejected. */
+  public void invalidChange(String kind) {
+    invalidChanges.labelValues(kind).inc();
+  }
+
+  /** Counts a command to a worker by its result. */
+  public void order(String kind, String result) {
+    orders.labelValues(kind, result).inc();
+  }
+
+  /** Counts a refused request. */
+  public void refusal(String kind) {
+    refusals.labelValues(kind).inc();
+  }
+
+  /** Counts an answered request. */
+  public void request(String route, String outcome) {
+    requests.labelValues(route, outcome).inc();
+  }
+
+  /** Counts a repeated attempt. */
+  public void retry(String kind) {
+    retries.labelValues(kind).inc();
+  }
+
+  /** Counts that this instance became owner. */
+  public void takeover() {
+    takeovers.inc();
+  }
+
+  /** Counts a fault. */
+  public void fault(String kind) {
+    faults.labelValues(kind).inc();
+  }
+
+  /** States whether this instance owns its zone. */
+  public void owner(boolean isOwner) {
+    owner.set(isOwner ? 1 : 0);
+  }
+
+  /** States the age of the configuration's last confirmation. */
+  public void configAge(long ageMillis) {
+    configAge.set(ageMillis / 1000.0);
+  }
+
+  /** Records the time from submission to the start of a task. */
+  public void taskStarted(String team, String jobClass, long waitingMillis) {
+    waiting.labelValues(team, jobClass).observe(Math.max(0, waitingMillis) / 1000.0);
+  }
+
+  /** Records the time in which a call was answered. */
+  public void callAnswered(String team, String callClass, long durationMillis) {
+    calls.labelValues(team, callClass).observe(durationMillis / 1000.0);
+  }
+}
--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Prometheus metrics of an entry daemon. */
+package org.cicadaford.entry.metrics;
--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/request/RequestLog.java
@@ -0,0 +1,204 @@
+package org.cicadaford.entry.request;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.cicadaford.decision.RequestLedger;
+import org.cicadaford.decision.Verdict;
+import org.cicadaford.entry.stream.AppendResult;
+import org.cicadaford.entry.stream.AppendResult.Appended;
+import org.cicadaford.entry.stream.AppendResult.NotAppended;
+import org.cicadaford.entry.stream.AppendResult.Unknown;
+import org.cicadaford.entry.stream.LogWriter;
+import org.cicadaford.entry.stream.StreamListener;
+import org.cicadaford.entry.stream.StreamPosition;
+import org.cicadaford.model.RequestRecord;
+import org.cicadaford.model.RequestRecord.JobCancelled;
+import org.cicadaford.model.RequestRecord.JobSubmitted;
+
+/**
+ * Folds the {@code requests} stream into the ledger and appends to the stream.
+ *
+ * <p>Records are taken in on the follower's thread; other methods may be called from any thread.
+ */
+public final class RequestLog implements StreamListener<RequestRecord> {
+
+  /** Name of the stream. */
+  public static final String STREAM = "requests";
+
+  private static final long EXPIRE_INTERVAL_MILLIS = 10_000;
+
+  private final LogWriter writer;
+  private final long readBackTimeoutMillis;
+  private final Object lock = new Object();
+  private final RequestLedger ledger = new RequestLedger();
+  private final Deque<JobRequest> jobRequests = new ArrayDeque<>();
+  private final Map<String, CompletableFuture<AppendedRequest>> pending = new ConcurrentHashMap<>();
+  private volatile StreamPosition position = new StreamPosition(0, false, 0);
+  private volatile long confirmedAtMillis;
+  private long expiredAtMillis;
+
+  private record JobRequest(long offset, RequestRecord record) {}
+
+  /**
+   * Accepted submissions and cancellations.
+   *
+   * @param records records in the order of their offsets
+   * @param nextOffset offset behind the last request that was looked at
+   */
+  public record JobRequests(List<RequestRecord> records, long nextOffset) {}
+
+  /**
+   * Creates an empty ledger.
+   *
+   * @param readBackTimeoutMillis time after which a record that was not read back counts as unknown
+   */
+  public RequestLog(LogWriter writer, long readBackTimeoutMillis) {
+    this.writer = writer;
+    this.readBackTimeoutMillis = readBackTimeoutMillis;
+  }
+
+  /**
+   * Appends a record and completes once it was read back, with its offset and verdict.
+   *
+   * <p>Completes exceptionally with {@link RequestNotAppendedException} if it was certainly not
+   * appended, and with {@link java.util.concurrent.TimeoutException} if that cannot be told yet.
+   */
+  public CompletableFuture<AppendedRequest> append(RequestRecord record) {
+    CompletableFuture<AppendedRequest> readBack = new CompletableFuture<>();
+    pending.put(record.recordId(), readBack);
+    writer.append(STREAM, record).thenAccept(result -> onAppended(result, readBack));
+    return readBack
+        .orTimeout(readBackTimeoutMillis, TimeUnit.MILLISECONDS)
+        .whenComplete((appended, failure) -> pending.remove(record.recordId()));
+  }
+
+  private static void onAppended(AppendResult result, CompletableFuture<AppendedRequest> readBack) {
+    switch (result) {
+      case NotAppended refused ->
+          readBack.completeExceptionally(
+              new RequestNotAppendedException(refused.cause(), refused.detail()));
+      case Appended appended -> {}
+      case Unknown unknown -> {}
+    }
+  }
+
+  @Override
+  public void onRecord(long offset, RequestRecord record, long readAtMillis) {
+    Verdict verdict;
+    synchronized (lock) {
+      verdict = ledger.apply(offset, record, readAtMillis);
+      if (verdict.isAccepted() && (record instanceof JobSubmitted || isCancelled(record))) {
+        jobRequests.add(new JobRequest(offset, record));
+      }
+    }
+    CompletableFuture<AppendedRequest> readBack = pending.remove(record.recordId());
+    if (readBack != null) {
+      readBack.complete(new AppendedRequest(offset, verdict));
+    }
+  }
+
+  private static boolean isCancelled(RequestRecord record) {
+    return record instanceof JobCancelled;
+  }
+
+  @Override
+  public void onPage(StreamPosition newPosition) {
+    position = newPosition;
+    if (newPosition.atEnd()) {
+      confirmedAtMillis = newPosition.requestedAtMillis();
+    }
+    if (newPosition.requestedAtMillis() - expiredAtMillis >= EXPIRE_INTERVAL_MILLIS) {
+      expiredAtMillis = newPosition.requestedAtMillis();
+      synchronized (lock) {
+        ledger.expire(expiredAtMillis);
+      }
+    }
+  }
+
+  @Override
+  public void onGap(long earliestOffset) {
+    // Claims older than the retention period are outside the window of accepted ids.
+    position = new StreamPosition(earliestOffset, false, 0);
+  }
+
+  /** Returns how far the stream was read. */
+  public StreamPosition position() {
+    return position;
+  }
+
+  /** Returns the time at which the log last confirmed that all requests were read; 0 if never. */
+  public long confirmedAtMillis() {
+    return confirmedAtMillis;
+  }
+
+  /**
+   * Returns up to {@code maxCount} accepted submissions with tasks for {@code zone}, and
+   * cancellations, from {@code fromOffset} on.
+   */
+  public JobRequests jobRequests(String zone, long fromOffset, int maxCount) {
+    List<RequestRecord> records = new ArrayList<>();
+    long readUntil = Math.max(fromOffset, position.nextOffset());
+    synchronized (lock) {
+      for (JobRequest request : jobRequests) {
+        if (request.offset() < fromOffset || !concerns(zone, request.record())) {
+          continue;
+        }
+        if (records.size() == maxCount) {
+          return new JobRequests(records, request.offset());
+        }
+        records.add(request.record());
+        readUntil = Math.max(readUntil, request.offset() + 1);
+      }
+    }
+    return new JobRequests(records, readUntil);
+  }
+
+  private static boolean concerns(String zone, RequestRecord record) {
+    return !(record instanceof JobSubmitted submitted)
+        || submitted.taskIndexesByZone().containsKey(zone);
+  }
+
+  /** Forgets submissions and cancellations before {@code offset}, which the zone reflects. */
+  public void forgetJobRequestsBefore(long offset) {
+    synchronized (lock) {
+      while (!jobRequests.isEmpty() && jobRequests.peek().offset() < offset) {
+        jobRequests.remove();
+      }
+    }
+  }
+
+  /** Returns the submission that won a request id. */
+  public Optional<JobSubmitted> submission(String requestId) {
+    synchronized (lock) {
+      return ledger.submission(requestId);
+    }
+  }
+
+  /** Returns the submission of a job, while it is kept. */
+  public Optional<JobSubmitted> job(String jobId) {
+    synchronized (lock) {
+      return ledger.job(jobId);
+    }
+  }
+
+  /** Returns whether a cancellation of the job is kept. */
+  public boolean isJobCancelled(String jobId) {
+    synchronized (lock) {
+      return ledger.isCancelled(jobId);
+    }
+  }
+
+  /** Returns the claimed call of a request id. */
+  public Optional<RequestLedger.CallEntry> call(String requestId) {
+    synchronized (lock) {
+      return ledger.call(requestId);
+    }
+  }
+}
--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/request/package-info.java
@@ -0,0 +1,2 @@
+/** The stream of requests: appending to it and what was read from it. */
+package org.cicadaford.entry.request;
--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/stream/package-info.java
@@ -0,0 +1,2 @@
+/** Reading and writing of the log's streams. */
+package org.cicadaford.entry.stream;
--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/worker/package-info.java
@@ -0,0 +1,2 @@
+/** Commands to workers. */
+package org.cicadaford.entry.worker;
--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/zone/SnapshotWriter.java
@@ -0,0 +1,90 @@
+package org.cicadaford.entry.zone;
+
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import org.cicadaford.decision.ZoneState;
+import org.cicadaford.entry.metrics.EntryMetrics;
+import org.cicadaford.entry.stream.AppendResult;
+import org.cicadaford.entry.stream.AppendResult.Appended;
+import org.cicadaford.entry.stream.LogWriter;
+import org.cicadaford.model.ZoneRecord.ZoneSnapshotChunk;
+
+/**
+ * Writes snapshots of the zone's state while the owner writes nothing else.
+ *
+ * <p>A snapshot whose chunks do not stand directly behind the record that it is as of is worthless;
+ * it is given up at the first chunk that got another offset, and written again later.
+ */
+final class SnapshotWriter {
+
+  private static final long RETRY_MILLIS = 2_000;
+
+  private final ZoneOwnerSettings settings;
+  private final LogWriter writer;
+  private final EntryMetrics metrics;
+  private List<ZoneSnapshotChunk> chunks = List.of();
+  private int index;
+  private CompletableFuture<AppendResult> result;
+  private long dueAtMillis;
+
+  SnapshotWriter(ZoneOwnerSettings settings, LogWriter writer, EntryMetrics metrics) {
+    this.settings = settings;
+    this.writer = writer;
+    this.metrics = metrics;
+  }
+
+  /** Starts to count the time to the next snapshot, at the start of an epoch. */
+  void reset(long nowMillis) {
+    result = null;
+    dueAtMillis = nowMillis + settings.snapshotIntervalMillis();
+  }
+
+  boolean isWriting() {
+    return result != null;
+  }
+
+  boolean isDue(long nowMillis) {
+    return nowMillis >= dueAtMillis;
+  }
+
+  /** Starts a snapshot; the caller has nothing else under way. */
+  void begin(ZoneState state) {
+    chunks = state.snapshot("snapshot-" + UUID.randomUUID(), settings.maxChunkBytes());
+    index = 0;
+    appendNext();
+  }
+
+  /** Goes on with the next chunk once the last one was appended. */
+  void step(long nowMillis) {
+    if (result == null || !result.isDone()) {
+      return;
+    }
+    ZoneSnapshotChunk chunk = chunks.get(index);
+    long expectedOffset = chunk.asOfOffset() + 1 + chunk.index();
+    boolean inPlace =
+        result.join() instanceof Appended appended && appended.offset() == expectedOffset;
+    result = null;
+    if (!inPlace) {
+      metrics.retry("zone-snapshot");
+      finish(nowMillis + RETRY_MILLIS);
+      return;
+    }
+    index++;
+    if (index < chunks.size()) {
+      appendNext();
+    } else {
+      metrics.decision("zone-snapshot");
+      finish(nowMillis + settings.snapshotIntervalMillis());
+    }
+  }
+
+  private void appendNext() {
+    result = writer.append(settings.stream(), chunks.get(index));
+  }
+
+  private void finish(long nextDueAtMillis) {
+    chunks = List.of();
+    dueAtMillis = nextDueAtMillis;
+  }
+}
--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/zone/ZoneEvent.java
@@ -0,0 +1,34 @@
+package org.cicadaford.entry.zone;
+
+import java.util.function.Consumer;
+import org.cicadaford.decision.ZoneState;
+import org.cicadaford.entry.stream.StreamPosition;
+import org.cicadaford.model.WorkerAnswer;
+import org.cicadaford.model.WorkerCommand;
+import org.cicadaford.model.ZoneRecord;
+
+/** Something that the zone owner's thread takes in. */
+sealed interface ZoneEvent {
+
+  /** A record of the zone's stream was read. */
+  record RecordRead(long offset, ZoneRecord record, long readAtMillis) implements ZoneEvent {}
+
+  /** A page of the zone's stream was read. */
+  record PageRead(StreamPosition position) implements ZoneEvent {}
+
+  /** Records of the zone's stream expired before they were read. */
+  record GapRead() implements ZoneEvent {}
+
+  /** A worker answered a command. */
+  record Answered(WorkerCommand command, WorkerAnswer answer, long sentAtMillis)
+      implements ZoneEvent {}
+
+  /** A worker did not answer a command. */
+  record Unreachable(String workerId) implements ZoneEvent {}
+
+  /** Another thread asks for something in the zone's state. */
+  record Query(Consumer<ZoneState> reader) implements ZoneEvent {}
+
+  /** This instance is to give up ownership and not to claim it again. */
+  record HandOver() implements ZoneEvent {}
+}
--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/zone/ZoneOwner.java
@@ -0,0 +1,315 @@
+package org.cicadaford.entry.zone;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.UUID;
+import java.util.random.RandomGenerator;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cicadaford.decision.ConfigState;
+import org.cicadaford.decision.ListedWorker;
+import org.cicadaford.decision.OwnerDecision;
+import org.cicadaford.decision.OwnerInputs;
+import org.cicadaford.decision.ZoneOwnerLogic;
+import org.cicadaford.decision.ZoneState;
+import org.cicadaford.decision.ZoneVerdict;
+import org.cicadaford.entry.config.ConfigHolder;
+import org.cicadaford.entry.config.ConfigView;
+import org.cicadaford.entry.membership.MembershipPoller;
+import org.cicadaford.entry.membership.MembershipPoller.MemberList;
+import org.cicadaford.entry.metrics.EntryMetrics;
+import org.cicadaford.entry.request.RequestLog;
+import org.cicadaford.entry.request.RequestLog.JobRequests;
+import org.cicadaford.entry.stream.Backoff;
+import org.cicadaford.entry.stream.LogWriter;
+import org.cicadaford.entry.stream.StreamPosition;
+import org.cicadaford.entry.worker.WorkerLink;
+import org.cicadaford.model.TaskReport;
+import org.cicadaford.model.WorkerCommand;
+import org.cicadaford.model.ZoneChange;
+import org.cicadaford.model.ZoneRecord;
+import org.cicadaford.model.ZoneRecord.OwnerBatch;
+import org.cicadaford.model.ZoneRecord.OwnerClaimed;
+import org.cicadaford.model.ZoneRecord.ZoneSnapshotChunk;
+import org.cicadaford.platform.Member;
+import org.cicadaford.platform.Member.Role;
+import org.cicadaford.platform.Member.State;
+
+/** Follows the zone's state and acts as its owner while it is. Used by one thread. */
+final class ZoneOwner {
+
+  private static final Logger LOG = LogManager.getLogger(ZoneOwner.class);
+
+  /** Time for which an instance that met a fault leaves the zone to others, in milliseconds. */
+  private static final long FAILURE_PAUSE_MILLIS = 30_000;
+
+  private final ZoneOwnerSettings settings;
+  private final LogWriter writer;
+  private final ConfigHolder config;
+  private final RequestLog requests;
+  private final MembershipPoller membership;
+  private final WorkerLink workerLink;
+  private final WorkerLink.AnswerListener answers;
+  private final EntryMetrics metrics;
+  private final OwnershipClaimer claimer;
+  private final SnapshotWriter snapshots;
+  private final AllotmentWriter allotments;
+  private final Backoff backoff;
+  private final OutstandingAppend batch = new OutstandingAppend();
+  private ZoneState state = new ZoneState();
+  private StreamPosition lastEnd = new StreamPosition(0, false, 0);
+  private ZoneOwnerLogic logic;
+  private long ownEpoch = ConfigState.NO_OFFSET;
+  private long batchStartedAtMillis;
+  private long nextBatchAtMillis;
+  private long noClaimUntilMillis;
+  private boolean handedOver;
+
+  ZoneOwner(
+      ZoneOwnerSettings settings,
+      LogWriter writer,
+      ConfigHolder config,
+      RequestLog requests,
+      MembershipPoller membership,
+      WorkerLink workerLink,
+      WorkerLink.AnswerListener answers,
+      RandomGenerator random,
+      EntryMetrics metrics) {
+    this.settings = settings;
+    this.writer = writer;
+    this.config = config;
+    this.requests = requests;
+    this.membership = membership;
+    this.workerLink = workerLink;
+    this.answers = answers;
+    this.metrics = metrics;
+    this.claimer = new OwnershipClaimer(settings, writer, random);
+    this.snapshots = new SnapshotWriter(settings, writer, metrics);
+    this.allotments = new AllotmentWriter(settings, writer, metrics);
+    this.backoff = new Backoff(settings.minBatchIntervalMillis(), 2_000, random);
+  }
+
+  void onEvent(ZoneEvent event, long nowMillis) {
+    switch (event) {
+      case ZoneEvent.RecordRead read -> onRecord(read, nowMillis);
+      case ZoneEvent.PageRead page -> onPage(page.position());
+      case ZoneEvent.GapRead gap -> onGap();
+      case ZoneEvent.Answered answered -> onAnswer(answered, nowMillis);
+      case ZoneEvent.Unreachable unreachable -> {
+        if (logic != null) {
+          logic.onUnreachable(unreachable.workerId(), nowMillis);
+        }
+      }
+      case ZoneEvent.Query query -> query.reader().accept(state);
+      case ZoneEvent.HandOver handOver -> {
+        handedOver = true;
+        stopActing("hands over the zone");
+      }
+    }
+  }
+
+  private void onRecord(ZoneEvent.RecordRead read, long nowMillis) {
+    ZoneRecord record = read.record();
+    ZoneVerdict verdict = state.apply(read.offset(), record);
+    if (verdict instanceof ZoneVerdict.Applied) {
+      long ownerClockMillis =
+          switch (record) {
+            case OwnerClaimed claimed -> claimed.claimedAtMillis();
+            case OwnerBatch ownerBatch -> ownerBatch.writtenAtMillis();
+            case ZoneSnapshotChunk chunk -> state.lastBatchAtMillis();
+          };
+      claimer.onOwnerRecord(ownerClockMillis, read.readAtMillis());
+    }
+    boolean ownClaim = claimer.readBack(record.recordId());
+    boolean ownBatch = batch.readBack(record.recordId());
+    if (ownBatch) {
+      backoff.reset();
+      countChanges((OwnerBatch) record, verdict);
+    }
+    if (ownClaim && state.epoch() == read.offset() && !handedOver) {
+      startActing(read.offset(), nowMillis);
+    } else if (logic != null && state.epoch() != ownEpoch) {
+      stopActing("was replaced as owner by " + state.ownerInstanceId());
+    }
+  }
+
+  private void countChanges(OwnerBatch read, ZoneVerdict verdict) {
+    if (!(verdict instanceof ZoneVerdict.Applied applied)) {
+      metrics.fault("batch-rejected");
+      return;
+    }
+    for (ZoneChange change : read.changes()) {
+      metrics.decision(kindOf(change));
+    }
+    for (ZoneChange change : applied.rejectedChanges()) {
+      metrics.invalidChange(kindOf(change));
+    }
+  }
+
+  private static String kindOf(ZoneChange change) {
+    return change
+        .getClass()
+        .getSimpleName()
+        .replaceAll("(?<=[a-z])(?=[A-Z])", "-")
+        .toLowerCase(Locale.ROOT);
+  }
+
+  private void onPage(StreamPosition position) {
+    if (position.atEnd()) {
+      lastEnd = position;
+    }
+    if (state.isComplete()) {
+      requests.forgetJobRequestsBefore(state.requestsOffset());
+    }
+  }
+
+  private void onGap() {
+    if (logic != null) {
+      stopActing("missed records of the zone");
+    }
+    state = new ZoneState();
+    lastEnd = new StreamPosition(0, false, 0);
+  }
+
+  private void startActing(long epoch, long nowMillis) {
+    ownEpoch = epoch;
+    logic = new ZoneOwnerLogic(settings.zone(), settings.ownerSettings(), nowMillis);
+    batch.clear();
+    allotments.reset();
+    snapshots.reset(nowMillis);
+    nextBatchAtMillis = 0;
+    batchStartedAtMillis = 0;
+    metrics.takeover();
+    metrics.owner(true);
+    LOG.info(
+        "instance {} owns zone {} from epoch {}", settings.instanceId(), settings.zone(), epoch);
+  }
+
+  private void stopActing(String reason) {
+    if (logic == null) {
+      return;
+    }
+    logic = null;
+    metrics.owner(false);
+    LOG.info("instance {} {}", settings.instanceId(), reason);
+  }
+
+  /** Gives the zone up after a fault of this program, and claims nothing for a while. */
+  void onFailure(RuntimeException failure, long nowMillis) {
+    LOG.error("zone owner failed", failure);
+    stopActing("gives the zone up after a fault");
+    noClaimUntilMillis = nowMillis + FAILURE_PAUSE_MILLIS;
+  }
+
+  private void onAnswer(ZoneEvent.Answered answered, long nowMillis) {
+    if (logic == null) {
+      return;
+    }
+    logic.onAnswer(answered.answer(), answered.sentAtMillis(), nowMillis);
+    if (answered.command() instanceof WorkerCommand.Start) {
+      answered.answer().reports().forEach(this::measureWaiting);
+    }
+  }
+
+  private void measureWaiting(TaskReport report) {
+    boolean firstStart = report.lease().attempt() == 1 && report.startedAtMillis() > 0;
+    if (firstStart) {
+      state
+          .job(report.lease().taskId().jobId())
+          .ifPresent(
+              job ->
+                  metrics.taskStarted(
+                      job.description().team(),
+                      job.description().kind().name().toLowerCase(Locale.ROOT),
+                      report.startedAtMillis() - job.submittedAtMillis()));
+    }
+  }
+
+  /** Does what is due: claims the zone, or acts as its owner. */
+  void step(long nowMillis) {
+    MemberList members = membership.current();
+    workerLink.learn(members.in(settings.zone(), Role.WORKER));
+    if (batch.settle(lastEnd, nowMillis) == OutstandingAppend.Outcome.GIVEN_UP) {
+      metrics.retry("owner-batch");
+      nextBatchAtMillis = nowMillis + backoff.nextDelayMillis();
+    }
+    if (logic != null) {
+      act(members.in(settings.zone(), Role.WORKER), nowMillis);
+    } else if (!handedOver && nowMillis >= noClaimUntilMillis) {
+      claimer.step(state, lastEnd, members.in(settings.zone(), Role.ENTRY), nowMillis);
+    }
+  }
+
+  private void act(List<Member> workers, long nowMillis) {
+    ConfigView view = config.view();
+    JobRequests newRequests =
+        requests.jobRequests(
+            settings.zone(), state.requestsOffset(), settings.maxRequestsPerBatch());
+    OwnerInputs inputs =
+        new OwnerInputs(
+            state,
+            view.state(),
+            view.confirmedAtMillis(),
+            state.lastBatchAtMillis(),
+            workers.stream().map(ZoneOwner::toListed).toList(),
+            newRequests.records(),
+            newRequests.nextOffset());
+    OwnerDecision decision = logic.decide(inputs, nowMillis);
+    decision.orders().forEach(order -> workerLink.send(order, answers));
+    allotments.write(decision.allotmentChanges(), ownEpoch, view, nowMillis);
+    snapshots.step(nowMillis);
+    if (batch.isWaiting() || snapshots.isWriting()) {
+      return;
+    }
+    if (snapshots.isDue(nowMillis) && state.isComplete()) {
+      snapshots.begin(state);
+    } else {
+      writeBatch(decision, view.version(), nowMillis);
+    }
+  }
+
+  private static ListedWorker toListed(Member member) {
+    return new ListedWorker(
+        member.instanceId(), member.rack(), member.capacity(), member.state() == State.LEAVING);
+  }
+
+  private void writeBatch(OwnerDecision decision, long configVersion, long nowMillis) {
+    long sinceLastMillis = nowMillis - batchStartedAtMillis;
+    boolean heartbeatDue = sinceLastMillis >= settings.heartbeatMillis();
+    boolean changesDue =
+        !decision.changes().isEmpty() && sinceLastMillis >= settings.minBatchIntervalMillis();
+    if (nowMillis < nextBatchAtMillis || !heartbeatDue && !changesDue) {
+      return;
+    }
+    batchStartedAtMillis = nowMillis;
+    OwnerBatch record =
+        new OwnerBatch(
+            "batch-" + UUID.randomUUID(),
+            ownEpoch,
+            state.sequence() + 1,
+            nowMillis,
+            configVersion,
+            decision.requestsOffset(),
+            decision.changes());
+    batch.begin(record.recordId(), writer.append(settings.stream(), record));
+  }
+
+  ZoneSummary summary() {
+    return new ZoneSummary(
+        settings.zone(),
+        state.ownerInstanceId(),
+        logic != null,
+        state.epoch(),
+        state.appliedOffset(),
+        state.requestsOffset(),
+        lastEnd.atEnd() ? lastEnd.requestedAtMillis() : 0,
+        state.workers().size(),
+        state.jobs().size(),
+        state.waitingJobs().size(),
+        state.committedTaskCount());
+  }
+
+  boolean isSettled() {
+    return !batch.isWaiting() && !snapshots.isWriting();
+  }
+}
--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/zone/ZoneOwnerService.java
@@ -0,0 +1,176 @@
+package org.cicadaford.entry.zone;
+
+import java.time.InstantSource;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+import org.cicadaford.decision.ZoneState;
+import org.cicadaford.entry.config.ConfigHolder;
+import org.cicadaford.entry.membership.MembershipPoller;
+import org.cicadaford.entry.metrics.EntryMetrics;
+import org.cicadaford.entry.request.RequestLog;
+import org.cicadaford.entry.stream.LogWriter;
+import org.cicadaford.entry.stream.StreamListener;
+import org.cicadaford.entry.stream.StreamPosition;
+import org.cicadaford.entry.worker.WorkerLink;
+import org.cicadaford.model.WorkerAnswer;
+import org.cicadaford.model.WorkerCommand;
+import org.cicadaford.model.ZoneRecord;
+import org.jctools.queues.MpscBlockingConsumerArrayQueue;
+
+/** Runs the zone owner on its own thread and hands events to it through a bounded ring. */
+public final class ZoneOwnerService
+    implements StreamListener<ZoneRecord>, WorkerLink.AnswerListener {
+
+  /** Events that may wait; answers beyond are dropped, and the next renewal brings them again. */
+  private static final int RING_SIZE = 8_192;
+
+  private static final long STEP_MILLIS = 50;
+  private static final long RING_FULL_WAIT_MILLIS = 5;
+  private static final long HAND_OVER_WAIT_MILLIS = 2_000;
+
+  private final ZoneOwner owner;
+  private final InstantSource clock;
+  private final EntryMetrics metrics;
+  private final MpscBlockingConsumerArrayQueue<ZoneEvent> ring =
+      new MpscBlockingConsumerArrayQueue<>(RING_SIZE);
+  private final Thread thread;
+  private volatile boolean stopping;
+  private volatile ZoneSummary summary;
+
+  /** Creates a service that is not started. */
+  public ZoneOwnerService(
+      ZoneOwnerSettings settings,
+      LogWriter writer,
+      ConfigHolder config,
+      RequestLog requests,
+      MembershipPoller membership,
+      WorkerLink workerLink,
+      InstantSource clock,
+      RandomGenerator random,
+      EntryMetrics metrics) {
+    this.clock = clock;
+    this.metrics = metrics;
+    this.owner =
+        new ZoneOwner(
+            settings, writer, config, requests, membership, workerLink, this, random, metrics);
+    this.summary = owner.summary();
+    this.thread = new Thread(this::run, "zone-owner");
+  }
+
+  /** Starts the owner's thread. */
+  public void start() {
+    thread.start();
+  }
+
+  /** Gives up ownership, waits for the record under way, and ends the thread. */
+  public void stop() throws InterruptedException {
+    putWaiting(new ZoneEvent.HandOver());
+    stopping = true;
+    thread.join(HAND_OVER_WAIT_MILLIS + 3_000);
+  }
+
+  /** Returns what is known of the zone. */
+  public ZoneSummary summary() {
+    return summary;
+  }
+
+  /**
+   * Reads from the zone's state on the owner's thread. Completes exceptionally with {@link
+   * ZoneBusyException} if too many events wait.
+   */
+  public <T> CompletableFuture<T> query(Function<ZoneState, T> reader) {
+    CompletableFuture<T> result = new CompletableFuture<>();
+    ZoneEvent.Query query = new ZoneEvent.Query(state -> complete(result, reader, state));
+    if (stopping || !ring.offer(query)) {
+      result.completeExceptionally(new ZoneBusyException());
+    }
+    return result;
+  }
+
+  private static <T> void complete(
+      CompletableFuture<T> result, Function<ZoneState, T> reader, ZoneState state) {
+    try {
+      result.complete(reader.apply(state));
+    } catch (RuntimeException e) {
+      result.completeExceptionally(e);
+    }
+  }
+
+  @Override
+  public void onRecord(long offset, ZoneRecord record, long readAtMillis)
+      throws InterruptedException {
+    putWaiting(new ZoneEvent.RecordRead(offset, record, readAtMillis));
+  }
+
+  @Override
+  public void onPage(StreamPosition position) throws InterruptedException {
+    putWaiting(new ZoneEvent.PageRead(position));
+  }
+
+  @Override
+  public void onGap(long earliestOffset) throws InterruptedException {
+    putWaiting(new ZoneEvent.GapRead());
+  }
+
+  @Override
+  public void onAnswer(WorkerCommand command, WorkerAnswer answer, long sentAtMillis) {
+    offer(new ZoneEvent.Answered(command, answer, sentAtMillis));
+  }
+
+  @Override
+  public void onUnreachable(String workerId) {
+    offer(new ZoneEvent.Unreachable(workerId));
+  }
+
+  private void offer(ZoneEvent event) {
+    if (!ring.offer(event)) {
+      metrics.fault("zone-ring-full");
+    }
+  }
+
+  /** Waits for room, which slows the reading of the stream down instead of losing records. */
+  private void putWaiting(ZoneEvent event) throws InterruptedException {
+    while (!stopping && !ring.offer(event)) {
+      Thread.sleep(RING_FULL_WAIT_MILLIS);
+    }
+  }
+
+  private void run() {
+    try {
+      while (!stopping) {
+        takeEvents();
+      }
+      long untilMillis = clock.millis() + HAND_OVER_WAIT_MILLIS;
+      while (!owner.isSettled() && clock.millis() < untilMillis) {
+        takeEvents();
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void takeEvents() throws InterruptedException {
+    try {
+      takeEventsOrFail();
+    } catch (RuntimeException e) {
+      // Gives the zone up, so that another instance, which may not have the fault, takes it over.
+      metrics.fault("zone-owner-exception");
+      owner.onFailure(e, clock.millis());
+    }
+  }
+
+  private void takeEventsOrFail() throws InterruptedException {
+    ZoneEvent event = ring.poll(STEP_MILLIS, TimeUnit.MILLISECONDS);
+    for (int count = 0; event != null && count < RING_SIZE; count++) {
+      owner.onEvent(event, clock.millis());
+      event = ring.poll();
+    }
+    if (event != null) {
+      owner.onEvent(event, clock.millis());
+    }
+    owner.step(clock.millis());
+    summary = owner.summary();
+  }
+}
--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/zone/package-info.java
@@ -0,0 +1,2 @@
+/** Ownership of an availability zone and its state. */
+package org.cicadaford.entry.zone;
