--- /dev/null
+++ b/cicadaford-daemon/src/main/java/org/cicadaford/daemon/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP interface for callers. */
+package org.cicadaford.daemon.http;
--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/EntryServices.java
@@ -0,0 +1,210 @@
+package org.cicadaford.entry;
+
+import java.time.InstantSource;
+import java.util.random.RandomGenerator;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cicadaford.entry.config.ConfigHolder;
+import org.cicadaford.entry.job.JobReporter;
+import org.cicadaford.entry.job.JobService;
+import org.cicadaford.entry.job.ZoneParts;
+import org.cicadaford.entry.membership.MembershipPoller;
+import org.cicadaford.entry.metrics.EntryMetrics;
+import org.cicadaford.entry.request.RequestLog;
+import org.cicadaford.entry.stream.LogWriter;
+import org.cicadaford.entry.stream.StreamFollower;
+import org.cicadaford.entry.stream.StreamListener;
+import org.cicadaford.entry.worker.WorkerLink;
+import org.cicadaford.entry.zone.ZoneOwnerService;
+import org.cicadaford.entry.zone.ZoneOwnerSettings;
+import org.cicadaford.model.ConfigRecord;
+import org.cicadaford.model.LogRecord;
+import org.cicadaford.model.RequestRecord;
+import org.cicadaford.model.ZoneRecord;
+import org.cicadaford.platform.Member;
+
+/** All services of an entry instance, joined together. */
+public final class EntryServices {
+
+  private static final Logger LOG = LogManager.getLogger(EntryServices.class);
+
+  private final EntrySettings settings;
+  private final Platform platform;
+  private final InstantSource clock;
+  private final RandomGenerator random;
+  private final EntryMetrics metrics = new EntryMetrics();
+  private final RequestGate gate;
+  private final LogWriter requestWriter;
+  private final LogWriter ownerWriter;
+  private final ConfigHolder config;
+  private final RequestLog requests;
+  private final MembershipPoller membership;
+  private final WorkerLink workerLink;
+  private final ZoneOwnerService zoneOwner;
+  private final JobService jobs;
+  private final StreamFollower<ConfigRecord> configFollower;
+  private final StreamFollower<RequestRecord> requestsFollower;
+  private final StreamFollower<ZoneRecord> zoneFollower;
+  private volatile boolean wasReady;
+
+  /** Creates services that are not started. */
+  public EntryServices(
+      EntrySettings settings,
+      Platform platform,
+      ZoneParts otherZones,
+      InstantSource clock,
+      RandomGenerator random) {
+    this.settings = settings;
+    this.platform = platform;
+    this.clock = clock;
+    this.random = random;
+    this.gate = new RequestGate(settings.maxRequestsInProgress());
+    this.requestWriter =
+        new LogWriter("requests", platform.log(), LogWriter.RING_SIZE, clock, metrics);
+    this.ownerWriter = new LogWriter("owner", platform.log(), LogWriter.RING_SIZE, clock, metrics);
+    this.config = new ConfigHolder(ownerWriter, settings.logRetentionMillis(), random, metrics);
+    this.requests = new RequestLog(requestWriter, settings.readBackTimeoutMillis());
+    this.membership = new MembershipPoller(platform.membership(), clock, metrics);
+    this.workerLink =
+        new WorkerLink(
+            platform.workers(), WorkerLink.RING_SIZE, WorkerLink.MAX_IN_FLIGHT, clock, metrics);
+    ZoneOwnerSettings ownerSettings =
+        ZoneOwnerSettings.of(
+            settings.zone(), settings.instanceId(), settings.zoneSnapshotIntervalMillis());
+    this.zoneOwner =
+        new ZoneOwnerService(
+            ownerSettings,
+            ownerWriter,
+            config,
+            requests,
+            membership,
+            workerLink,
+            clock,
+            random,
+            metrics);
+    JobReporter reporter = new JobReporter(settings.zone(), requests, zoneOwner, otherZones);
+    this.jobs = new JobService(config, requests, membership, reporter);
+    this.configFollower = follower(ConfigHolder.STREAM, ConfigRecord.class, config);
+    this.requestsFollower = follower(RequestLog.STREAM, RequestRecord.class, requests);
+    this.zoneFollower = follower(ownerSettings.stream(), ZoneRecord.class, zoneOwner);
+  }
+
+  private <R extends LogRecord> StreamFollower<R> follower(
+      String stream, Class<R> type, StreamListener<R> listener) {
+    return new StreamFollower<>(
+        stream, type, platform.log(), listener, settings.pollMillis(), clock, random, metrics);
+  }
+
+  /** Starts all threads; the platform is told of this instance as {@code self}. */
+  public void start(Member self) {
+    requestWriter.start();
+    ownerWriter.start();
+    workerLink.start();
+    membership.start(self);
+    zoneOwner.start();
+    configFollower.start();
+    requestsFollower.start();
+    zoneFollower.start();
+  }
+
+  /**
+   * Stops without cutting off a request: refuses new ones, waits for those in progress, hands the
+   * zone over and tells the platform.
+   */
+  public void stop() throws InterruptedException {
+    gate.close();
+    LOG.info("stopping; new requests are refused, {} are in progress", gate.inProgressCount());
+    if (!gate.awaitIdle(settings.stopTimeoutMillis())) {
+      metrics.fault("stop-timeout");
+      LOG.warn("{} requests did not finish in time", gate.inProgressCount());
+    }
+    zoneOwner.stop();
+    membership.announceLeaving();
+    zoneFollower.stop();
+    requestsFollower.stop();
+    configFollower.stop();
+    requestWriter.stop();
+    ownerWriter.stop();
+    workerLink.stop();
+    membership.stop();
+    LOG.info("stopped");
+  }
+
+  /** Returns whether callers can be served; stays so during an outage of the log. */
+  public Readiness readiness() {
+    if (gate.isClosed()) {
+      return new Readiness(false, "this instance is stopping");
+    }
+    if (wasReady) {
+      return new Readiness(true, "");
+    }
+    String reason = missing();
+    wasReady = reason.isEmpty();
+    return new Readiness(wasReady, reason);
+  }
+
+  private String missing() {
+    if (config.view().confirmedAtMillis() == 0) {
+      return "stream config was not read to its end yet; check that the log can be reached";
+    }
+    if (requests.confirmedAtMillis() == 0) {
+      return "stream requests was not read to its end yet; check that the log can be reached";
+    }
+    if (!zoneOwner.summary().isRead()) {
+      return "the zone's stream was not read to its end yet; check that the log can be reached";
+    }
+    if (membership.current().readAtMillis() == 0) {
+      return "the membership list was not read yet; check that the platform can be reached";
+    }
+    return "";
+  }
+
+  /** Returns whether the log answered the last read of the configuration. */
+  public boolean isLogAnswering() {
+    return configFollower.isLogAnswering();
+  }
+
+  /** Returns the gate that requests pass. */
+  public RequestGate gate() {
+    return gate;
+  }
+
+  /** Returns the service for jobs. */
+  public JobService jobs() {
+    return jobs;
+  }
+
+  /** Returns the holder of the configuration. */
+  public ConfigHolder config() {
+    return config;
+  }
+
+  /** Returns what was read of the stream of requests. */
+  public RequestLog requests() {
+    return requests;
+  }
+
+  /** Returns the list of instances. */
+  public MembershipPoller membership() {
+    return membership;
+  }
+
+  /** Returns the zone owner. */
+  public ZoneOwnerService zoneOwner() {
+    return zoneOwner;
+  }
+
+  /** Returns the metrics, with the age of the configuration brought up to date. */
+  public EntryMetrics metrics() {
+    long confirmedAtMillis = config.view().confirmedAtMillis();
+    if (confirmedAtMillis > 0) {
+      metrics.configAge(clock.millis() - confirmedAtMillis);
+    }
+    return metrics;
+  }
+
+  /** Returns the settings. */
+  public EntrySettings settings() {
+    return settings;
+  }
+}
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/job/JobService.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/job/JobService.java
@@ -147,7 +147,8 @@
     return authorise(jobId, key, nowMillis).thenCompose(charge -> reporter.report(jobId));
   }
 
-  private CompletableFuture<JobReporter.Charge> authorise(String jobId, String key, long nowMillis) {
+  private CompletableFuture<JobReporter.Charge> authorise(
+      String jobId, String key, long nowMillis) {
     ConfigView view = config.view();
     return reporter
         .charge(jobId)
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/membership/MembershipPoller.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/membership/MembershipPoller.java
@@ -26,7 +26,7 @@
   private volatile Member self;
   private volatile MemberList current = new MemberList(List.of(), 0);
   private volatile boolean stopping;
-  private boolean answering = true;
+  private volatile boolean answering = true;
   private State announcedState;
   private long announcedAtMillis;
 
@@ -54,18 +54,17 @@
     }
   }
 
-  /** Creates a poller that announces {@code self} and is not started. */
-  public MembershipPoller(
-      MembershipService service, Member self, InstantSource clock, EntryMetrics metrics) {
+  /** Creates a poller that is not started. */
+  public MembershipPoller(MembershipService service, InstantSource clock, EntryMetrics metrics) {
     this.service = service;
-    this.self = self;
     this.clock = clock;
     this.metrics = metrics;
     this.thread = new Thread(this::run, "membership");
   }
 
-  /** Starts the poller's thread. */
-  public void start() {
+  /** Starts the poller's thread, which announces {@code member} as this instance. */
+  public void start(Member member) {
+    self = member;
     thread.start();
   }
 
@@ -81,21 +80,30 @@
     return current;
   }
 
-  /** Announces at the next moment that this instance is about to leave. */
-  public void announceLeaving() {
-    self =
-        new Member(
-            self.instanceId(),
-            self.role(),
-            self.zone(),
-            self.rack(),
-            self.host(),
-            self.port(),
-            self.peerPort(),
-            self.service(),
-            self.capacity(),
-            State.LEAVING);
-    LockSupport.unpark(thread);
+  /** Announces that this instance is about to leave, and returns whether the platform took it. */
+  public boolean announceLeaving() {
+    self = leaving(self);
+    try {
+      service.announce(self);
+      return true;
+    } catch (MembershipUnavailableException e) {
+      markSilent(e);
+      return false;
+    }
+  }
+
+  private static Member leaving(Member self) {
+    return new Member(
+        self.instanceId(),
+        self.role(),
+        self.zone(),
+        self.rack(),
+        self.host(),
+        self.port(),
+        self.peerPort(),
+        self.service(),
+        self.capacity(),
+        State.LEAVING);
   }
 
   private void run() {
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/request/RequestLog.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/request/RequestLog.java
@@ -32,6 +32,9 @@
   /** Name of the stream. */
   public static final String STREAM = "requests";
 
+  /** Bound on the size of requests taken over at once; one record of the log takes them up. */
+  private static final long MAX_BYTES = 256 * 1024;
+
   private static final long EXPIRE_INTERVAL_MILLIS = 10_000;
 
   private final LogWriter writer;
@@ -145,12 +148,15 @@
   public JobRequests jobRequests(String zone, long fromOffset, int maxCount) {
     List<RequestRecord> records = new ArrayList<>();
     long readUntil = Math.max(fromOffset, position.nextOffset());
+    long bytes = 0;
     synchronized (lock) {
       for (JobRequest request : jobRequests) {
         if (request.offset() < fromOffset || !concerns(zone, request.record())) {
           continue;
         }
-        if (records.size() == maxCount) {
+        bytes += estimatedBytes(request.record());
+        boolean full = records.size() == maxCount || bytes > MAX_BYTES && !records.isEmpty();
+        if (full) {
           return new JobRequests(records, request.offset());
         }
         records.add(request.record());
@@ -160,6 +166,14 @@
     return new JobRequests(records, readUntil);
   }
 
+  private static long estimatedBytes(RequestRecord record) {
+    return record instanceof JobSubmitted submitted
+        ? 512
+            + submitted.description().program().length()
+            + 3L * submitted.description().taskCount()
+        : 128;
+  }
+
   private static boolean concerns(String zone, RequestRecord record) {
     return !(record instanceof JobSubmitted submitted)
         || submitted.taskIndexesByZone().containsKey(zone);
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/zone/ZoneOwner.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/zone/ZoneOwner.java
@@ -290,7 +290,7 @@
             nowMillis,
             configVersion,
             decision.requestsOffset(),
-            decision.changes());
+            BatchLimiter.limit(decision.changes()));
     batch.begin(record.recordId(), writer.append(settings.stream(), record));
   }
 
