Make the reducers independent of readers' clocks and start points

RequestLedger forgot claims by each reader's own clock, so a late duplicate of a claim was accepted by a reader that had forgotten the first one and rejected by another. Age is now measured by the largest clock in the stream, ids older than the horizon are refused by all readers, and only those are forgotten. isComplete() tells a reader that started behind expired records when it knows every claim that can still be repeated. Request ids that are not UUIDs of version 7 are refused. A cancellation by another team has no effect.

All orders are now functions of the content. A placement of a negative size is rejected. A listed capacity below what is committed takes effect as far as nothing more fits, instead of leaving the larger capacity in force. A claim record that arrives twice starts one epoch.

Only compiled and run against the existing tests, of which cicadaford-decision has none yet.

--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/ConfigState.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ConfigState.java
@@ -218,8 +218,21 @@
     target.putAll(content);
   }
 
-  /** Returns the whole configuration as a record, so that earlier records may expire. */
+  /**
+   * Returns the whole configuration as a record, so that earlier records may expire.
+   *
+   * @throws IllegalStateException if the configuration is not complete; a snapshot of a part would
+   *     take away the rest from whoever loads it
+   */
   public ConfigSnapshot snapshot(String recordId) {
+    if (!complete) {
+      throw new IllegalStateException(
+          "the configuration is not complete; wait for a snapshot from the log or a peer");
+    }
+    return content(recordId);
+  }
+
+  private ConfigSnapshot content(String recordId) {
     Map<String, Map<String, Long>> allotmentCopy = new TreeMap<>();
     allotments.forEach((team, byZone) -> allotmentCopy.put(team, new TreeMap<>(byZone)));
     return new ConfigSnapshot(
@@ -240,7 +253,7 @@
   /** Returns a configuration that later records do not change. */
   public ConfigState copy() {
     ConfigState copy = new ConfigState();
-    copy.fill(snapshot("copy"));
+    copy.fill(content("copy"));
     copy.appliedOffset = appliedOffset;
     copy.complete = complete;
     return copy;
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/LeaseKeeper.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/LeaseKeeper.java
@@ -30,7 +30,7 @@
     this.epochStartMillis = epochStartMillis;
   }
 
-  void onAnswer(WorkerAnswer answer, long sentAtMillis, long nowMillis) {
+  void onAnswer(WorkerCommand command, WorkerAnswer answer, long sentAtMillis, long nowMillis) {
     answer.reports().forEach(report -> reports.put(report.lease(), report));
   }
 
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/RequestAdmitter.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/RequestAdmitter.java
@@ -26,10 +26,7 @@
     for (RequestRecord request : inputs.newRequests()) {
       switch (request) {
         case JobSubmitted submitted -> admit(submitted, changes);
-        case JobCancelled cancelled ->
-            changes.add(
-                new JobClosed(
-                    cancelled.jobId(), JobState.CANCELLED, "cancelled by its team", nowMillis));
+        case JobCancelled cancelled -> cancel(cancelled, inputs, nowMillis, changes);
         case CallClaimed claimed -> {}
         case CallFinished finished -> {}
       }
@@ -37,6 +34,25 @@
     return changes;
   }
 
+  /**
+   * Closes the job. The ledger may have forgotten the submission of a long job, so the team is
+   * compared here with the one that was admitted; a job that was submitted in the same round is
+   * compared by the ledger.
+   */
+  private static void cancel(
+      JobCancelled cancelled, OwnerInputs inputs, long nowMillis, List<ZoneChange> changes) {
+    boolean otherTeam =
+        inputs
+            .zone()
+            .job(cancelled.jobId())
+            .filter(job -> !job.description().team().equals(cancelled.team()))
+            .isPresent();
+    if (!otherTeam) {
+      changes.add(
+          new JobClosed(cancelled.jobId(), JobState.CANCELLED, "cancelled by its team", nowMillis));
+    }
+  }
+
   private void admit(JobSubmitted submitted, List<ZoneChange> changes) {
     List<Integer> indexes = submitted.taskIndexesByZone().get(zone);
     if (indexes != null && !indexes.isEmpty()) {
--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/RequestIds.java
@@ -0,0 +1,29 @@
+package org.cicadaford.decision;
+
+import java.util.OptionalLong;
+import java.util.UUID;
+
+/** Reads request ids, which are UUIDs of version 7 and carry their creation time. */
+public final class RequestIds {
+
+  private static final int TEXT_LENGTH = 36;
+  private static final int TIME_BASED_VERSION = 7;
+  private static final int BITS_BELOW_TIME = 16;
+
+  private RequestIds() {}
+
+  /** Returns the creation time in milliseconds, or nothing if the id is not of version 7. */
+  public static OptionalLong createdAtMillis(String requestId) {
+    if (requestId == null || requestId.length() != TEXT_LENGTH) {
+      return OptionalLong.empty();
+    }
+    try {
+      UUID id = UUID.fromString(requestId);
+      return id.version() == TIME_BASED_VERSION
+          ? OptionalLong.of(id.getMostSignificantBits() >>> BITS_BELOW_TIME)
+          : OptionalLong.empty();
+    } catch (IllegalArgumentException e) {
+      return OptionalLong.empty();
+    }
+  }
+}
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/RequestLedger.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/RequestLedger.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.cicadaford.model.RequestRecord;
 import org.cicadaford.model.RequestRecord.CallClaimed;
 import org.cicadaford.model.RequestRecord.CallFinished;
@@ -14,6 +15,11 @@
 /**
  * Submissions, cancellations and claimed calls: the fold over the {@code requests} stream.
  *
+ * <p>Whether a record takes effect must not depend on when a reader forgets older ones, and
+ * readers' clocks differ. The ledger therefore measures age by the largest clock that a record in
+ * the stream carried: an id that was created before {@link #horizonMillis()} is refused by every
+ * reader, and only ids before it are forgotten, so a forgotten claim cannot be made again.
+ *
  * <p>Not safe for use by several threads.
  */
 public final class RequestLedger {
@@ -25,16 +31,20 @@
   public static final long MAX_CALLER_CLOCK_LEAD_MILLIS = 60_000;
 
   /**
-   * Time for which a claim is kept, in milliseconds. It outlasts every id that could repeat the
-   * claim: the window, a caller's clock that is ahead, and as much again for our own clocks.
+   * Age by the clock of the stream at which an id is refused and may be forgotten, in milliseconds.
+   * It outlasts every id that could repeat a claim: the window, a caller's clock that is ahead, and
+   * as much again for our own clocks.
    */
   static final long CLAIM_KEPT_MILLIS = ID_WINDOW_MILLIS + 2 * MAX_CALLER_CLOCK_LEAD_MILLIS;
 
   private final Map<String, CallEntry> callsByRequestId = new LinkedHashMap<>();
-  private final Map<String, SubmissionEntry> jobsByRequestId = new LinkedHashMap<>();
+  private final Map<String, JobSubmitted> jobsByRequestId = new LinkedHashMap<>();
   private final Map<String, JobSubmitted> jobsById = new HashMap<>();
   private final Map<String, Long> cancelledJobs = new LinkedHashMap<>();
   private long appliedOffset = ConfigState.NO_OFFSET;
+  private long streamMillis;
+  private long firstRecordMillis;
+  private boolean startedAtFirstRecord;
 
   /**
    * A claimed call.
@@ -45,23 +55,47 @@
    */
   public record CallEntry(long claimOffset, CallClaimed claim, CallFinished finished) {}
 
-  private record SubmissionEntry(long offset, JobSubmitted submission) {}
-
   /** Applies the record at {@code offset} and returns whether it took effect. */
   public Verdict apply(long offset, RequestRecord record, long nowMillis) {
     if (offset <= appliedOffset) {
       return Verdict.rejected("offset " + offset + " was applied before");
     }
     appliedOffset = offset;
+    startedAtFirstRecord = startedAtFirstRecord || offset == 0;
     return switch (record) {
       case CallClaimed claim -> claim(offset, claim);
       case CallFinished finished -> finish(finished);
-      case JobSubmitted submitted -> submit(offset, submitted);
+      case JobSubmitted submitted -> submit(submitted);
       case JobCancelled cancelled -> cancel(cancelled, nowMillis);
     };
   }
 
+  /**
+   * Moves the clock of the stream and returns why a record with this request id has no effect, or
+   * null. A record that was written outside the window of its own id does not move the clock.
+   */
+  private String refusal(String requestId, long writtenAtMillis) {
+    OptionalLong createdAtMillis = RequestIds.createdAtMillis(requestId);
+    if (createdAtMillis.isEmpty()) {
+      return "request id " + requestId + " has no creation time; use a UUID of version 7";
+    }
+    if (!isIdInWindow(createdAtMillis.getAsLong(), writtenAtMillis)) {
+      return "request id " + requestId + " was outside its window; use a new id";
+    }
+    streamMillis = Math.max(streamMillis, writtenAtMillis);
+    firstRecordMillis = firstRecordMillis == 0 ? writtenAtMillis : firstRecordMillis;
+    return isForgotten(requestId) ? "request id " + requestId + " is too old; use a new id" : null;
+  }
+
+  private boolean isForgotten(String requestId) {
+    return RequestIds.createdAtMillis(requestId).orElse(Long.MIN_VALUE) < horizonMillis();
+  }
+
   private Verdict claim(long offset, CallClaimed claim) {
+    String refusal = refusal(claim.requestId(), claim.claimedAtMillis());
+    if (refusal != null) {
+      return Verdict.rejected(refusal);
+    }
     CallEntry entry = callsByRequestId.get(claim.requestId());
     if (entry != null && !endedWithoutRun(entry)) {
       return Verdict.rejected("request " + claim.requestId() + " was claimed before");
@@ -77,7 +111,8 @@
 
   private Verdict finish(CallFinished finished) {
     CallEntry entry = callsByRequestId.get(finished.requestId());
-    if (entry == null || entry.claimOffset() != finished.claimOffset()) {
+    boolean current = entry != null && entry.claimOffset() == finished.claimOffset();
+    if (!current || isForgotten(finished.requestId())) {
       return Verdict.rejected("the claim at offset " + finished.claimOffset() + " is not current");
     }
     if (entry.finished() != null) {
@@ -88,30 +123,76 @@
     return Verdict.ACCEPTED;
   }
 
-  private Verdict submit(long offset, JobSubmitted submitted) {
+  private Verdict submit(JobSubmitted submitted) {
+    String refusal = refusal(submitted.requestId(), submitted.submittedAtMillis());
+    if (refusal != null) {
+      return Verdict.rejected(refusal);
+    }
     if (jobsByRequestId.containsKey(submitted.requestId())) {
       return Verdict.rejected("request " + submitted.requestId() + " was submitted before");
     }
-    if (jobsById.putIfAbsent(submitted.jobId(), submitted) != null) {
+    if (keptJob(submitted.jobId()) != null) {
       return Verdict.rejected("job " + submitted.jobId() + " exists; use another id");
     }
-    jobsByRequestId.put(submitted.requestId(), new SubmissionEntry(offset, submitted));
+    jobsById.put(submitted.jobId(), submitted);
+    jobsByRequestId.put(submitted.requestId(), submitted);
     return Verdict.ACCEPTED;
   }
 
+  private JobSubmitted keptJob(String jobId) {
+    JobSubmitted job = jobsById.get(jobId);
+    return job == null || isForgotten(job.requestId()) ? null : job;
+  }
+
+  /**
+   * Keeps the cancellation. A job whose submission is no longer kept is compared with the
+   * cancelling team by the owner of each zone.
+   */
   private Verdict cancel(JobCancelled cancelled, long nowMillis) {
+    JobSubmitted job = keptJob(cancelled.jobId());
+    if (job != null && !job.description().team().equals(cancelled.team())) {
+      return Verdict.rejected("job " + cancelled.jobId() + " belongs to another team");
+    }
     cancelledJobs.putIfAbsent(cancelled.jobId(), nowMillis);
     return Verdict.ACCEPTED;
   }
 
-  /** Forgets what no accepted request id can ask for any more. */
+  /**
+   * Returns the creation time below which ids are refused by every reader, in milliseconds. It
+   * follows the clocks in the stream, so it is the same for all readers of the same records.
+   */
+  public long horizonMillis() {
+    return streamMillis - CLAIM_KEPT_MILLIS;
+  }
+
+  /**
+   * Returns whether every claim that could still be repeated was applied. A reader that started
+   * where earlier records have expired may not know a claim of an id that is still accepted, until
+   * the horizon has passed all ids that those records can hold.
+   */
+  public boolean isComplete() {
+    return startedAtFirstRecord
+        || firstRecordMillis > 0
+            && horizonMillis() > firstRecordMillis + 2 * MAX_CALLER_CLOCK_LEAD_MILLIS;
+  }
+
+  /**
+   * Forgets what no accepted request id can ask for any more. This frees memory only: no verdict
+   * depends on whether or when it is called.
+   */
   public void expire(long nowMillis) {
-    long keptFromMillis = nowMillis - CLAIM_KEPT_MILLIS;
-    callsByRequestId.values().removeIf(entry -> entry.claim().claimedAtMillis() < keptFromMillis);
+    callsByRequestId.keySet().removeIf(this::isForgotten);
     jobsByRequestId
         .values()
-        .removeIf(entry -> entry.submission().submittedAtMillis() < keptFromMillis);
-    jobsById.values().removeIf(job -> job.submittedAtMillis() < keptFromMillis);
+        .removeIf(
+            job -> {
+              boolean forgotten = isForgotten(job.requestId());
+              if (forgotten) {
+                jobsById.remove(job.jobId(), job);
+              }
+              return forgotten;
+            });
+    long keptFromMillis = nowMillis - CLAIM_KEPT_MILLIS;
     cancelledJobs.values().removeIf(appliedAtMillis -> appliedAtMillis < keptFromMillis);
   }
 
@@ -128,7 +209,7 @@
 
   /** Returns the submission that won a request id. */
   public Optional<JobSubmitted> submission(String requestId) {
-    return Optional.ofNullable(jobsByRequestId.get(requestId)).map(SubmissionEntry::submission);
+    return Optional.ofNullable(jobsByRequestId.get(requestId));
   }
 
   /** Returns the submission of a job, while it is kept. */
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/TaskStatus.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/TaskStatus.java
@@ -13,6 +13,7 @@
  * @param workerId worker of the last placement, or empty
  * @param reserved amounts committed while it is placed
  * @param placedAtMillis time of the last placement, or 0
+ * @param placementEpoch ownership epoch that recorded the last placement, or -1
  * @param failureCount placements that failed
  * @param lastEnd how the last placement ended, or null
  * @param answer what the task answered, or why it failed
@@ -25,6 +26,7 @@
     String workerId,
     Resources reserved,
     long placedAtMillis,
+    long placementEpoch,
     int failureCount,
     TaskEnd lastEnd,
     String answer,
@@ -43,7 +45,8 @@
   }
 
   static TaskStatus waiting(TaskId taskId) {
-    return new TaskStatus(taskId, Phase.WAITING, 0, "", Resources.NONE, 0, 0, null, "", 0);
+    return new TaskStatus(
+        taskId, Phase.WAITING, 0, "", Resources.NONE, 0, ConfigState.NO_OFFSET, 0, null, "", 0);
   }
 
   /** Returns whether a worker's capacity is committed to the task. */
@@ -51,7 +54,7 @@
     return phase == Phase.PLACED || phase == Phase.STOPPING;
   }
 
-  TaskStatus placed(int newAttempt, String worker, Resources amounts, long nowMillis) {
+  TaskStatus placed(int newAttempt, String worker, Resources amounts, long nowMillis, long epoch) {
     return new TaskStatus(
         taskId,
         Phase.PLACED,
@@ -59,6 +62,7 @@
         worker,
         amounts,
         nowMillis,
+        epoch,
         failureCount,
         null,
         answer,
@@ -73,6 +77,7 @@
         workerId,
         reserved,
         placedAtMillis,
+        placementEpoch,
         failureCount,
         reason,
         answer,
@@ -88,6 +93,7 @@
         workerId,
         Resources.NONE,
         placedAtMillis,
+        placementEpoch,
         failures,
         end,
         newAnswer,
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerStatus.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerStatus.java
@@ -12,6 +12,7 @@
  * @param taskCount number of tasks that capacity is committed to
  * @param quarantineFailureCount failures in a row that led to its quarantine; 0 if it has none
  * @param quarantineUntilMillis end of the quarantine, after which a probe may run
+ * @param probeCount committed tasks that were placed after the end of the quarantine
  */
 public record WorkerStatus(
     String workerId,
@@ -20,7 +21,8 @@
     Resources committed,
     int taskCount,
     int quarantineFailureCount,
-    long quarantineUntilMillis) {
+    long quarantineUntilMillis,
+    int probeCount) {
 
   /** Returns what is not committed. */
   public Resources free() {
@@ -32,6 +34,19 @@
     return quarantineFailureCount > 0;
   }
 
+  /**
+   * Returns whether a task may be placed now as far as the quarantine goes: always outside a
+   * quarantine, never while it lasts, and one probe at a time after it.
+   */
+  public boolean admitsTask(long nowMillis) {
+    return !isQuarantined() || nowMillis >= quarantineUntilMillis && probeCount == 0;
+  }
+
+  /** Returns whether a task placed at {@code placedAtMillis} is a probe of a quarantined worker. */
+  boolean isProbe(long placedAtMillis) {
+    return isQuarantined() && placedAtMillis >= quarantineUntilMillis;
+  }
+
   WorkerStatus withCapacity(String newRack, Resources newCapacity) {
     return new WorkerStatus(
         workerId,
@@ -40,10 +55,11 @@
         committed,
         taskCount,
         quarantineFailureCount,
-        quarantineUntilMillis);
+        quarantineUntilMillis,
+        probeCount);
   }
 
-  WorkerStatus withCommitted(Resources newCommitted, int newTaskCount) {
+  WorkerStatus withCommitted(Resources newCommitted, int newTaskCount, int newProbeCount) {
     return new WorkerStatus(
         workerId,
         rack,
@@ -51,11 +67,12 @@
         newCommitted,
         newTaskCount,
         quarantineFailureCount,
-        quarantineUntilMillis);
+        quarantineUntilMillis,
+        newProbeCount);
   }
 
   WorkerStatus withQuarantine(int failureCount, long untilMillis) {
     return new WorkerStatus(
-        workerId, rack, capacity, committed, taskCount, failureCount, untilMillis);
+        workerId, rack, capacity, committed, taskCount, failureCount, untilMillis, 0);
   }
 }
--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerTable.java
@@ -0,0 +1,118 @@
+package org.cicadaford.decision;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.cicadaford.model.Resources;
+import org.cicadaford.model.TaskId;
+import org.cicadaford.model.ZoneChange.WorkerListed;
+import org.cicadaford.model.ZoneChange.WorkerUnlisted;
+
+/** Workers of a zone and the tasks that their capacity is committed to. */
+final class WorkerTable {
+
+  private final Map<String, WorkerStatus> workersById = new TreeMap<>();
+  private final Map<String, Map<TaskId, TaskStatus>> committedByWorker = new HashMap<>();
+  private int committedTaskCount;
+
+  /**
+   * Adds a worker or changes its capacity. A capacity below what is committed takes effect only as
+   * far as nothing more can be committed; the owner lists the worker again as its tasks end.
+   */
+  boolean list(WorkerListed listed) {
+    if (!Resources.NONE.fitsIn(listed.capacity())) {
+      return false;
+    }
+    WorkerStatus worker = workersById.get(listed.workerId());
+    WorkerStatus updated =
+        worker == null
+            ? new WorkerStatus(
+                listed.workerId(), listed.rack(), listed.capacity(), Resources.NONE, 0, 0, 0, 0)
+            : worker.withCapacity(listed.rack(), atLeast(listed.capacity(), worker.committed()));
+    workersById.put(listed.workerId(), updated);
+    return true;
+  }
+
+  /** Returns the larger amount of each resource. */
+  static Resources atLeast(Resources capacity, Resources committed) {
+    return new Resources(
+        Math.max(capacity.processorsMillicores(), committed.processorsMillicores()),
+        Math.max(capacity.memoryMebibytes(), committed.memoryMebibytes()),
+        Math.max(capacity.acceleratorCount(), committed.acceleratorCount()));
+  }
+
+  boolean unlist(WorkerUnlisted unlisted) {
+    WorkerStatus worker = workersById.get(unlisted.workerId());
+    if (worker == null || worker.taskCount() > 0) {
+      return false;
+    }
+    workersById.remove(unlisted.workerId());
+    committedByWorker.remove(unlisted.workerId());
+    return true;
+  }
+
+  boolean quarantine(String workerId, int failureCount, long untilMillis) {
+    WorkerStatus worker = workersById.get(workerId);
+    if (worker == null) {
+      return false;
+    }
+    workersById.put(workerId, worker.withQuarantine(failureCount, untilMillis));
+    return true;
+  }
+
+  void commit(TaskStatus task) {
+    WorkerStatus worker = workersById.get(task.workerId());
+    Resources committed = worker.committed().plus(task.reserved());
+    int probes = worker.probeCount() + (worker.isProbe(task.placedAtMillis()) ? 1 : 0);
+    workersById.put(
+        worker.workerId(), worker.withCommitted(committed, worker.taskCount() + 1, probes));
+    replace(task);
+    committedTaskCount++;
+  }
+
+  void release(TaskStatus task) {
+    WorkerStatus worker = workersById.get(task.workerId());
+    Resources committed = worker.committed().minus(task.reserved());
+    int probes = worker.probeCount() - (worker.isProbe(task.placedAtMillis()) ? 1 : 0);
+    workersById.put(
+        worker.workerId(),
+        worker.withCommitted(committed, worker.taskCount() - 1, Math.max(0, probes)));
+    committedByWorker.get(task.workerId()).remove(task.taskId());
+    committedTaskCount--;
+  }
+
+  void replace(TaskStatus task) {
+    committedByWorker
+        .computeIfAbsent(task.workerId(), id -> new TreeMap<>())
+        .put(task.taskId(), task);
+  }
+
+  void restore(List<WorkerStatus> workers) {
+    workers.forEach(worker -> workersById.put(worker.workerId(), worker));
+  }
+
+  void restoreCommitted(TaskStatus task) {
+    replace(task);
+    committedTaskCount++;
+  }
+
+  WorkerStatus worker(String workerId) {
+    return workersById.get(workerId);
+  }
+
+  Collection<WorkerStatus> workers() {
+    return Collections.unmodifiableCollection(workersById.values());
+  }
+
+  Collection<TaskStatus> committedTasksOn(String workerId) {
+    return Collections.unmodifiableCollection(
+        committedByWorker.getOrDefault(workerId, Map.of()).values());
+  }
+
+  int committedTaskCount() {
+    return committedTaskCount;
+  }
+}
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneOwnerLogic.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneOwnerLogic.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.cicadaford.model.WorkerAnswer;
+import org.cicadaford.model.WorkerCommand;
 import org.cicadaford.model.ZoneChange;
 
 /**
@@ -27,12 +28,15 @@
   }
 
   /**
-   * Takes in a worker's answer.
+   * Takes in a worker's answer. Only the answer to a renewal lists every placement that the worker
+   * knows, so the command tells whether a placement that is missing is not on the worker.
    *
+   * @param command command that was answered
    * @param sentAtMillis time at which the command was sent
    */
-  public void onAnswer(WorkerAnswer answer, long sentAtMillis, long nowMillis) {
-    leaseKeeper.onAnswer(answer, sentAtMillis, nowMillis);
+  public void onAnswer(
+      WorkerCommand command, WorkerAnswer answer, long sentAtMillis, long nowMillis) {
+    leaseKeeper.onAnswer(command, answer, sentAtMillis, nowMillis);
   }
 
   /** Takes in that a worker did not answer a command. */
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneSnapshotContent.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneSnapshotContent.java
@@ -9,6 +9,8 @@
 /** Whole state of a zone, as carried by snapshot chunks. */
 record ZoneSnapshotContent(
     long epoch,
+    long previousEpoch,
+    String claimRecordId,
     String ownerInstanceId,
     long sequence,
     long lastBatchAtMillis,
@@ -18,6 +20,13 @@
     List<JobStatus> jobs,
     List<TaskStatus> tasks) {
 
+  /** Copies the lists; a snapshot without them is malformed. */
+  ZoneSnapshotContent {
+    workers = List.copyOf(workers);
+    jobs = List.copyOf(jobs);
+    tasks = List.copyOf(tasks);
+  }
+
   List<ZoneSnapshotChunk> toChunks(
       String snapshotId, long writerEpoch, long asOfOffset, int maxChunkBytes) {
     byte[] bytes = RecordCodec.encode(this);
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneState.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneState.java
@@ -24,6 +24,8 @@
   private final ZoneSnapshotAssembler snapshotAssembler = new ZoneSnapshotAssembler();
   private long appliedOffset = ConfigState.NO_OFFSET;
   private long epoch = ConfigState.NO_OFFSET;
+  private long previousEpoch = ConfigState.NO_OFFSET;
+  private String claimRecordId = "";
   private String ownerInstanceId = "";
   private long sequence;
   private long lastBatchAtMillis;
@@ -49,8 +51,13 @@
   }
 
   private ZoneVerdict claim(long offset, OwnerClaimed claimed) {
+    if (epoch != ConfigState.NO_OFFSET && claimed.recordId().equals(claimRecordId)) {
+      return new ZoneVerdict.Ignored("the claim " + claimRecordId + " was applied before");
+    }
     previousOwnersLastBatchAtMillis = Math.max(previousOwnersLastBatchAtMillis, lastBatchAtMillis);
+    previousEpoch = epoch;
     epoch = offset;
+    claimRecordId = claimed.recordId();
     ownerInstanceId = claimed.instanceId();
     sequence = 0;
     lastBatchAtMillis = claimed.claimedAtMillis();
@@ -70,7 +77,7 @@
     tables.forgetClosedJobs(batch.writtenAtMillis());
     List<ZoneChange> rejected = new ArrayList<>();
     for (ZoneChange change : batch.changes()) {
-      if (!tables.apply(change)) {
+      if (!tables.apply(change, epoch)) {
         rejected.add(change);
       }
     }
@@ -89,6 +96,8 @@
   private void fill(ZoneSnapshotContent content) {
     tables.fill(content);
     epoch = content.epoch();
+    previousEpoch = content.previousEpoch();
+    claimRecordId = content.claimRecordId();
     ownerInstanceId = content.ownerInstanceId();
     sequence = content.sequence();
     lastBatchAtMillis = content.lastBatchAtMillis();
@@ -106,6 +115,8 @@
     ZoneSnapshotContent content =
         new ZoneSnapshotContent(
             epoch,
+            previousEpoch,
+            claimRecordId,
             ownerInstanceId,
             sequence,
             lastBatchAtMillis,
@@ -132,6 +143,11 @@
     return epoch;
   }
 
+  /** Returns the epoch of the owner before the current one, or -1 if there was none. */
+  public long previousEpoch() {
+    return previousEpoch;
+  }
+
   /** Returns the entry instance that owns the zone, or an empty string before the first claim. */
   public String ownerInstanceId() {
     return ownerInstanceId;
@@ -182,6 +198,11 @@
     return tables.waitingJobs();
   }
 
+  /** Returns the active jobs of which no task waits or is placed, in the order of admission. */
+  public Collection<JobStatus> finishedJobs() {
+    return tables.finishedJobs();
+  }
+
   /** Returns the task of this id. */
   public Optional<TaskStatus> task(TaskId taskId) {
     return Optional.ofNullable(tables.task(taskId));
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneTables.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneTables.java
@@ -1,18 +1,16 @@
 package org.cicadaford.decision;
 
-import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.cicadaford.decision.TaskStatus.Phase;
-import org.cicadaford.model.JobDescription;
-import org.cicadaford.model.JobKind;
 import org.cicadaford.model.JobState;
 import org.cicadaford.model.Resources;
 import org.cicadaford.model.TaskEnd;
@@ -28,103 +26,96 @@
 import org.cicadaford.model.ZoneChange.WorkerReleased;
 import org.cicadaford.model.ZoneChange.WorkerUnlisted;
 
-/** Workers, jobs and tasks of a zone with the indexes that decisions read. */
+/**
+ * Workers, jobs and tasks of a zone with the indexes that decisions read. Every order is a function
+ * of the content, so that a reader that started from a snapshot sees the same as one that applied
+ * all records.
+ */
 final class ZoneTables {
 
-  /** Failed placements after which a task is not placed again. */
-  static final int MAX_TASK_FAILURES = 5;
-
   /** Time for which an ended job is kept for callers who ask, in milliseconds. */
   static final long CLOSED_JOB_KEPT_MILLIS = 3_600_000;
 
-  private final Map<String, WorkerStatus> workersById = new TreeMap<>();
-  private final Map<String, Map<TaskId, TaskStatus>> committedByWorker = new HashMap<>();
+  private final WorkerTable workers = new WorkerTable();
   private final Map<String, JobStatus> jobsById = new LinkedHashMap<>();
-  private final Map<String, JobStatus> waitingJobsById = new LinkedHashMap<>();
   private final Map<String, JobTasks> tasksByJob = new HashMap<>();
+  private final Map<Long, String> waitingJobIds = new TreeMap<>();
+  private final Map<Long, String> finishedJobIds = new TreeMap<>();
+  private final TreeSet<JobStatus> closedJobs =
+      new TreeSet<>(
+          Comparator.comparingLong(JobStatus::closedAtMillis).thenComparing(JobStatus::jobId));
   private final Map<String, Long> committedMillicoresByTeam = new HashMap<>();
-  private final Deque<JobStatus> closedJobs = new ArrayDeque<>();
-  private int committedTaskCount;
+  private long nextOrdinal;
 
   private static final class JobTasks {
+    private final long ordinal;
     private final Map<Integer, TaskStatus> all = new TreeMap<>();
     private final Map<Integer, TaskStatus> waiting = new TreeMap<>();
+    private int committedCount;
+
+    JobTasks(long ordinal) {
+      this.ordinal = ordinal;
+    }
   }
 
-  /** Applies a change and returns whether it was valid. */
-  boolean apply(ZoneChange change) {
+  /** Applies a change of a batch of {@code epoch} and returns whether it was valid. */
+  boolean apply(ZoneChange change, long epoch) {
     return switch (change) {
-      case WorkerListed listed -> listWorker(listed);
-      case WorkerUnlisted unlisted -> unlistWorker(unlisted);
+      case WorkerListed listed -> workers.list(listed);
+      case WorkerUnlisted unlisted -> workers.unlist(unlisted);
       case JobAdmitted admitted -> admit(admitted);
-      case TaskPlaced placed -> place(placed);
+      case TaskPlaced placed -> place(placed, epoch);
       case TaskStopping stopping -> stop(stopping);
       case TaskEnded ended -> end(ended);
       case JobClosed closed -> close(closed);
       case WorkerQuarantined quarantined ->
-          quarantine(quarantined.workerId(), quarantined.failureCount(), quarantined.untilMillis());
-      case WorkerReleased released -> quarantine(released.workerId(), 0, 0);
+          workers.quarantine(
+              quarantined.workerId(), quarantined.failureCount(), quarantined.untilMillis());
+      case WorkerReleased released -> workers.quarantine(released.workerId(), 0, 0);
     };
   }
 
-  private boolean listWorker(WorkerListed listed) {
-    WorkerStatus worker = workersById.get(listed.workerId());
-    WorkerStatus updated =
-        worker == null
-            ? new WorkerStatus(
-                listed.workerId(), listed.rack(), listed.capacity(), Resources.NONE, 0, 0, 0)
-            : worker.withCapacity(listed.rack(), listed.capacity());
-    if (!updated.committed().fitsIn(listed.capacity())) {
-      return false;
-    }
-    workersById.put(listed.workerId(), updated);
-    return true;
-  }
-
-  private boolean unlistWorker(WorkerUnlisted unlisted) {
-    WorkerStatus worker = workersById.get(unlisted.workerId());
-    if (worker == null || worker.taskCount() > 0) {
-      return false;
-    }
-    workersById.remove(unlisted.workerId());
-    committedByWorker.remove(unlisted.workerId());
-    return true;
-  }
-
   private boolean admit(JobAdmitted admitted) {
     if (jobsById.containsKey(admitted.jobId())) {
       return false;
     }
-    JobStatus job =
+    addJob(
         new JobStatus(
             admitted.jobId(),
             admitted.description(),
             admitted.submittedAtMillis(),
             JobState.ACTIVE,
             "",
-            0);
-    jobsById.put(job.jobId(), job);
-    tasksByJob.put(job.jobId(), new JobTasks());
+            0));
     for (int index : admitted.taskIndexes()) {
-      store(job, TaskStatus.waiting(new TaskId(job.jobId(), index)));
+      store(TaskStatus.waiting(new TaskId(admitted.jobId(), index)));
     }
     return true;
   }
 
-  private boolean place(TaskPlaced placed) {
+  private void addJob(JobStatus job) {
+    jobsById.put(job.jobId(), job);
+    tasksByJob.put(job.jobId(), new JobTasks(nextOrdinal++));
+  }
+
+  private boolean place(TaskPlaced placed, long epoch) {
     TaskStatus task = task(placed.taskId());
-    WorkerStatus worker = workersById.get(placed.workerId());
+    WorkerStatus worker = workers.worker(placed.workerId());
     if (task == null || worker == null || task.phase() != Phase.WAITING) {
       return false;
     }
-    if (placed.attempt() != task.attempt() + 1 || !placed.reserved().fitsIn(worker.free())) {
+    // A negative amount would pass for fitting and make room for others beyond the capacity.
+    boolean fits =
+        Resources.NONE.fitsIn(placed.reserved()) && placed.reserved().fitsIn(worker.free());
+    if (!fits || placed.attempt() != task.attempt() + 1) {
       return false;
     }
     TaskStatus updated =
         task.placed(
-            placed.attempt(), placed.workerId(), placed.reserved(), placed.placedAtMillis());
-    commit(updated, worker);
-    store(jobsById.get(placed.taskId().jobId()), updated);
+            placed.attempt(), placed.workerId(), placed.reserved(), placed.placedAtMillis(), epoch);
+    workers.commit(updated);
+    addCommitted(updated, 1);
+    store(updated);
     return true;
   }
 
@@ -134,8 +125,8 @@
       return false;
     }
     TaskStatus updated = task.stopping(stopping.reason());
-    committedByWorker.get(task.workerId()).put(task.taskId(), updated);
-    store(jobsById.get(stopping.taskId().jobId()), updated);
+    workers.replace(updated);
+    store(updated);
     return true;
   }
 
@@ -144,32 +135,14 @@
     if (task == null || !task.isCommitted() || task.attempt() != ended.attempt()) {
       return false;
     }
-    release(task);
+    workers.release(task);
+    addCommitted(task, -1);
     JobStatus job = jobsById.get(ended.taskId().jobId());
-    Phase next = nextPhase(job, task, ended.end());
-    store(job, task.ended(next, ended.end(), ended.answer(), ended.endedAtMillis()));
+    Phase next = TaskTransitions.phaseAfter(job, task, ended.end());
+    store(task.ended(next, ended.end(), ended.answer(), ended.endedAtMillis()));
     return true;
   }
 
-  private static Phase nextPhase(JobStatus job, TaskStatus task, TaskEnd end) {
-    if (job.state() != JobState.ACTIVE) {
-      return Phase.ENDED;
-    }
-    JobDescription description = job.description();
-    boolean isService = description.kind() == JobKind.SERVICE;
-    boolean mayRunAgain = description.repeatable() || isService;
-    boolean waits =
-        switch (end) {
-          case COMPLETED -> isService;
-          case CANCELLED -> false;
-          case NOT_STARTED -> true;
-          case FAILED -> isService || mayRunAgain && task.failureCount() + 1 < MAX_TASK_FAILURES;
-          case LOST -> mayRunAgain;
-          case PREEMPTED, EVACUATED -> mayRunAgain || description.checkpointable();
-        };
-    return waits ? Phase.WAITING : Phase.ENDED;
-  }
-
   private boolean close(JobClosed closed) {
     JobStatus job = jobsById.get(closed.jobId());
     if (job == null || job.state() != JobState.ACTIVE) {
@@ -179,72 +152,61 @@
     jobsById.put(job.jobId(), updated);
     closedJobs.add(updated);
     for (TaskStatus task : List.copyOf(waitingTasksOf(job.jobId()))) {
-      store(
-          updated,
-          task.ended(Phase.ENDED, TaskEnd.CANCELLED, closed.reason(), closed.closedAtMillis()));
-    }
-    return true;
-  }
-
-  private boolean quarantine(String workerId, int failureCount, long untilMillis) {
-    WorkerStatus worker = workersById.get(workerId);
-    if (worker == null) {
-      return false;
+      store(task.ended(Phase.ENDED, TaskEnd.CANCELLED, closed.reason(), closed.closedAtMillis()));
     }
-    workersById.put(workerId, worker.withQuarantine(failureCount, untilMillis));
+    index(updated.jobId());
     return true;
   }
 
-  private void commit(TaskStatus task, WorkerStatus worker) {
-    Resources committed = worker.committed().plus(task.reserved());
-    workersById.put(worker.workerId(), worker.withCommitted(committed, worker.taskCount() + 1));
-    committedByWorker
-        .computeIfAbsent(worker.workerId(), id -> new LinkedHashMap<>())
-        .put(task.taskId(), task);
-    addTeamMillicores(task, task.reserved().processorsMillicores());
-    committedTaskCount++;
-  }
-
-  private void release(TaskStatus task) {
-    WorkerStatus worker = workersById.get(task.workerId());
-    Resources committed = worker.committed().minus(task.reserved());
-    workersById.put(worker.workerId(), worker.withCommitted(committed, worker.taskCount() - 1));
-    committedByWorker.get(task.workerId()).remove(task.taskId());
-    addTeamMillicores(task, -task.reserved().processorsMillicores());
-    committedTaskCount--;
-  }
-
-  private void addTeamMillicores(TaskStatus task, long millicores) {
+  private void addCommitted(TaskStatus task, int sign) {
+    tasksByJob.get(task.taskId().jobId()).committedCount += sign;
     String team = jobsById.get(task.taskId().jobId()).description().team();
+    long millicores = sign * task.reserved().processorsMillicores();
     committedMillicoresByTeam.merge(team, millicores, Long::sum);
   }
 
-  private void store(JobStatus job, TaskStatus task) {
-    JobTasks tasks = tasksByJob.get(job.jobId());
+  private void store(TaskStatus task) {
+    JobTasks tasks = tasksByJob.get(task.taskId().jobId());
     int index = task.taskId().index();
     tasks.all.put(index, task);
     if (task.phase() == Phase.WAITING) {
       tasks.waiting.put(index, task);
-      waitingJobsById.put(job.jobId(), job);
     } else {
       tasks.waiting.remove(index);
-      if (tasks.waiting.isEmpty()) {
-        waitingJobsById.remove(job.jobId());
-      }
+    }
+    index(task.taskId().jobId());
+  }
+
+  private void index(String jobId) {
+    JobTasks tasks = tasksByJob.get(jobId);
+    boolean active = jobsById.get(jobId).state() == JobState.ACTIVE;
+    setMember(waitingJobIds, tasks.ordinal, jobId, !tasks.waiting.isEmpty());
+    boolean finished = active && tasks.waiting.isEmpty() && tasks.committedCount == 0;
+    setMember(finishedJobIds, tasks.ordinal, jobId, finished);
+  }
+
+  private static void setMember(
+      Map<Long, String> members, long ordinal, String jobId, boolean isMember) {
+    if (isMember) {
+      members.put(ordinal, jobId);
+    } else {
+      members.remove(ordinal);
     }
   }
 
   /**
    * Forgets jobs that ended long before {@code nowMillis}, the clock of the record being applied,
-   * so that every reader forgets the same jobs.
+   * so that every reader forgets the same jobs. A job with a placement that has not ended is kept.
    */
   void forgetClosedJobs(long nowMillis) {
-    while (!closedJobs.isEmpty()
-        && closedJobs.peek().closedAtMillis() + CLOSED_JOB_KEPT_MILLIS < nowMillis) {
-      JobStatus job = closedJobs.remove();
-      if (tasksOf(job.jobId()).stream().anyMatch(TaskStatus::isCommitted)) {
-        closedJobs.add(job.closed(job.state(), job.reason(), nowMillis));
-      } else {
+    Iterator<JobStatus> oldestFirst = closedJobs.iterator();
+    while (oldestFirst.hasNext()) {
+      JobStatus job = oldestFirst.next();
+      if (job.closedAtMillis() + CLOSED_JOB_KEPT_MILLIS >= nowMillis) {
+        return;
+      }
+      if (tasksByJob.get(job.jobId()).committedCount == 0) {
+        oldestFirst.remove();
         jobsById.remove(job.jobId());
         tasksByJob.remove(job.jobId());
       }
@@ -252,40 +214,29 @@
   }
 
   void fill(ZoneSnapshotContent content) {
-    content.workers().forEach(worker -> workersById.put(worker.workerId(), worker));
+    workers.restore(content.workers());
     for (JobStatus job : content.jobs()) {
-      jobsById.put(job.jobId(), job);
-      tasksByJob.put(job.jobId(), new JobTasks());
+      addJob(job);
       if (job.state() != JobState.ACTIVE) {
         closedJobs.add(job);
       }
     }
-    List<JobStatus> sorted =
-        closedJobs.stream().sorted(Comparator.comparingLong(JobStatus::closedAtMillis)).toList();
-    closedJobs.clear();
-    closedJobs.addAll(sorted);
     for (TaskStatus task : content.tasks()) {
-      store(jobsById.get(task.taskId().jobId()), task);
       if (task.isCommitted()) {
-        restoreCommitted(task);
+        workers.restoreCommitted(task);
+        addCommitted(task, 1);
       }
+      store(task);
     }
-  }
-
-  private void restoreCommitted(TaskStatus task) {
-    committedByWorker
-        .computeIfAbsent(task.workerId(), id -> new LinkedHashMap<>())
-        .put(task.taskId(), task);
-    addTeamMillicores(task, task.reserved().processorsMillicores());
-    committedTaskCount++;
+    jobsById.keySet().forEach(this::index);
   }
 
   WorkerStatus worker(String workerId) {
-    return workersById.get(workerId);
+    return workers.worker(workerId);
   }
 
   Collection<WorkerStatus> workers() {
-    return Collections.unmodifiableCollection(workersById.values());
+    return workers.workers();
   }
 
   JobStatus job(String jobId) {
@@ -297,7 +248,11 @@
   }
 
   Collection<JobStatus> waitingJobs() {
-    return Collections.unmodifiableCollection(waitingJobsById.values());
+    return waitingJobIds.values().stream().map(jobsById::get).toList();
+  }
+
+  Collection<JobStatus> finishedJobs() {
+    return finishedJobIds.values().stream().map(jobsById::get).toList();
   }
 
   TaskStatus task(TaskId taskId) {
@@ -316,8 +271,7 @@
   }
 
   Collection<TaskStatus> committedTasksOn(String workerId) {
-    return Collections.unmodifiableCollection(
-        committedByWorker.getOrDefault(workerId, Map.of()).values());
+    return workers.committedTasksOn(workerId);
   }
 
   long committedMillicores(String team) {
@@ -325,11 +279,11 @@
   }
 
   int committedTaskCount() {
-    return committedTaskCount;
+    return workers.committedTaskCount();
   }
 
   List<WorkerStatus> workerList() {
-    return List.copyOf(workersById.values());
+    return List.copyOf(workers.workers());
   }
 
   List<JobStatus> jobList() {
@@ -337,6 +291,6 @@
   }
 
   List<TaskStatus> taskList() {
-    return tasksByJob.values().stream().flatMap(tasks -> tasks.all.values().stream()).toList();
+    return jobsById.keySet().stream().flatMap(jobId -> tasksOf(jobId).stream()).toList();
   }
 }
