--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/EndDetector.java
@@ -0,0 +1,118 @@
+package org.cicadaford.decision;
+
+import java.util.Optional;
+import org.cicadaford.model.TaskEnd;
+import org.cicadaford.model.TaskReport;
+import org.cicadaford.model.ZoneChange.TaskEnded;
+
+/**
+ * Finds placements that have certainly ended.
+ *
+ * <p>Once an end was decided, no lease of the placement is granted any more, so that it stays true
+ * until it is recorded.
+ */
+final class EndDetector {
+
+  /** Time for which a start waits for a worker that does not answer, in milliseconds. */
+  private static final long UNREACHABLE_START_MILLIS = 1_000;
+
+  private final LeaseTable leases;
+  private final OwnerSettings settings;
+  private final LifeCycleSettings lifeCycle;
+
+  EndDetector(LeaseTable leases, OwnerSettings settings, LifeCycleSettings lifeCycle) {
+    this.leases = leases;
+    this.settings = settings;
+    this.lifeCycle = lifeCycle;
+  }
+
+  Optional<TaskEnded> decide(KeeperRound round, TaskStatus task) {
+    LeaseEntry entry = leases.entry(task);
+    Optional<TaskEnded> end =
+        entry.hasEnded() ? reported(round, task, entry) : unreported(round, task, entry);
+    if (end.isPresent()) {
+      entry.endDecided = true;
+    }
+    return end;
+  }
+
+  private Optional<TaskEnded> reported(KeeperRound round, TaskStatus task, LeaseEntry entry) {
+    TaskReport report = entry.report;
+    if (entry.neverStarted()) {
+      return neverStarted(round, task, entry);
+    }
+    TaskEnd end =
+        switch (report.state()) {
+          case COMPLETED -> TaskEnd.COMPLETED;
+          case FAILED -> round.isWanted(task) ? TaskEnd.FAILED : round.stopReason(task);
+          default -> round.isWanted(task) ? TaskEnd.LOST : round.stopReason(task);
+        };
+    String answer = report.answer() == null ? "" : report.answer();
+    if (end == TaskEnd.LOST && answer.isEmpty()) {
+      answer = "the lease ended on worker " + task.workerId();
+    }
+    return Optional.of(ended(round, task, end, answer));
+  }
+
+  /**
+   * Ends a placement that the worker says it never started. A worker that lost its memory says so
+   * as well, so for a task that must not run twice this needs evidence.
+   */
+  private Optional<TaskEnded> neverStarted(KeeperRound round, TaskStatus task, LeaseEntry entry) {
+    boolean repeatable = TaskTransitions.mayRunAgain(round.descriptionOf(task));
+    boolean onlyStartRefused =
+        !round.isAdopted(task)
+            && entry.stopSentAtMillis == 0
+            && entry.report.state() == TaskReport.State.REFUSED;
+    boolean remembered =
+        entry.rememberedSinceMillis > 0
+            && entry.rememberedSinceMillis + settings.clockDriftMillis() < task.placedAtMillis();
+    if (repeatable || onlyStartRefused || remembered) {
+      String answer = "worker " + task.workerId() + " did not start the task";
+      return Optional.of(ended(round, task, TaskEnd.NOT_STARTED, answer));
+    }
+    // The next complete answer may show that the worker has kept its memory.
+    return entry.reportInCompleteAnswer || isCertainlyOver(round, task)
+        ? Optional.of(lost(round, task))
+        : Optional.empty();
+  }
+
+  private Optional<TaskEnded> unreported(KeeperRound round, TaskStatus task, LeaseEntry entry) {
+    if (!leases.mayHaveStarted(round, task)) {
+      return entry.endDecided || !isStartAwaited(round, task)
+          ? Optional.of(ended(round, task, TaskEnd.NOT_STARTED, "the task was not started in time"))
+          : Optional.empty();
+    }
+    if (!isCertainlyOver(round, task)) {
+      return Optional.empty();
+    }
+    return Optional.of(lost(round, task));
+  }
+
+  private boolean isCertainlyOver(KeeperRound round, TaskStatus task) {
+    return round.nowMillis() > leases.certainEndMillis(round, task);
+  }
+
+  private boolean isStartAwaited(KeeperRound round, TaskStatus task) {
+    WorkerContact contact = leases.contact(task.workerId());
+    long waitMillis =
+        contact.unreachable ? UNREACHABLE_START_MILLIS : lifeCycle.startWithinMillis();
+    return round.isWanted(task)
+        && !round.zoneOut()
+        && !contact.leaving
+        && round.nowMillis() <= task.placedAtMillis() + waitMillis;
+  }
+
+  private static TaskEnded lost(KeeperRound round, TaskStatus task) {
+    String answer = "worker " + task.workerId() + " did not tell how the task ended";
+    TaskEnd end =
+        !round.isWanted(task) && round.stopReason(task) == TaskEnd.CANCELLED
+            ? TaskEnd.CANCELLED
+            : TaskEnd.LOST;
+    return ended(round, task, end, answer);
+  }
+
+  private static TaskEnded ended(KeeperRound round, TaskStatus task, TaskEnd end, String answer) {
+    return new TaskEnded(task.taskId(), task.attempt(), end, answer, round.nowMillis());
+  }
+}
--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/KeeperRound.java
@@ -0,0 +1,49 @@
+package org.cicadaford.decision;
+
+import org.cicadaford.decision.TaskStatus.Phase;
+import org.cicadaford.model.JobDescription;
+import org.cicadaford.model.JobState;
+import org.cicadaford.model.TaskEnd;
+import org.cicadaford.model.WorkerCommand.Lease;
+
+/**
+ * What the lease keeper decides from in one round.
+ *
+ * @param inputs inputs of the owner
+ * @param zoneOut whether operators have taken the zone out
+ * @param epoch epoch that the owner decides for
+ * @param nowMillis present time
+ */
+record KeeperRound(OwnerInputs inputs, boolean zoneOut, long epoch, long nowMillis) {
+
+  ZoneState zone() {
+    return inputs.zone();
+  }
+
+  static Lease leaseOf(TaskStatus task) {
+    return new Lease(task.taskId(), task.attempt());
+  }
+
+  JobStatus jobOf(TaskStatus task) {
+    return zone().job(task.taskId().jobId()).orElseThrow();
+  }
+
+  JobDescription descriptionOf(TaskStatus task) {
+    return jobOf(task).description();
+  }
+
+  /** Returns whether an earlier owner recorded the placement and may have started it. */
+  boolean isAdopted(TaskStatus task) {
+    return task.placementEpoch() != epoch;
+  }
+
+  /** Returns whether the task is to run on its worker. */
+  boolean isWanted(TaskStatus task) {
+    return task.phase() == Phase.PLACED && jobOf(task).state() == JobState.ACTIVE;
+  }
+
+  /** Returns why an unwanted task is stopped. */
+  TaskEnd stopReason(TaskStatus task) {
+    return jobOf(task).state() == JobState.ACTIVE ? task.lastEnd() : TaskEnd.CANCELLED;
+  }
+}
--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/LeaseEntry.java
@@ -0,0 +1,80 @@
+package org.cicadaford.decision;
+
+import org.cicadaford.model.TaskReport;
+
+/** What an owner knows in its epoch of one lease on a worker. */
+final class LeaseEntry {
+
+  /** End of the last lease granted in this epoch, sent or not; 0 if none. */
+  long grantedUntilMillis;
+
+  /** Time of the first start sent in this epoch, or 0. */
+  long startSentAtMillis;
+
+  /** End of the lease that the start carried. */
+  long startLeaseUntilMillis;
+
+  /** Time of the last start sent, or 0. */
+  long startResentAtMillis;
+
+  /** Time of the last stop sent in this epoch, or 0. */
+  long stopSentAtMillis;
+
+  /** Time at which the stop of the running task was last decided, or 0. */
+  long stopDecidedAtMillis;
+
+  /** Time of the last throttle, or 0. */
+  long throttledAtMillis;
+
+  /** Last report of the worker, or null. */
+  TaskReport report;
+
+  /** Time at which it arrived. */
+  long reportReceivedAtMillis;
+
+  /** Time at which the command was sent that it answers. */
+  long reportSentAtMillis;
+
+  /** Whether the last complete answer did not list this lease. */
+  boolean absent;
+
+  /** Whether the last report came with a complete answer. */
+  boolean reportInCompleteAnswer;
+
+  /**
+   * Earliest start among the reports that came with the last one. A worker that still knows it has
+   * not lost its memory since.
+   */
+  long rememberedSinceMillis;
+
+  /** Whether the end of the placement was decided; no lease is granted and no start sent after. */
+  boolean endDecided;
+
+  /** Whether a failure was counted. */
+  boolean failureCounted;
+
+  /** Whether a success was counted. */
+  boolean successCounted;
+
+  /** Whether the run time was counted. */
+  boolean runTimeCounted;
+
+  boolean hasEnded() {
+    return report != null && report.state() != TaskReport.State.RUNNING;
+  }
+
+  boolean isRunning() {
+    return report != null && report.state() == TaskReport.State.RUNNING && !absent;
+  }
+
+  /** Returns whether the worker reports that the task never started and never will. */
+  boolean neverStarted() {
+    return report != null
+        && (report.state() == TaskReport.State.REFUSED
+            || report.state() == TaskReport.State.STOPPED && report.startedAtMillis() == 0);
+  }
+
+  void grant(long untilMillis) {
+    grantedUntilMillis = Math.max(grantedUntilMillis, untilMillis);
+  }
+}
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/LeaseKeeper.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/LeaseKeeper.java
@@ -1,104 +1,175 @@
 package org.cicadaford.decision;
 
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.Collection;
 import java.util.List;
-import java.util.Map;
-import org.cicadaford.decision.TaskStatus.Phase;
+import java.util.Optional;
 import org.cicadaford.model.JobDescription;
+import org.cicadaford.model.JobState;
 import org.cicadaford.model.TaskEnd;
 import org.cicadaford.model.TaskReport;
 import org.cicadaford.model.WorkerAnswer;
 import org.cicadaford.model.WorkerCommand;
-import org.cicadaford.model.WorkerCommand.Lease;
 import org.cicadaford.model.ZoneChange;
-import org.cicadaford.model.ZoneChange.TaskEnded;
-import org.cicadaford.model.ZoneChange.WorkerListed;
+import org.cicadaford.model.ZoneChange.JobClosed;
 
-/** Keeps the leases of placed tasks and finds out how placements end. */
+/**
+ * Brings what runs on workers in line with what is recorded.
+ *
+ * <p>Every round compares the recorded placements with the last reports of the workers, so a lost
+ * batch, command or answer is made up for in a later round. Its memory lasts for one ownership
+ * epoch.
+ */
 final class LeaseKeeper {
 
-  private final String zone;
-  private final OwnerSettings settings;
-  private final long epochStartMillis;
-  private final Map<Lease, TaskReport> reports = new HashMap<>();
-  private final Map<String, Long> renewedAtMillis = new HashMap<>();
+  /** Largest number of changes of one round, which bounds the size of a batch. */
+  private static final int MAX_CHANGES = 2_000;
 
-  LeaseKeeper(String zone, OwnerSettings settings, long epochStartMillis) {
-    this.zone = zone;
-    this.settings = settings;
-    this.epochStartMillis = epochStartMillis;
+  private final LeaseTable leases;
+  private final EndDetector endDetector;
+  private final StartPlanner startPlanner;
+  private final RenewalPlanner renewalPlanner;
+  private final StopPlanner stopPlanner;
+  private final EvacuationPlanner evacuationPlanner;
+  private final WorkerListKeeper workerListKeeper;
+  private final QuarantineKeeper quarantineKeeper;
+  private final ThrottlePlanner throttlePlanner;
+  private final UsageEstimator usageEstimator = new UsageEstimator();
+
+  LeaseKeeper(OwnerSettings settings, LifeCycleSettings lifeCycle, long epochStartMillis) {
+    RateBudget starts = new RateBudget(lifeCycle.startsPerSecond(), epochStartMillis);
+    RateBudget evacuations = new RateBudget(lifeCycle.evacuationsPerSecond(), epochStartMillis);
+    this.leases = new LeaseTable(settings);
+    this.endDetector = new EndDetector(leases, settings, lifeCycle);
+    this.startPlanner = new StartPlanner(leases, settings, starts);
+    this.renewalPlanner = new RenewalPlanner(leases, settings, epochStartMillis);
+    this.stopPlanner = new StopPlanner(leases, lifeCycle);
+    this.evacuationPlanner = new EvacuationPlanner(leases, lifeCycle, evacuations);
+    this.workerListKeeper = new WorkerListKeeper(leases);
+    this.quarantineKeeper = new QuarantineKeeper(lifeCycle);
+    this.throttlePlanner = new ThrottlePlanner(leases, lifeCycle);
   }
 
-  void onAnswer(WorkerCommand command, WorkerAnswer answer, long sentAtMillis, long nowMillis) {
-    answer.reports().forEach(report -> reports.put(report.lease(), report));
+  void onAnswer(
+      String workerId,
+      WorkerCommand command,
+      WorkerAnswer answer,
+      long sentAtMillis,
+      long nowMillis) {
+    leases.contact(workerId).onAnswer(command, answer, sentAtMillis, nowMillis);
   }
 
-  void onUnreachable(String workerId, long nowMillis) {}
+  void onUnreachable(String workerId) {
+    leases.contact(workerId).unreachable = true;
+  }
 
-  List<ZoneChange> changes(OwnerInputs inputs, long nowMillis) {
-    List<ZoneChange> changes = new ArrayList<>();
-    for (ListedWorker listed : inputs.listedWorkers()) {
-      if (inputs.zone().worker(listed.workerId()).isEmpty()) {
-        changes.add(new WorkerListed(listed.workerId(), listed.rack(), listed.capacity()));
-      }
+  void onHandOver(HandOver told) {
+    leases.onHandOver(told);
+  }
+
+  HandOver handOver(KeeperRound round) {
+    return leases.handOver(round);
+  }
+
+  /** Returns whether tasks can be placed on the worker: it is listed to stay and answers. */
+  boolean acceptsTasks(String workerId) {
+    WorkerContact contact = leases.contact(workerId);
+    return !contact.leaving && !contact.unreachable;
+  }
+
+  /** Returns what tasks of a description have been measured to need. */
+  Optional<UsageEstimate> usageEstimate(String descriptionName) {
+    return usageEstimator.estimate(descriptionName);
+  }
+
+  /** Returns what to record now; each change is returned until it is recorded. */
+  List<ZoneChange> changes(KeeperRound round) {
+    leases.observeEarlierOwners(round.zone());
+    leases.forgetEnded(round);
+    quarantineKeeper.forgetEnded(round.zone());
+    List<ZoneChange> changes = new ArrayList<>(workerListKeeper.decide(round));
+    for (JobStatus job : round.zone().finishedJobs()) {
+      changes.add(close(round, job));
     }
-    for (WorkerStatus worker : inputs.zone().workers()) {
-      for (TaskStatus task : inputs.zone().committedTasksOn(worker.workerId())) {
-        TaskReport report = reports.get(new Lease(task.taskId(), task.attempt()));
-        if (report != null && report.state() == TaskReport.State.COMPLETED) {
-          changes.add(
-              new TaskEnded(
-                  task.taskId(),
-                  task.attempt(),
-                  TaskEnd.COMPLETED,
-                  report.answer(),
-                  report.endedAtMillis()));
-        }
+    for (WorkerStatus worker : round.zone().workers()) {
+      if (changes.size() >= MAX_CHANGES) {
+        break;
       }
+      Collection<TaskStatus> tasks = round.zone().committedTasksOn(worker.workerId());
+      takeInReports(round, worker.workerId(), tasks);
+      tasks.forEach(task -> endDetector.decide(round, task).ifPresent(changes::add));
+      WorkerContact contact = leases.contact(worker.workerId());
+      changes.addAll(evacuationPlanner.decide(round, contact, tasks));
+      quarantineKeeper.decide(worker, round.nowMillis()).ifPresent(changes::add);
     }
     return changes;
   }
 
-  List<WorkerOrder> orders(OwnerInputs inputs, long nowMillis) {
-    List<WorkerOrder> orders = new ArrayList<>();
-    for (WorkerStatus worker : inputs.zone().workers()) {
-      List<Lease> started = new ArrayList<>();
-      for (TaskStatus task : inputs.zone().committedTasksOn(worker.workerId())) {
-        Lease lease = new Lease(task.taskId(), task.attempt());
-        if (reports.containsKey(lease)) {
-          started.add(lease);
-        } else if (task.phase() == Phase.PLACED) {
-          orders.add(new WorkerOrder(worker.workerId(), start(inputs, task, lease)));
-        }
-      }
-      long dueAtMillis =
-          renewedAtMillis.getOrDefault(worker.workerId(), epochStartMillis)
-              + settings.renewIntervalMillis();
-      if (!started.isEmpty() && nowMillis >= dueAtMillis) {
-        renewedAtMillis.put(worker.workerId(), nowMillis);
-        orders.add(
-            new WorkerOrder(
-                worker.workerId(),
-                new WorkerCommand.Renew(started, nowMillis + settings.leaseMillis())));
+  private void takeInReports(
+      KeeperRound round, String workerId, Collection<TaskStatus> committedTasks) {
+    WorkerContact contact = leases.contact(workerId);
+    for (TaskStatus task : committedTasks) {
+      LeaseEntry entry = leases.entry(task);
+      quarantineKeeper.observe(round, task, entry);
+      if (contact.hasNewReports && entry.report != null) {
+        takeInUsage(round.descriptionOf(task), entry);
       }
     }
-    return orders;
   }
 
-  private WorkerCommand start(OwnerInputs inputs, TaskStatus task, Lease lease) {
-    JobDescription description =
-        inputs.zone().job(task.taskId().jobId()).orElseThrow().description();
-    return new WorkerCommand.Start(
-        lease,
-        task.reserved(),
-        description.program(),
-        description.expectedRunMillis(),
-        inputs.configConfirmedAtMillis() + settings.firstLeaseMillis());
+  private void takeInUsage(JobDescription description, LeaseEntry entry) {
+    TaskReport report = entry.report;
+    if (entry.isRunning() && report.usage() != null) {
+      usageEstimator.onUsage(description.name(), report.usage());
+    }
+    if (report.state() == TaskReport.State.COMPLETED && !entry.runTimeCounted) {
+      entry.runTimeCounted = true;
+      usageEstimator.onRun(description.name(), report.endedAtMillis() - report.startedAtMillis());
+    }
+  }
+
+  private static JobClosed close(KeeperRound round, JobStatus job) {
+    Optional<TaskStatus> failed =
+        round.zone().tasksOf(job.jobId()).stream()
+            .filter(task -> task.lastEnd() != TaskEnd.COMPLETED)
+            .findFirst();
+    String reason =
+        failed
+            .map(task -> "task " + task.taskId().index() + " ended as " + describe(task))
+            .orElse("all tasks ran to their end");
+    JobState state = failed.isPresent() ? JobState.FAILED : JobState.COMPLETED;
+    return new JobClosed(job.jobId(), state, reason, round.nowMillis());
+  }
+
+  private static String describe(TaskStatus task) {
+    return task.answer().isEmpty()
+        ? String.valueOf(task.lastEnd())
+        : task.lastEnd() + ": " + task.answer();
   }
 
-  @Override
-  public String toString() {
-    return "leases of zone " + zone;
+  /** Returns the commands to send now. */
+  List<WorkerOrder> orders(KeeperRound round) {
+    List<WorkerOrder> orders = new ArrayList<>();
+    List<TaskStatus> toStart = new ArrayList<>();
+    for (WorkerStatus worker : round.zone().workers()) {
+      String workerId = worker.workerId();
+      WorkerContact contact = leases.contact(workerId);
+      Collection<TaskStatus> tasks = round.zone().committedTasksOn(workerId);
+      orders.addAll(stopPlanner.decide(round, workerId, tasks));
+      renewalPlanner.decide(round, workerId, tasks).ifPresent(orders::add);
+      for (TaskStatus task : tasks) {
+        if (startPlanner.isCandidate(round, task, contact)) {
+          toStart.add(task);
+        } else if (startPlanner.isResendDue(round, task, contact)) {
+          orders.add(startPlanner.resend(round, task));
+        }
+      }
+      if (contact.hasNewReports) {
+        contact.hasNewReports = false;
+        orders.addAll(throttlePlanner.decide(round, worker, tasks));
+      }
+    }
+    orders.addAll(startPlanner.decide(round, toStart));
+    return orders;
   }
 }
--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/LeaseTable.java
@@ -0,0 +1,142 @@
+package org.cicadaford.decision;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.cicadaford.model.JobKind;
+import org.cicadaford.model.WorkerCommand.Lease;
+
+/** Leases that an owner granted in its epoch, and the bounds on those of earlier owners. */
+final class LeaseTable {
+
+  private final OwnerSettings settings;
+  private final Map<String, WorkerContact> contacts = new HashMap<>();
+  private HandOver handOver;
+  private long previousEpoch = ConfigState.NO_OFFSET;
+  private long previousOwnersLastBatchAtMillis;
+
+  LeaseTable(OwnerSettings settings) {
+    this.settings = settings;
+  }
+
+  WorkerContact contact(String workerId) {
+    return contacts.computeIfAbsent(workerId, id -> new WorkerContact());
+  }
+
+  LeaseEntry entry(TaskStatus task) {
+    return contact(task.workerId()).entry(KeeperRound.leaseOf(task));
+  }
+
+  Map<String, WorkerContact> contacts() {
+    return contacts;
+  }
+
+  void onHandOver(HandOver told) {
+    if (handOver == null || told.epoch() > handOver.epoch()) {
+      handOver = told;
+    }
+  }
+
+  /** Returns whether a worker may have got a start of this placement. */
+  boolean mayHaveStarted(KeeperRound round, TaskStatus task) {
+    return round.isAdopted(task) || entry(task).startSentAtMillis > 0;
+  }
+
+  /** Returns whether leases of the kind may still be granted, as far as the outage grace goes. */
+  boolean isWithinGrace(KeeperRound round, JobKind kind) {
+    return round.nowMillis() <= round.inputs().ownBatchAtMillis() + graceMillis(kind);
+  }
+
+  /**
+   * Returns the time after which no worker can run the placement, whatever messages still arrive; 0
+   * if it was certainly never granted a lease.
+   */
+  long certainEndMillis(KeeperRound round, TaskStatus task) {
+    long untilMillis = lastLeaseUntilMillis(round, task);
+    return untilMillis == 0 ? 0 : untilMillis + settings.clockDriftMillis();
+  }
+
+  private long lastLeaseUntilMillis(KeeperRound round, TaskStatus task) {
+    long untilMillis = entry(task).grantedUntilMillis;
+    return round.isAdopted(task)
+        ? Math.max(untilMillis, earlierOwnersLeaseUntilMillis(round, task))
+        : untilMillis;
+  }
+
+  /**
+   * Returns the end of the last lease that any earlier owner can have granted. A handover counts
+   * only from the owner directly before this one; an owner in between may have granted more.
+   */
+  private long earlierOwnersLeaseUntilMillis(KeeperRound round, TaskStatus task) {
+    long byGraceMillis =
+        previousOwnersLastBatchAtMillis
+            + graceMillis(round.descriptionOf(task).kind())
+            + settings.leaseMillis();
+    if (handOver == null || handOver.epoch() != previousEpoch) {
+      return byGraceMillis;
+    }
+    long toldMillis = handOver.leaseUntilMillisByWorker().getOrDefault(task.workerId(), 1L);
+    return Math.min(byGraceMillis, toldMillis);
+  }
+
+  private long graceMillis(JobKind kind) {
+    return kind == JobKind.SERVICE
+        ? settings.serviceOutageGraceMillis()
+        : settings.batchOutageGraceMillis();
+  }
+
+  /** Takes in what the state says of earlier owners while it shows this owner's epoch. */
+  void observeEarlierOwners(ZoneState zone) {
+    previousEpoch = zone.previousEpoch();
+    previousOwnersLastBatchAtMillis = zone.previousOwnersLastBatchAtMillis();
+  }
+
+  /**
+   * Returns the handover to the next owner; nothing may be granted after it. The state may show the
+   * next owner already, whose placements this owner knows nothing of.
+   */
+  HandOver handOver(KeeperRound round) {
+    Map<String, Long> untilByWorker = new HashMap<>();
+    contacts.forEach(
+        (workerId, contact) ->
+            contact
+                .entries
+                .values()
+                .forEach(
+                    entry -> untilByWorker.merge(workerId, entry.grantedUntilMillis, Math::max)));
+    for (WorkerStatus worker : round.zone().workers()) {
+      for (TaskStatus task : round.zone().committedTasksOn(worker.workerId())) {
+        if (task.placementEpoch() < round.epoch()) {
+          long untilMillis = earlierOwnersLeaseUntilMillis(round, task);
+          untilByWorker.merge(worker.workerId(), untilMillis, Math::max);
+        }
+      }
+    }
+    return new HandOver(round.epoch(), untilByWorker);
+  }
+
+  /** Forgets leases that are neither recorded nor running, and workers without any. */
+  void forgetEnded(KeeperRound round) {
+    contacts.entrySet().removeIf(contact -> isForgettable(round, contact.getKey()));
+  }
+
+  private boolean isForgettable(KeeperRound round, String workerId) {
+    Map<Lease, LeaseEntry> entries = contact(workerId).entries;
+    if (entries.size() > round.zone().committedTasksOn(workerId).size()) {
+      entries
+          .entrySet()
+          .removeIf(
+              entry ->
+                  !entry.getValue().isRunning() && !isCommitted(round, workerId, entry.getKey()));
+    }
+    return entries.isEmpty() && round.zone().worker(workerId).isEmpty();
+  }
+
+  static boolean isCommitted(KeeperRound round, String workerId, Lease lease) {
+    return round
+        .zone()
+        .task(lease.taskId())
+        .filter(TaskStatus::isCommitted)
+        .filter(task -> task.attempt() == lease.attempt() && task.workerId().equals(workerId))
+        .isPresent();
+  }
+}
--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/QuarantineKeeper.java
@@ -0,0 +1,146 @@
+package org.cicadaford.decision;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.cicadaford.model.TaskReport;
+import org.cicadaford.model.ZoneChange;
+import org.cicadaford.model.ZoneChange.WorkerQuarantined;
+import org.cicadaford.model.ZoneChange.WorkerReleased;
+
+/**
+ * Puts workers that fail task after task into quarantine and releases them after a success.
+ *
+ * <p>Failures of a job that has failed on several workers and succeeded on none count against the
+ * job, not against the workers.
+ */
+final class QuarantineKeeper {
+
+  /** Different workers on which a job has failed from which on the failures count against it. */
+  private static final int WORKERS_TO_BLAME_JOB = 2;
+
+  private final LifeCycleSettings settings;
+  private final Map<String, WorkerRecord> workers = new HashMap<>();
+  private final Map<String, JobRecord> jobs = new HashMap<>();
+
+  private static final class WorkerRecord {
+    private final List<String> failedJobsInRow = new ArrayList<>();
+    private long failedPlacementMillis;
+    private long succeededPlacementMillis;
+    private String lastFailedJob = "";
+  }
+
+  private static final class JobRecord {
+    private final Set<String> failedOn = new HashSet<>();
+    private boolean succeeded;
+  }
+
+  QuarantineKeeper(LifeCycleSettings settings) {
+    this.settings = settings;
+  }
+
+  /** Takes in the last report on a placement; each failure and success counts once. */
+  void observe(KeeperRound round, TaskStatus task, LeaseEntry entry) {
+    TaskReport report = entry.report;
+    if (report == null || report.startedAtMillis() == 0) {
+      return;
+    }
+    long endMillis = entry.hasEnded() ? report.endedAtMillis() : entry.reportReceivedAtMillis;
+    boolean isLong = endMillis - report.startedAtMillis() > settings.fastFailureMillis();
+    switch (report.state()) {
+      case COMPLETED -> countSuccess(task, entry);
+      case RUNNING -> {
+        if (isLong) {
+          countSuccess(task, entry);
+        }
+      }
+      case FAILED -> {
+        if (!isLong && round.isWanted(task)) {
+          countFailure(task, entry);
+        }
+      }
+      default -> {}
+    }
+  }
+
+  private void countSuccess(TaskStatus task, LeaseEntry entry) {
+    if (entry.successCounted) {
+      return;
+    }
+    entry.successCounted = true;
+    job(task).succeeded = true;
+    WorkerRecord worker = worker(task.workerId());
+    worker.failedJobsInRow.clear();
+    worker.succeededPlacementMillis =
+        Math.max(worker.succeededPlacementMillis, task.placedAtMillis());
+  }
+
+  private void countFailure(TaskStatus task, LeaseEntry entry) {
+    if (entry.failureCounted) {
+      return;
+    }
+    entry.failureCounted = true;
+    job(task).failedOn.add(task.workerId());
+    WorkerRecord worker = worker(task.workerId());
+    worker.failedJobsInRow.add(task.taskId().jobId());
+    worker.lastFailedJob = task.taskId().jobId();
+    worker.failedPlacementMillis = Math.max(worker.failedPlacementMillis, task.placedAtMillis());
+  }
+
+  private WorkerRecord worker(String workerId) {
+    return workers.computeIfAbsent(workerId, id -> new WorkerRecord());
+  }
+
+  private JobRecord job(TaskStatus task) {
+    return jobs.computeIfAbsent(task.taskId().jobId(), id -> new JobRecord());
+  }
+
+  private boolean countsAgainstWorker(String jobId) {
+    JobRecord job = jobs.get(jobId);
+    return job == null || job.succeeded || job.failedOn.size() < WORKERS_TO_BLAME_JOB;
+  }
+
+  /** Returns the change of the worker's quarantine, until it is recorded. */
+  Optional<ZoneChange> decide(WorkerStatus status, long nowMillis) {
+    WorkerRecord worker = workers.get(status.workerId());
+    if (worker == null) {
+      return Optional.empty();
+    }
+    if (status.isQuarantined()) {
+      return decideProbe(status, worker, nowMillis);
+    }
+    long count = worker.failedJobsInRow.stream().filter(this::countsAgainstWorker).count();
+    return count >= settings.failuresToQuarantine()
+        ? Optional.of(quarantine(status, settings.failuresToQuarantine(), nowMillis))
+        : Optional.empty();
+  }
+
+  private Optional<ZoneChange> decideProbe(
+      WorkerStatus status, WorkerRecord worker, long nowMillis) {
+    worker.failedJobsInRow.clear();
+    if (status.isProbe(worker.succeededPlacementMillis)) {
+      return Optional.of(new WorkerReleased(status.workerId()));
+    }
+    boolean probeFailed =
+        status.isProbe(worker.failedPlacementMillis) && countsAgainstWorker(worker.lastFailedJob);
+    return probeFailed
+        ? Optional.of(quarantine(status, status.quarantineFailureCount() + 1, nowMillis))
+        : Optional.empty();
+  }
+
+  private WorkerQuarantined quarantine(WorkerStatus status, int failureCount, long nowMillis) {
+    int doublings = Math.min(Long.SIZE / 2, failureCount - settings.failuresToQuarantine());
+    long lengthMillis =
+        Math.min(settings.longestQuarantineMillis(), settings.firstQuarantineMillis() << doublings);
+    return new WorkerQuarantined(status.workerId(), failureCount, nowMillis + lengthMillis);
+  }
+
+  void forgetEnded(ZoneState zone) {
+    workers.keySet().removeIf(workerId -> zone.worker(workerId).isEmpty());
+    jobs.keySet().removeIf(jobId -> zone.job(jobId).isEmpty());
+  }
+}
--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/RateBudget.java
@@ -0,0 +1,31 @@
+package org.cicadaford.decision;
+
+/** Bounds how often something is done: at most a second's worth at once. */
+final class RateBudget {
+
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  private final int perSecond;
+  private double available;
+  private long filledAtMillis;
+
+  RateBudget(int perSecond, long nowMillis) {
+    this.perSecond = perSecond;
+    this.available = perSecond;
+    this.filledAtMillis = nowMillis;
+  }
+
+  /** Takes one from the budget and returns whether there was one. */
+  boolean take(long nowMillis) {
+    if (nowMillis > filledAtMillis) {
+      double added = (nowMillis - filledAtMillis) * perSecond / MILLIS_PER_SECOND;
+      available = Math.min(perSecond, available + added);
+      filledAtMillis = nowMillis;
+    }
+    if (available < 1) {
+      return false;
+    }
+    available--;
+    return true;
+  }
+}
--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/StartPlanner.java
@@ -0,0 +1,111 @@
+package org.cicadaford.decision;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.cicadaford.model.JobDescription;
+import org.cicadaford.model.WorkerCommand;
+
+/** Sends the starts of recorded placements. */
+final class StartPlanner {
+
+  /** Time after which a start of a repeatable task is sent again, in milliseconds. */
+  private static final long RESEND_MILLIS = 500;
+
+  private final LeaseTable leases;
+  private final OwnerSettings settings;
+  private final RateBudget budget;
+
+  StartPlanner(LeaseTable leases, OwnerSettings settings, RateBudget budget) {
+    this.leases = leases;
+    this.settings = settings;
+    this.budget = budget;
+  }
+
+  /** Sends the most urgent of the tasks first, as far as the rate of starts allows. */
+  List<WorkerOrder> decide(KeeperRound round, List<TaskStatus> candidates) {
+    List<WorkerOrder> orders = new ArrayList<>();
+    if (!areStartsAllowed(round)) {
+      return orders;
+    }
+    List<TaskStatus> sorted = new ArrayList<>(candidates);
+    sorted.sort(
+        Comparator.<TaskStatus, Integer>comparing(
+                task -> round.descriptionOf(task).urgency().ordinal())
+            .thenComparing(TaskStatus::placedAtMillis)
+            .thenComparing(TaskStatus::taskId));
+    for (TaskStatus task : sorted) {
+      if (!leases.isWithinGrace(round, round.descriptionOf(task).kind())) {
+        continue;
+      }
+      if (!budget.take(round.nowMillis())) {
+        break;
+      }
+      orders.add(start(round, task));
+    }
+    return orders;
+  }
+
+  private boolean areStartsAllowed(KeeperRound round) {
+    long confirmedAtMillis = round.inputs().configConfirmedAtMillis();
+    return !round.zoneOut()
+        && round.inputs().config().isComplete()
+        && round.nowMillis() - confirmedAtMillis <= settings.configFreshMillis()
+        && round.nowMillis() < confirmedAtMillis + settings.firstLeaseMillis();
+  }
+
+  /** Returns whether the placement waits for its first start. */
+  boolean isCandidate(KeeperRound round, TaskStatus task, WorkerContact contact) {
+    LeaseEntry entry = leases.entry(task);
+    return !leases.mayHaveStarted(round, task)
+        && round.isWanted(task)
+        && !entry.endDecided
+        && !contact.leaving
+        && !contact.unreachable;
+  }
+
+  /**
+   * Returns whether an unanswered start is sent again. The lease stays the one of the first start,
+   * and a task that must not run twice gets only one start.
+   */
+  boolean isResendDue(KeeperRound round, TaskStatus task, WorkerContact contact) {
+    LeaseEntry entry = leases.entry(task);
+    return entry.startSentAtMillis > 0
+        && entry.report == null
+        && round.isWanted(task)
+        && !entry.endDecided
+        && !contact.unreachable
+        && entry.stopSentAtMillis == 0
+        && round.nowMillis() >= entry.startResentAtMillis + RESEND_MILLIS
+        && round.nowMillis() < entry.startLeaseUntilMillis
+        && TaskTransitions.mayRunAgain(round.descriptionOf(task));
+  }
+
+  WorkerOrder resend(KeeperRound round, TaskStatus task) {
+    LeaseEntry entry = leases.entry(task);
+    entry.startResentAtMillis = round.nowMillis();
+    return order(round, task, entry.startLeaseUntilMillis);
+  }
+
+  private WorkerOrder start(KeeperRound round, TaskStatus task) {
+    long untilMillis = round.inputs().configConfirmedAtMillis() + settings.firstLeaseMillis();
+    LeaseEntry entry = leases.entry(task);
+    entry.startSentAtMillis = round.nowMillis();
+    entry.startResentAtMillis = round.nowMillis();
+    entry.startLeaseUntilMillis = untilMillis;
+    entry.grant(untilMillis);
+    return order(round, task, untilMillis);
+  }
+
+  private static WorkerOrder order(KeeperRound round, TaskStatus task, long untilMillis) {
+    JobDescription description = round.descriptionOf(task);
+    return new WorkerOrder(
+        task.workerId(),
+        new WorkerCommand.Start(
+            KeeperRound.leaseOf(task),
+            task.reserved(),
+            description.program(),
+            description.expectedRunMillis(),
+            untilMillis));
+  }
+}
--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/StopPlanner.java
@@ -0,0 +1,83 @@
+package org.cicadaford.decision;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import org.cicadaford.model.JobDescription;
+import org.cicadaford.model.TaskEnd;
+import org.cicadaford.model.WorkerCommand;
+import org.cicadaford.model.WorkerCommand.Lease;
+
+/**
+ * Sends stops until workers confirm them: of tasks that are to stop, of placements that the worker
+ * does not know, so that a delayed start of them is refused, and of leases that are not recorded.
+ */
+final class StopPlanner {
+
+  private final LeaseTable leases;
+  private final LifeCycleSettings lifeCycle;
+
+  StopPlanner(LeaseTable leases, LifeCycleSettings lifeCycle) {
+    this.leases = leases;
+    this.lifeCycle = lifeCycle;
+  }
+
+  List<WorkerOrder> decide(
+      KeeperRound round, String workerId, Collection<TaskStatus> committedTasks) {
+    List<WorkerOrder> orders = new ArrayList<>();
+    for (TaskStatus task : committedTasks) {
+      LeaseEntry entry = leases.entry(task);
+      if (entry.hasEnded() || !leases.mayHaveStarted(round, task)) {
+        continue;
+      }
+      boolean wanted = round.isWanted(task);
+      if ((!wanted || isNotOnWorker(round, task, entry)) && isSendDue(round, entry)) {
+        boolean withCheckpoint = !wanted && isCheckpointed(round, task);
+        orders.add(stop(round, workerId, KeeperRound.leaseOf(task), entry, withCheckpoint));
+      }
+    }
+    for (Map.Entry<Lease, LeaseEntry> known : leases.contact(workerId).entries.entrySet()) {
+      if (isStray(round, workerId, known.getKey(), known.getValue())) {
+        orders.add(stop(round, workerId, known.getKey(), known.getValue(), false));
+      }
+    }
+    return orders;
+  }
+
+  /**
+   * Returns whether the worker does not know the placement: at once where an earlier owner made it,
+   * and otherwise once the lease of the start has ended, because the start may be on its way.
+   */
+  private static boolean isNotOnWorker(KeeperRound round, TaskStatus task, LeaseEntry entry) {
+    return entry.absent && (round.isAdopted(task) || round.nowMillis() > entry.grantedUntilMillis);
+  }
+
+  /**
+   * Returns whether a running lease is certainly not a placement in force. A former owner that does
+   * not know of its replacement sees placements of its successor; it must not stop them, so the
+   * report has to be older than a batch of this owner that was read back as valid.
+   */
+  private boolean isStray(KeeperRound round, String workerId, Lease lease, LeaseEntry entry) {
+    return entry.isRunning()
+        && round.inputs().ownBatchAtMillis() > entry.reportReceivedAtMillis
+        && isSendDue(round, entry)
+        && !LeaseTable.isCommitted(round, workerId, lease);
+  }
+
+  private boolean isSendDue(KeeperRound round, LeaseEntry entry) {
+    return entry.stopSentAtMillis == 0
+        || round.nowMillis() >= entry.stopSentAtMillis + lifeCycle.resendMillis();
+  }
+
+  private static boolean isCheckpointed(KeeperRound round, TaskStatus task) {
+    JobDescription description = round.descriptionOf(task);
+    return description.checkpointable() && round.stopReason(task) != TaskEnd.CANCELLED;
+  }
+
+  private static WorkerOrder stop(
+      KeeperRound round, String workerId, Lease lease, LeaseEntry entry, boolean withCheckpoint) {
+    entry.stopSentAtMillis = round.nowMillis();
+    return new WorkerOrder(workerId, new WorkerCommand.Stop(lease, withCheckpoint));
+  }
+}
--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ThrottlePlanner.java
@@ -0,0 +1,52 @@
+package org.cicadaford.decision;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import org.cicadaford.model.Resources;
+import org.cicadaford.model.WorkerCommand;
+
+/** Bounds tasks to their reservation where a worker's tasks use more processors than it has. */
+final class ThrottlePlanner {
+
+  private final LeaseTable leases;
+  private final LifeCycleSettings settings;
+
+  ThrottlePlanner(LeaseTable leases, LifeCycleSettings settings) {
+    this.leases = leases;
+    this.settings = settings;
+  }
+
+  List<WorkerOrder> decide(
+      KeeperRound round, WorkerStatus worker, Collection<TaskStatus> committedTasks) {
+    long usedMillicores = 0;
+    for (TaskStatus task : committedTasks) {
+      usedMillicores += usedMillicores(leases.entry(task));
+    }
+    List<WorkerOrder> orders = new ArrayList<>();
+    if (usedMillicores <= worker.capacity().processorsMillicores()) {
+      return orders;
+    }
+    for (TaskStatus task : committedTasks) {
+      LeaseEntry entry = leases.entry(task);
+      long reserved = task.reserved().processorsMillicores();
+      // Usage lags, so the effect of a throttle shows only some time later.
+      boolean recent =
+          entry.throttledAtMillis > 0
+              && round.nowMillis() < entry.throttledAtMillis + settings.throttleIntervalMillis();
+      if (usedMillicores(entry) > reserved && !recent) {
+        entry.throttledAtMillis = round.nowMillis();
+        orders.add(
+            new WorkerOrder(
+                worker.workerId(),
+                new WorkerCommand.Throttle(KeeperRound.leaseOf(task), reserved)));
+      }
+    }
+    return orders;
+  }
+
+  private static long usedMillicores(LeaseEntry entry) {
+    Resources usage = entry.isRunning() ? entry.report.usage() : null;
+    return usage == null ? 0 : usage.processorsMillicores();
+  }
+}
--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerListKeeper.java
@@ -0,0 +1,57 @@
+package org.cicadaford.decision;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.cicadaford.model.Resources;
+import org.cicadaford.model.ZoneChange;
+import org.cicadaford.model.ZoneChange.WorkerListed;
+import org.cicadaford.model.ZoneChange.WorkerUnlisted;
+
+/** Keeps the recorded workers in step with the platform's list. */
+final class WorkerListKeeper {
+
+  private final LeaseTable leases;
+
+  WorkerListKeeper(LeaseTable leases) {
+    this.leases = leases;
+  }
+
+  List<ZoneChange> decide(KeeperRound round) {
+    List<ZoneChange> changes = new ArrayList<>();
+    List<ListedWorker> list = round.inputs().listedWorkers();
+    if (list.isEmpty()) {
+      // An owner that has just started, or whose list is away, knows nothing about workers.
+      return changes;
+    }
+    Map<String, ListedWorker> listedById = new HashMap<>();
+    for (ListedWorker listed : list) {
+      listedById.put(listed.workerId(), listed);
+      if (!listed.leaving()) {
+        addListed(round, listed, changes);
+      }
+    }
+    for (WorkerStatus worker : round.zone().workers()) {
+      ListedWorker listed = listedById.get(worker.workerId());
+      boolean leaving = listed == null || listed.leaving();
+      leases.contact(worker.workerId()).leaving = leaving;
+      if (leaving && worker.taskCount() == 0) {
+        changes.add(new WorkerUnlisted(worker.workerId()));
+      }
+    }
+    return changes;
+  }
+
+  private static void addListed(KeeperRound round, ListedWorker listed, List<ZoneChange> changes) {
+    WorkerStatus worker = round.zone().worker(listed.workerId()).orElse(null);
+    if (worker == null) {
+      changes.add(new WorkerListed(listed.workerId(), listed.rack(), listed.capacity()));
+      return;
+    }
+    Resources inForce = WorkerTable.atLeast(listed.capacity(), worker.committed());
+    if (!worker.rack().equals(listed.rack()) || !worker.capacity().equals(inForce)) {
+      changes.add(new WorkerListed(listed.workerId(), listed.rack(), listed.capacity()));
+    }
+  }
+}
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneOwnerLogic.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneOwnerLogic.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.cicadaford.model.WorkerAnswer;
-import org.cicadaford.model.WorkerCommand;
 import org.cicadaford.model.ZoneChange;
 
 /**
@@ -14,15 +13,33 @@
  */
 public final class ZoneOwnerLogic {
 
+  private final String zone;
   private final RequestAdmitter requestAdmitter;
   private final LeaseKeeper leaseKeeper;
   private final ZoneScheduler scheduler;
   private final AllotmentPlanner allotmentPlanner;
+  private long epoch;
+  private boolean handedOver;
 
-  /** Creates the logic for the epoch in which {@code zone} is owned. */
+  /**
+   * Creates the logic for the epoch in which {@code zone} is owned, which is the one that the state
+   * shows in the first decision.
+   */
   public ZoneOwnerLogic(String zone, OwnerSettings settings, long epochStartMillis) {
+    this(zone, settings, LifeCycleSettings.DEFAULT, ConfigState.NO_OFFSET, epochStartMillis);
+  }
+
+  /** Creates the logic for {@code epoch}, in which {@code zone} is owned. */
+  public ZoneOwnerLogic(
+      String zone,
+      OwnerSettings settings,
+      LifeCycleSettings lifeCycle,
+      long epoch,
+      long epochStartMillis) {
+    this.zone = zone;
+    this.epoch = epoch;
     this.requestAdmitter = new RequestAdmitter(zone);
-    this.leaseKeeper = new LeaseKeeper(zone, settings, epochStartMillis);
+    this.leaseKeeper = new LeaseKeeper(settings, lifeCycle, epochStartMillis);
     this.scheduler = new ZoneScheduler(zone);
     this.allotmentPlanner = new AllotmentPlanner(zone);
   }
@@ -31,28 +48,52 @@
    * Takes in a worker's answer. Only the answer to a renewal lists every placement that the worker
    * knows, so the command tells whether a placement that is missing is not on the worker.
    *
-   * @param command command that was answered
+   * @param order order that was answered
    * @param sentAtMillis time at which the command was sent
    */
-  public void onAnswer(
-      WorkerCommand command, WorkerAnswer answer, long sentAtMillis, long nowMillis) {
-    leaseKeeper.onAnswer(command, answer, sentAtMillis, nowMillis);
+  public void onAnswer(WorkerOrder order, WorkerAnswer answer, long sentAtMillis, long nowMillis) {
+    leaseKeeper.onAnswer(order.workerId(), order.command(), answer, sentAtMillis, nowMillis);
   }
 
   /** Takes in that a worker did not answer a command. */
   public void onUnreachable(String workerId, long nowMillis) {
-    leaseKeeper.onUnreachable(workerId, nowMillis);
+    leaseKeeper.onUnreachable(workerId);
+  }
+
+  /** Takes in what the owner of an earlier epoch told as a peer. */
+  public void onHandOver(HandOver told) {
+    leaseKeeper.onHandOver(told);
   }
 
-  /** Returns what to record, to send and to append now. */
+  /** Stops deciding for good and returns what to tell the next owner. */
+  public HandOver handOver(OwnerInputs inputs, long nowMillis) {
+    handedOver = true;
+    return leaseKeeper.handOver(round(inputs, nowMillis));
+  }
+
+  /**
+   * Returns what to record, to send and to append now. Nothing is decided after the handover or
+   * once the state shows another epoch.
+   */
   public OwnerDecision decide(OwnerInputs inputs, long nowMillis) {
+    if (epoch == ConfigState.NO_OFFSET) {
+      epoch = inputs.zone().epoch();
+    }
+    if (handedOver || inputs.zone().epoch() != epoch) {
+      return new OwnerDecision(List.of(), inputs.zone().requestsOffset(), List.of(), List.of());
+    }
+    KeeperRound round = round(inputs, nowMillis);
     List<ZoneChange> changes = new ArrayList<>(requestAdmitter.decide(inputs, nowMillis));
-    changes.addAll(leaseKeeper.changes(inputs, nowMillis));
+    changes.addAll(leaseKeeper.changes(round));
     changes.addAll(scheduler.decide(inputs, leaseKeeper, nowMillis));
     return new OwnerDecision(
         changes,
         inputs.nextRequestsOffset(),
-        leaseKeeper.orders(inputs, nowMillis),
+        leaseKeeper.orders(round),
         allotmentPlanner.decide(inputs, nowMillis));
   }
+
+  private KeeperRound round(OwnerInputs inputs, long nowMillis) {
+    return new KeeperRound(inputs, inputs.config().isZoneOut(zone), epoch, nowMillis);
+  }
 }
