--- a/cicadaford-daemon/src/main/java/org/cicadaford/daemon/DaemonSettings.java
+++ b/cicadaford-daemon/src/main/java/org/cicadaford/daemon/DaemonSettings.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import org.cicadaford.entry.EntrySettings;
-import org.cicadaford.entry.RequestIds;
+import org.cicadaford.entry.RequestIdIssuer;
 
 /**
  * Settings of the daemon; {@link #DEFINITIONS} holds the unit, range and default of each.
@@ -134,7 +134,7 @@
     return new EntrySettings(
         values.get("zone"),
         values.get("rack"),
-        instanceId.isEmpty() ? "entry-" + RequestIds.generate() : instanceId,
+        instanceId.isEmpty() ? "entry-" + RequestIdIssuer.generate() : instanceId,
         number(values, "log-retention-millis"),
         number(values, "zone-snapshot-interval-millis"),
         number(values, "poll-millis"),
--- a/cicadaford-daemon/src/main/java/org/cicadaford/daemon/http/Headers.java
+++ b/cicadaford-daemon/src/main/java/org/cicadaford/daemon/http/Headers.java
@@ -3,7 +3,7 @@
 import org.cicadaford.entry.Refusal;
 import org.cicadaford.entry.RefusalKind;
 import org.cicadaford.entry.RefusedException;
-import org.cicadaford.entry.RequestIds;
+import org.cicadaford.entry.RequestIdIssuer;
 
 /** Headers of requests. */
 final class Headers {
@@ -19,7 +19,7 @@
 
   /** Returns the request id as given, or a new one if there is none. */
   static String requestId(String given) {
-    return given == null || given.isEmpty() ? RequestIds.generate() : given;
+    return given == null || given.isEmpty() ? RequestIdIssuer.generate() : given;
   }
 
   /**
--- a/cicadaford-daemon/src/main/java/org/cicadaford/daemon/http/JobController.java
+++ b/cicadaford-daemon/src/main/java/org/cicadaford/daemon/http/JobController.java
@@ -15,7 +15,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.cicadaford.entry.EntryServices;
-import org.cicadaford.entry.RequestIds;
+import org.cicadaford.entry.RequestIdIssuer;
 
 /** Routes for jobs. */
 @Controller("/v1/jobs")
@@ -46,7 +46,7 @@
             services
                 .jobs()
                 .submit(
-                    JobBodies.read(body, RequestIds.check(requestId, nowMillis), key), nowMillis)
+                    JobBodies.read(body, RequestIdIssuer.check(requestId, nowMillis), key), nowMillis)
                 .thenApply(receipt -> Answers.json(HttpStatus.ACCEPTED, receipt)));
   }
 
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/RequestIds.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/RequestIdIssuer.java
@@ -2,16 +2,17 @@
 
 import com.fasterxml.uuid.Generators;
 import com.fasterxml.uuid.impl.TimeBasedEpochGenerator;
-import java.util.UUID;
+import java.util.Locale;
+import org.cicadaford.decision.RequestIds;
 import org.cicadaford.decision.RequestLedger;
 import org.cicadaford.model.RunOutcome;
 
 /** Makes and checks request ids, which are UUIDs of version 7 and carry their creation time. */
-public final class RequestIds {
+public final class RequestIdIssuer {
 
   private static final TimeBasedEpochGenerator GENERATOR = Generators.timeBasedEpochGenerator();
 
-  private RequestIds() {}
+  private RequestIdIssuer() {}
 
   /** Returns a new id. */
   public static String generate() {
@@ -25,14 +26,14 @@
    *     repetitions are recognised
    */
   public static String check(String requestId, long nowMillis) throws RefusedException {
-    UUID id = parse(requestId);
-    long createdAtMillis = id.getMostSignificantBits() >>> 16;
+    long createdAtMillis =
+        RequestIds.createdAtMillis(requestId).orElseThrow(RequestIdIssuer::malformed);
     if (!RequestLedger.isIdInWindow(createdAtMillis, nowMillis)) {
       throw new RefusedException(
           new Refusal(
               RefusalKind.REQUEST_ID_EXPIRED,
               "request id "
-                  + id
+                  + requestId
                   + " was created outside the last "
                   + RequestLedger.ID_WINDOW_MILLIS / 60_000
                   + " minutes, so whether it ran is no longer known; check the effect of the"
@@ -40,19 +41,7 @@
               RunOutcome.UNKNOWN,
               0));
     }
-    return id.toString();
-  }
-
-  private static UUID parse(String requestId) throws RefusedException {
-    try {
-      UUID id = UUID.fromString(requestId);
-      if (id.version() == 7) {
-        return id;
-      }
-    } catch (IllegalArgumentException e) {
-      throw malformed();
-    }
-    throw malformed();
+    return requestId.toLowerCase(Locale.ROOT);
   }
 
   private static RefusedException malformed() {
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/worker/WorkerLink.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/worker/WorkerLink.java
@@ -41,13 +41,13 @@
   public interface AnswerListener {
 
     /** Takes in the answer to a command that was sent at {@code sentAtMillis}. */
-    void onAnswer(WorkerCommand command, WorkerAnswer answer, long sentAtMillis);
+    void onAnswer(WorkerOrder order, WorkerAnswer answer, long sentAtMillis);
 
     /** Takes in that a worker did not answer. */
     void onUnreachable(String workerId);
   }
 
-  private record Addressed(Member worker, WorkerCommand command, AnswerListener listener) {}
+  private record Addressed(Member worker, WorkerOrder order, AnswerListener listener) {}
 
   private record Key(String workerId, Class<?> kind, Object subject) {}
 
@@ -101,7 +101,7 @@
       metrics.order(kind, "held-back");
       return false;
     }
-    if (!ring.offer(new Addressed(worker, order.command(), listener))) {
+    if (!ring.offer(new Addressed(worker, order, listener))) {
       inFlight.remove(key);
       metrics.order(kind, "held-back");
       return false;
@@ -124,19 +124,20 @@
 
   private void sendNow(Addressed next) {
     long sentAtMillis = clock.millis();
-    String workerId = next.worker().instanceId();
     workers
-        .send(next.worker(), next.command())
-        .whenComplete(
-            (answer, failure) -> {
-              inFlight.remove(keyOf(workerId, next.command()));
-              metrics.order(kindOf(next.command()), failure == null ? "answered" : "unreachable");
-              if (failure == null) {
-                next.listener().onAnswer(next.command(), answer, sentAtMillis);
-              } else {
-                next.listener().onUnreachable(workerId);
-              }
-            });
+        .send(next.worker(), next.order().command())
+        .whenComplete((answer, failure) -> finish(next, answer, sentAtMillis));
+  }
+
+  private void finish(Addressed sent, WorkerAnswer answer, long sentAtMillis) {
+    WorkerOrder order = sent.order();
+    inFlight.remove(keyOf(order.workerId(), order.command()));
+    metrics.order(kindOf(order.command()), answer == null ? "unreachable" : "answered");
+    if (answer == null) {
+      sent.listener().onUnreachable(order.workerId());
+    } else {
+      sent.listener().onAnswer(order, answer, sentAtMillis);
+    }
   }
 
   private static Key keyOf(String workerId, WorkerCommand command) {
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/zone/OwnershipClaimer.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/zone/OwnershipClaimer.java
@@ -2,7 +2,12 @@
 
 import java.util.List;
 import java.util.UUID;
-import java.util.random.RandomGenerator;
+import org.cicadaford.decision.ConfigState;
+import org.cicadaford.decision.HandOver;
+import org.cicadaford.decision.OwnershipPolicy;
+import org.cicadaford.decision.OwnershipPolicy.Action;
+import org.cicadaford.decision.OwnershipSettings;
+import org.cicadaford.decision.OwnershipView;
 import org.cicadaford.decision.ZoneState;
 import org.cicadaford.entry.stream.LogWriter;
 import org.cicadaford.entry.stream.StreamPosition;
@@ -10,70 +15,101 @@
 import org.cicadaford.platform.Member;
 import org.cicadaford.platform.Member.State;
 
-/** Decides when this instance claims the zone, and writes the claim. */
+/** Gathers what {@link OwnershipPolicy} decides from, and writes claims. */
 final class OwnershipClaimer {
 
-  /** Time without a record of the owner after which it is taken for gone. */
-  static final long OWNER_SILENT_MILLIS = 6_000;
-
-  private static final long END_FRESH_MILLIS = 2_500;
-  private static final long MAX_JITTER_MILLIS = 600;
-
   private final ZoneOwnerSettings settings;
   private final LogWriter writer;
-  private final RandomGenerator random;
-  private final OutstandingAppend claim = new OutstandingAppend();
-  private long lastRecordAtMillis;
-  private long claimableSinceMillis;
-  private long jitterMillis;
+  private final OwnershipPolicy policy = new OwnershipPolicy(OwnershipSettings.DEFAULT);
+  private long followingSinceMillis;
+  private long lastBatchReadAtMillis;
+  private long lastHeartbeatAtMillis;
+  private long peerEpoch = ConfigState.NO_OFFSET;
+  private long handOverEpoch = ConfigState.NO_OFFSET;
+  private long handOverAtMillis;
+  private long claimedAtMillis;
+  private boolean stopping;
 
-  OwnershipClaimer(ZoneOwnerSettings settings, LogWriter writer, RandomGenerator random) {
+  OwnershipClaimer(ZoneOwnerSettings settings, LogWriter writer) {
     this.settings = settings;
     this.writer = writer;
-    this.random = random;
   }
 
-  /** Takes in that a valid record of the owner was read. */
-  void onOwnerRecord(long ownerClockMillis, long readAtMillis) {
-    // The owner's clock tells the age of records that are read long after they were written.
-    lastRecordAtMillis = Math.max(lastRecordAtMillis, Math.min(ownerClockMillis, readAtMillis));
-    claimableSinceMillis = 0;
+  /** Takes in that a claim or batch in force was read. */
+  void onOwnerRecord(long readAtMillis) {
+    lastBatchReadAtMillis = readAtMillis;
   }
 
-  /** Takes in a record id that was read and returns whether it is this instance's claim. */
-  boolean readBack(String recordId) {
-    return claim.readBack(recordId);
+  /** Takes in that the end of the stream was read. */
+  void onEndRead(long requestedAtMillis) {
+    if (followingSinceMillis == 0) {
+      followingSinceMillis = requestedAtMillis;
+    }
   }
 
-  /** Writes a claim if the owner is gone. */
-  void step(ZoneState state, StreamPosition lastEnd, List<Member> entries, long nowMillis) {
-    claim.settle(lastEnd, nowMillis);
-    if (claim.isWaiting() || !isClaimable(state, lastEnd, entries, nowMillis)) {
-      return;
-    }
-    if (claimableSinceMillis == 0) {
-      claimableSinceMillis = nowMillis;
-      jitterMillis = random.nextLong(MAX_JITTER_MILLIS);
-    }
-    if (nowMillis - claimableSinceMillis >= jitterMillis) {
-      claimableSinceMillis = 0;
-      String recordId = "claim-" + UUID.randomUUID();
-      OwnerClaimed record = new OwnerClaimed(recordId, settings.instanceId(), nowMillis);
-      claim.begin(recordId, writer.append(settings.stream(), record));
+  void onPeerHeartbeat(long epoch, long receivedAtMillis) {
+    peerEpoch = Math.max(peerEpoch, epoch);
+    lastHeartbeatAtMillis = receivedAtMillis;
+  }
+
+  void onHandOver(HandOver told, long receivedAtMillis) {
+    if (told.epoch() >= handOverEpoch) {
+      handOverEpoch = told.epoch();
+      handOverAtMillis = receivedAtMillis;
     }
   }
 
-  private boolean isClaimable(
-      ZoneState state, StreamPosition lastEnd, List<Member> entries, long nowMillis) {
-    boolean readToEnd =
-        lastEnd.atEnd() && nowMillis - lastEnd.requestedAtMillis() <= END_FRESH_MILLIS;
-    boolean usable = state.isComplete() || lastEnd.nextOffset() == 0;
-    if (!readToEnd || !usable) {
-      return false;
+  /** Gives up ownership for good. */
+  void stop() {
+    stopping = true;
+  }
+
+  /**
+   * Forgets the claim. An owner that lost its memory of leases must not go on in the same epoch,
+   * since it would not wait for the leases that it granted itself.
+   */
+  void forgetClaim() {
+    claimedAtMillis = 0;
+    followingSinceMillis = 0;
+  }
+
+  /** Returns what to do, after writing a claim if one is due. */
+  Action decide(
+      ZoneState state,
+      long ownEpoch,
+      StreamPosition lastEnd,
+      List<Member> entries,
+      long nowMillis) {
+    if (isLeaving(state.ownerInstanceId(), entries) && handOverEpoch < state.epoch()) {
+      // An instance announces that it leaves only after it stopped acting as owner.
+      handOverEpoch = state.epoch();
+      handOverAtMillis = nowMillis;
+    }
+    boolean usable = state.isComplete() || lastEnd.atEnd() && lastEnd.nextOffset() == 0;
+    OwnershipView view =
+        new OwnershipView(
+            settings.instanceId(),
+            usable && followingSinceMillis > 0,
+            state.epoch(),
+            state.ownerInstanceId(),
+            ownEpoch,
+            peerEpoch,
+            followingSinceMillis,
+            lastHeartbeatAtMillis,
+            lastBatchReadAtMillis,
+            lastEnd.atEnd() ? lastEnd.requestedAtMillis() : 0,
+            handOverEpoch,
+            handOverAtMillis,
+            claimedAtMillis,
+            stopping);
+    Action action = policy.decide(view, nowMillis);
+    if (action == Action.CLAIM) {
+      claimedAtMillis = nowMillis;
+      String recordId = "claim-" + UUID.randomUUID();
+      writer.append(
+          settings.stream(), new OwnerClaimed(recordId, settings.instanceId(), nowMillis));
     }
-    boolean noOwner = state.ownerInstanceId().isEmpty();
-    boolean silent = nowMillis - lastRecordAtMillis >= OWNER_SILENT_MILLIS;
-    return noOwner || silent || isLeaving(state.ownerInstanceId(), entries);
+    return action;
   }
 
   private static boolean isLeaving(String ownerInstanceId, List<Member> entries) {
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/zone/ZoneEvent.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/zone/ZoneEvent.java
@@ -1,10 +1,11 @@
 package org.cicadaford.entry.zone;
 
 import java.util.function.Consumer;
+import org.cicadaford.decision.HandOver;
+import org.cicadaford.decision.WorkerOrder;
 import org.cicadaford.decision.ZoneState;
 import org.cicadaford.entry.stream.StreamPosition;
 import org.cicadaford.model.WorkerAnswer;
-import org.cicadaford.model.WorkerCommand;
 import org.cicadaford.model.ZoneRecord;
 
 /** Something that the zone owner's thread takes in. */
@@ -20,8 +21,7 @@
   record GapRead() implements ZoneEvent {}
 
   /** A worker answered a command. */
-  record Answered(WorkerCommand command, WorkerAnswer answer, long sentAtMillis)
-      implements ZoneEvent {}
+  record Answered(WorkerOrder order, WorkerAnswer answer, long sentAtMillis) implements ZoneEvent {}
 
   /** A worker did not answer a command. */
   record Unreachable(String workerId) implements ZoneEvent {}
@@ -29,6 +29,12 @@
   /** Another thread asks for something in the zone's state. */
   record Query(Consumer<ZoneState> reader) implements ZoneEvent {}
 
+  /** A peer told that it owns the zone in {@code epoch}. */
+  record PeerHeartbeat(long epoch, long receivedAtMillis) implements ZoneEvent {}
+
+  /** A peer that was owner told the last leases that it granted. */
+  record PeerHandOver(HandOver told, long receivedAtMillis) implements ZoneEvent {}
+
   /** This instance is to give up ownership and not to claim it again. */
-  record HandOver() implements ZoneEvent {}
+  record Stop() implements ZoneEvent {}
 }
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/zone/ZoneOwner.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/zone/ZoneOwner.java
@@ -7,6 +7,8 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.cicadaford.decision.ConfigState;
+import org.cicadaford.decision.HandOver;
+import org.cicadaford.decision.LifeCycleSettings;
 import org.cicadaford.decision.ListedWorker;
 import org.cicadaford.decision.OwnerDecision;
 import org.cicadaford.decision.OwnerInputs;
@@ -29,7 +31,6 @@
 import org.cicadaford.model.ZoneChange;
 import org.cicadaford.model.ZoneRecord;
 import org.cicadaford.model.ZoneRecord.OwnerBatch;
-import org.cicadaford.model.ZoneRecord.OwnerClaimed;
 import org.cicadaford.model.ZoneRecord.ZoneSnapshotChunk;
 import org.cicadaford.platform.Member;
 import org.cicadaford.platform.Member.Role;
@@ -63,7 +64,8 @@
   private long batchStartedAtMillis;
   private long nextBatchAtMillis;
   private long noClaimUntilMillis;
-  private boolean handedOver;
+  private HandOver toldHandOver;
+  private HandOver lastHandOver;
 
   ZoneOwner(
       ZoneOwnerSettings settings,
@@ -83,7 +85,7 @@
     this.workerLink = workerLink;
     this.answers = answers;
     this.metrics = metrics;
-    this.claimer = new OwnershipClaimer(settings, writer, random);
+    this.claimer = new OwnershipClaimer(settings, writer);
     this.snapshots = new SnapshotWriter(settings, writer, metrics);
     this.allotments = new AllotmentWriter(settings, writer, metrics);
     this.backoff = new Backoff(settings.minBatchIntervalMillis(), 2_000, random);
@@ -101,36 +103,30 @@
         }
       }
       case ZoneEvent.Query query -> query.reader().accept(state);
-      case ZoneEvent.HandOver handOver -> {
-        handedOver = true;
-        stopActing("hands over the zone");
+      case ZoneEvent.PeerHeartbeat heartbeat ->
+          claimer.onPeerHeartbeat(heartbeat.epoch(), heartbeat.receivedAtMillis());
+      case ZoneEvent.PeerHandOver handOver -> {
+        toldHandOver = handOver.told();
+        claimer.onHandOver(handOver.told(), handOver.receivedAtMillis());
+        if (logic != null) {
+          logic.onHandOver(toldHandOver);
+        }
       }
+      case ZoneEvent.Stop stop -> claimer.stop();
     }
   }
 
   private void onRecord(ZoneEvent.RecordRead read, long nowMillis) {
     ZoneRecord record = read.record();
     ZoneVerdict verdict = state.apply(read.offset(), record);
-    if (verdict instanceof ZoneVerdict.Applied) {
-      long ownerClockMillis =
-          switch (record) {
-            case OwnerClaimed claimed -> claimed.claimedAtMillis();
-            case OwnerBatch ownerBatch -> ownerBatch.writtenAtMillis();
-            case ZoneSnapshotChunk chunk -> state.lastBatchAtMillis();
-          };
-      claimer.onOwnerRecord(ownerClockMillis, read.readAtMillis());
+    boolean chunk = record instanceof ZoneSnapshotChunk;
+    if (verdict instanceof ZoneVerdict.Applied && !chunk) {
+      claimer.onOwnerRecord(read.readAtMillis());
     }
-    boolean ownClaim = claimer.readBack(record.recordId());
-    boolean ownBatch = batch.readBack(record.recordId());
-    if (ownBatch) {
+    if (batch.readBack(record.recordId())) {
       backoff.reset();
       countChanges((OwnerBatch) record, verdict);
     }
-    if (ownClaim && state.epoch() == read.offset() && !handedOver) {
-      startActing(read.offset(), nowMillis);
-    } else if (logic != null && state.epoch() != ownEpoch) {
-      stopActing("was replaced as owner by " + state.ownerInstanceId());
-    }
   }
 
   private void countChanges(OwnerBatch read, ZoneVerdict verdict) {
@@ -157,6 +153,7 @@
   private void onPage(StreamPosition position) {
     if (position.atEnd()) {
       lastEnd = position;
+      claimer.onEndRead(position.requestedAtMillis());
     }
     if (state.isComplete()) {
       requests.forgetJobRequestsBefore(state.requestsOffset());
@@ -165,15 +162,25 @@
 
   private void onGap() {
     if (logic != null) {
-      stopActing("missed records of the zone");
+      stopActing("stops acting as owner because it missed records of the zone");
     }
+    claimer.forgetClaim();
     state = new ZoneState();
     lastEnd = new StreamPosition(0, false, 0);
   }
 
-  private void startActing(long epoch, long nowMillis) {
-    ownEpoch = epoch;
-    logic = new ZoneOwnerLogic(settings.zone(), settings.ownerSettings(), nowMillis);
+  private void startActing(long nowMillis) {
+    ownEpoch = state.epoch();
+    logic =
+        new ZoneOwnerLogic(
+            settings.zone(),
+            settings.ownerSettings(),
+            LifeCycleSettings.DEFAULT,
+            ownEpoch,
+            nowMillis);
+    if (toldHandOver != null) {
+      logic.onHandOver(toldHandOver);
+    }
     batch.clear();
     allotments.reset();
     snapshots.reset(nowMillis);
@@ -182,7 +189,7 @@
     metrics.takeover();
     metrics.owner(true);
     LOG.info(
-        "instance {} owns zone {} from epoch {}", settings.instanceId(), settings.zone(), epoch);
+        "instance {} owns zone {} from epoch {}", settings.instanceId(), settings.zone(), ownEpoch);
   }
 
   private void stopActing(String reason) {
@@ -190,6 +197,7 @@
       return;
     }
     logic = null;
+    ownEpoch = ConfigState.NO_OFFSET;
     metrics.owner(false);
     LOG.info("instance {} {}", settings.instanceId(), reason);
   }
@@ -198,6 +206,7 @@
   void onFailure(RuntimeException failure, long nowMillis) {
     LOG.error("zone owner failed", failure);
     stopActing("gives the zone up after a fault");
+    claimer.forgetClaim();
     noClaimUntilMillis = nowMillis + FAILURE_PAUSE_MILLIS;
   }
 
@@ -205,8 +214,8 @@
     if (logic == null) {
       return;
     }
-    logic.onAnswer(answered.answer(), answered.sentAtMillis(), nowMillis);
-    if (answered.command() instanceof WorkerCommand.Start) {
+    logic.onAnswer(answered.order(), answered.answer(), answered.sentAtMillis(), nowMillis);
+    if (answered.order().command() instanceof WorkerCommand.Start) {
       answered.answer().reports().forEach(this::measureWaiting);
     }
   }
@@ -233,29 +242,44 @@
       metrics.retry("owner-batch");
       nextBatchAtMillis = nowMillis + backoff.nextDelayMillis();
     }
-    if (logic != null) {
-      act(members.in(settings.zone(), Role.WORKER), nowMillis);
-    } else if (!handedOver && nowMillis >= noClaimUntilMillis) {
-      claimer.step(state, lastEnd, members.in(settings.zone(), Role.ENTRY), nowMillis);
+    if (nowMillis < noClaimUntilMillis) {
+      return;
     }
+    List<Member> entries = members.in(settings.zone(), Role.ENTRY);
+    List<Member> workers = members.in(settings.zone(), Role.WORKER);
+    switch (claimer.decide(state, ownEpoch, lastEnd, entries, nowMillis)) {
+      case BEGIN -> startActing(nowMillis);
+      case OWN -> act(inputs(workers), nowMillis);
+      case STEP_DOWN -> stepDown(workers, "was replaced by " + state.ownerInstanceId(), nowMillis);
+      case HAND_OVER -> stepDown(workers, "hands the zone over", nowMillis);
+      default -> {}
+    }
+  }
+
+  private void stepDown(List<Member> workers, String reason, long nowMillis) {
+    lastHandOver = logic.handOver(inputs(workers), nowMillis);
+    stopActing(reason);
   }
 
-  private void act(List<Member> workers, long nowMillis) {
+  private OwnerInputs inputs(List<Member> workers) {
     ConfigView view = config.view();
     JobRequests newRequests =
         requests.jobRequests(
             settings.zone(), state.requestsOffset(), settings.maxRequestsPerBatch());
-    OwnerInputs inputs =
-        new OwnerInputs(
-            state,
-            view.state(),
-            view.confirmedAtMillis(),
-            state.lastBatchAtMillis(),
-            workers.stream().map(ZoneOwner::toListed).toList(),
-            newRequests.records(),
-            newRequests.nextOffset());
+    return new OwnerInputs(
+        state,
+        view.state(),
+        view.confirmedAtMillis(),
+        state.lastBatchAtMillis(),
+        workers.stream().map(ZoneOwner::toListed).toList(),
+        newRequests.records(),
+        newRequests.nextOffset());
+  }
+
+  private void act(OwnerInputs inputs, long nowMillis) {
     OwnerDecision decision = logic.decide(inputs, nowMillis);
     decision.orders().forEach(order -> workerLink.send(order, answers));
+    ConfigView view = new ConfigView(inputs.config(), inputs.configConfirmedAtMillis());
     allotments.write(decision.allotmentChanges(), ownEpoch, view, nowMillis);
     snapshots.step(nowMillis);
     if (batch.isWaiting() || snapshots.isWriting()) {
@@ -309,7 +333,13 @@
         state.committedTaskCount());
   }
 
+  /** Returns what to tell peers since this instance stopped acting as owner, or null. */
+  HandOver lastHandOver() {
+    return lastHandOver;
+  }
+
+  /** Returns whether the instance neither owns the zone nor has a record under way. */
   boolean isSettled() {
-    return !batch.isWaiting() && !snapshots.isWriting();
+    return logic == null && !batch.isWaiting() && !snapshots.isWriting();
   }
 }
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/zone/ZoneOwnerService.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/zone/ZoneOwnerService.java
@@ -1,10 +1,13 @@
 package org.cicadaford.entry.zone;
 
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
+import org.cicadaford.decision.HandOver;
+import org.cicadaford.decision.WorkerOrder;
 import org.cicadaford.decision.ZoneState;
 import org.cicadaford.entry.config.ConfigHolder;
 import org.cicadaford.entry.membership.MembershipPoller;
@@ -15,7 +18,6 @@
 import org.cicadaford.entry.stream.StreamPosition;
 import org.cicadaford.entry.worker.WorkerLink;
 import org.cicadaford.model.WorkerAnswer;
-import org.cicadaford.model.WorkerCommand;
 import org.cicadaford.model.ZoneRecord;
 import org.jctools.queues.MpscBlockingConsumerArrayQueue;
 
@@ -38,6 +40,7 @@
   private final Thread thread;
   private volatile boolean stopping;
   private volatile ZoneSummary summary;
+  private volatile HandOver lastHandOver;
 
   /** Creates a service that is not started. */
   public ZoneOwnerService(
@@ -66,7 +69,7 @@
 
   /** Gives up ownership, waits for the record under way, and ends the thread. */
   public void stop() throws InterruptedException {
-    putWaiting(new ZoneEvent.HandOver());
+    putWaiting(new ZoneEvent.Stop());
     stopping = true;
     thread.join(HAND_OVER_WAIT_MILLIS + 3_000);
   }
@@ -115,8 +118,8 @@
   }
 
   @Override
-  public void onAnswer(WorkerCommand command, WorkerAnswer answer, long sentAtMillis) {
-    offer(new ZoneEvent.Answered(command, answer, sentAtMillis));
+  public void onAnswer(WorkerOrder order, WorkerAnswer answer, long sentAtMillis) {
+    offer(new ZoneEvent.Answered(order, answer, sentAtMillis));
   }
 
   @Override
@@ -124,6 +127,21 @@
     offer(new ZoneEvent.Unreachable(workerId));
   }
 
+  /** Takes in that a peer told that it owns the zone in {@code epoch}. */
+  public void onPeerHeartbeat(long epoch) {
+    offer(new ZoneEvent.PeerHeartbeat(epoch, clock.millis()));
+  }
+
+  /** Takes in what a former owner told as a peer. */
+  public void onPeerHandOver(HandOver told) {
+    offer(new ZoneEvent.PeerHandOver(told, clock.millis()));
+  }
+
+  /** Returns what this instance is to tell its peers since it stopped acting as owner. */
+  public Optional<HandOver> lastHandOver() {
+    return Optional.ofNullable(lastHandOver);
+  }
+
   private void offer(ZoneEvent event) {
     if (!ring.offer(event)) {
       metrics.fault("zone-ring-full");
@@ -172,5 +190,6 @@
     }
     owner.step(clock.millis());
     summary = owner.summary();
+    lastHandOver = owner.lastHandOver();
   }
 }
