--- a/cicadaford-daemon/src/main/java/org/cicadaford/daemon/EntryDaemon.java
+++ b/cicadaford-daemon/src/main/java/org/cicadaford/daemon/EntryDaemon.java
@@ -38,6 +38,7 @@
   private final EntryServices services;
   private final AtomicBoolean stopped = new AtomicBoolean();
   private final CountDownLatch ended = new CountDownLatch(1);
+  private volatile int exitCode = DaemonCommand.EXIT_OK;
   private ApplicationContext context;
   private EmbeddedServer server;
 
@@ -77,6 +78,7 @@
     Runtime.getRuntime().addShutdownHook(hook);
     start();
     if (!awaitReady()) {
+      exitCode = DaemonCommand.EXIT_FAILED;
       return DaemonCommand.EXIT_FAILED;
     }
     out.println(readyLine());
@@ -172,7 +174,6 @@
   }
 
   private void stopAndHalt() {
-    int exitCode = DaemonCommand.EXIT_OK;
     try {
       stop();
     } catch (InterruptedException e) {
--- a/cicadaford-daemon/src/main/java/org/cicadaford/daemon/http/JobController.java
+++ b/cicadaford-daemon/src/main/java/org/cicadaford/daemon/http/JobController.java
@@ -46,7 +46,8 @@
             services
                 .jobs()
                 .submit(
-                    JobBodies.read(body, RequestIdIssuer.check(requestId, nowMillis), key), nowMillis)
+                    JobBodies.read(body, RequestIdIssuer.check(requestId, nowMillis), key),
+                    nowMillis)
                 .thenApply(receipt -> Answers.json(HttpStatus.ACCEPTED, receipt)));
   }
 
--- a/cicadaford-daemon/src/main/java/org/cicadaford/daemon/http/StatusController.java
+++ b/cicadaford-daemon/src/main/java/org/cicadaford/daemon/http/StatusController.java
@@ -18,7 +18,7 @@
 final class StatusController {
 
   private final EntryServices services;
-  private final PrometheusTextFormatWriter writer = new PrometheusTextFormatWriter(false);
+  private final PrometheusTextFormatWriter writer = PrometheusTextFormatWriter.builder().build();
 
   /**
    * State of this instance.
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/membership/MembershipPoller.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/membership/MembershipPoller.java
@@ -17,7 +17,6 @@
 
   private static final Logger LOG = LogManager.getLogger(MembershipPoller.class);
   private static final long POLL_MILLIS = 1_000;
-  private static final long ANNOUNCE_MILLIS = 5_000;
 
   private final MembershipService service;
   private final InstantSource clock;
@@ -26,9 +25,7 @@
   private volatile Member self;
   private volatile MemberList current = new MemberList(List.of(), 0);
   private volatile boolean stopping;
-  private volatile boolean answering = true;
-  private State announcedState;
-  private long announcedAtMillis;
+  private volatile boolean answering;
 
   /**
    * The last list that was read.
@@ -116,12 +113,7 @@
   private void poll() {
     long nowMillis = clock.millis();
     try {
-      Member announced = self;
-      if (announced.state() != announcedState || nowMillis - announcedAtMillis >= ANNOUNCE_MILLIS) {
-        service.announce(announced);
-        announcedState = announced.state();
-        announcedAtMillis = nowMillis;
-      }
+      service.announce(self);
       current = new MemberList(service.list(), nowMillis);
       markAnswering();
     } catch (MembershipUnavailableException e) {
@@ -132,7 +124,7 @@
   private void markAnswering() {
     if (!answering) {
       answering = true;
-      LOG.info("membership list is answered again");
+      LOG.info("membership list is answered");
     }
   }
 
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/stream/StreamFollower.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/stream/StreamFollower.java
@@ -154,12 +154,11 @@
 
   private void markSilent(LogUnavailableException cause) {
     metrics.retry("read-" + streamKind());
-    if (answering || backoff.failureCount() == 0) {
-      answering = false;
-      if (!stopping) {
-        LOG.warn("log does not answer reads of stream {}: {}", stream, cause.getMessage());
-      }
+    // Readiness tells of a log that did not answer since the start.
+    if (answering && !stopping) {
+      LOG.warn("log does not answer reads of stream {}: {}", stream, cause.getMessage());
     }
+    answering = false;
   }
 
   private String streamKind() {
