Add the reader of description files and its reference page

Cause: operators state the configuration in files, and a fault in one must not reach the cell. Ruled out: binding YAML to objects, which loses lines and columns and reads "no" as a boolean. Change: files are composed into nodes and checked against field definitions; faults of all files are reported at once with place and remedy; names, references, quotas, deadlines and gang spread are checked across files; docs/description-file.md is generated from the same definitions. Before: an empty module. Conclusion: a gang's spread is checked against a bound on racks per zone, as files name no racks.

--- /dev/null
+++ b/cicadaford-description/src/main/java/org/cicadaford/description/InvalidDescriptionsException.java
@@ -0,0 +1,27 @@
+package org.cicadaford.description;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+/** Signals description files with faults; none of the files may be used. */
+public final class InvalidDescriptionsException extends Exception {
+
+  private static final long serialVersionUID = 1L;
+
+  private final transient List<DescriptionError> errors;
+
+  /** Creates the exception for all faults found, in the order of their places. */
+  public InvalidDescriptionsException(List<DescriptionError> errors) {
+    super(
+        errors.stream().map(DescriptionError::toString).collect(Collectors.joining("\n"))
+            + "\nerrors: "
+            + errors.size()
+            + "; correct them and run the command again");
+    this.errors = List.copyOf(errors);
+  }
+
+  /** Returns all faults in the order of their places. */
+  public List<DescriptionError> errors() {
+    return errors;
+  }
+}
