Add the command cicadaford: publish, configuration, keys, zones and requests

Cause: operators act only by publishing files and granting and withdrawing keys, and a lost answer must not leave them guessing. Ruled out: appending again after a lost answer (the first record may still arrive); reading a key from the command line to withdraw it, where other users of the machine see it; removing what no file describes without a flag, since a directory left out by mistake would remove its services. Change: ConfigStream reads config into ConfigState, starts again from the first kept offset after an expiry, and settles appends by record id; publish, config check|show|record|reference, key, zone, submit, cancel, status, call and completion with exit codes 0 to 4; bin/cicadaford. Before: an empty module. Not run against a stand-in yet.

--- /dev/null
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/burn/package-info.java
@@ -0,0 +1,2 @@
+/** Service-level objectives, error budgets and burn rates. */
+package org.cicadaford.cli.internal.burn;
--- /dev/null
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/CommandTree.java
@@ -0,0 +1,43 @@
+package org.cicadaford.cli.internal.command;
+
+import picocli.CommandLine;
+
+/** Joins all commands below the main command. */
+public final class CommandTree {
+
+  private CommandTree() {}
+
+  /** Returns the command line of the main command with all its subcommands. */
+  public static CommandLine of(Object mainCommand, Session session) {
+    CommandLine line = new CommandLine(mainCommand);
+    line.addSubcommand(new PublishCommand(session));
+    line.addSubcommand(
+        group(
+            new ConfigCommand(),
+            new ConfigCheckCommand(session),
+            new ConfigShowCommand(session),
+            new ConfigRecordCommand(session),
+            new ConfigReferenceCommand(session)));
+    line.addSubcommand(
+        group(new KeyCommand(), new KeyGrantCommand(session), new KeyWithdrawCommand(session)));
+    line.addSubcommand(
+        group(
+            new ZoneCommand(),
+            new ZoneChangeCommand.Out(session),
+            new ZoneChangeCommand.In(session)));
+    line.addSubcommand(new SubmitCommand(session));
+    line.addSubcommand(new CancelCommand(session));
+    line.addSubcommand(new StatusCommand(session));
+    line.addSubcommand(new CallCommand(session));
+    line.addSubcommand(new CompletionCommand(session));
+    return line;
+  }
+
+  private static CommandLine group(Object parent, Object... children) {
+    CommandLine line = new CommandLine(parent);
+    for (Object child : children) {
+      line.addSubcommand(child);
+    }
+    return line;
+  }
+}
--- /dev/null
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/EntryCommand.java
@@ -0,0 +1,63 @@
+package org.cicadaford.cli.internal.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.cicadaford.cli.ExitCode;
+import org.cicadaford.cli.internal.entry.EntryAnswer;
+import org.cicadaford.cli.internal.entry.EntryClient;
+import org.cicadaford.cli.internal.entry.RequestIds;
+import picocli.CommandLine.Option;
+
+/** A command that sends one request to an entry daemon. */
+abstract class EntryCommand extends SessionCommand {
+
+  static final String JSON = "application/json";
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  @Option(
+      names = "--timeout",
+      paramLabel = "MILLIS",
+      defaultValue = "10000",
+      description = "Time in which the answer must come. Default: 10000.")
+  private long timeoutMillis;
+
+  EntryCommand(Session session) {
+    super(session);
+  }
+
+  final long timeoutMillis() {
+    return timeoutMillis;
+  }
+
+  final Map<String, String> headers() {
+    Map<String, String> headers = new LinkedHashMap<>();
+    if (!session().key().isEmpty()) {
+      headers.put("Cicadaford-Key", session().key());
+    }
+    return headers;
+  }
+
+  final String newRequestId() {
+    Environment environment = session().environment();
+    return RequestIds.generate(environment.clock().getAsLong(), environment.random());
+  }
+
+  /** Returns the fields of a JSON answer as a result. */
+  static CommandResult resultOf(EntryAnswer answer) {
+    JsonNode json = EntryClient.parse(answer);
+    Map<String, Object> fields = new LinkedHashMap<>();
+    json.properties().forEach(field -> fields.put(field.getKey(), field.getValue()));
+    List<String> text =
+        fields.isEmpty() ? List.of(answer.text()) : List.of(toJson(json).stripTrailing());
+    return new CommandResult(ExitCode.OK, text, fields);
+  }
+
+  static byte[] jsonBytes(Object value) {
+    return MAPPER.valueToTree(value).toString().getBytes(StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/ZoneChangeCommand.java
@@ -0,0 +1,130 @@
+package org.cicadaford.cli.internal.command;
+
+import java.text.Normalizer;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.UUID;
+import org.cicadaford.cli.ExitCode;
+import org.cicadaford.cli.internal.command.LogConnector.OpenLog;
+import org.cicadaford.cli.internal.config.CommandException;
+import org.cicadaford.cli.internal.config.ConfigStream;
+import org.cicadaford.decision.ConfigState;
+import org.cicadaford.model.ConfigRecord;
+import org.cicadaford.model.ConfigRecord.ZoneBroughtIn;
+import org.cicadaford.model.ConfigRecord.ZoneTakenOut;
+import org.cicadaford.model.JobDescription;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Takes a zone out of service, or returns it to service. */
+@Command
+abstract sealed class ZoneChangeCommand extends SessionCommand {
+
+  @Parameters(paramLabel = "ZONE", description = "Name of the availability zone.")
+  private String zone;
+
+  @Option(
+      names = "--base-version",
+      paramLabel = "VERSION",
+      description = {
+        "Changes the zone only if its last change is this version (see config show), or -1 for"
+            + " none. Default: the version that the command reads."
+      })
+  private Long baseVersion;
+
+  private final boolean out;
+
+  private ZoneChangeCommand(Session session, boolean out) {
+    super(session);
+    this.out = out;
+  }
+
+  /** Takes a zone out of service. */
+  @Command(
+      name = "out",
+      description = "Takes a zone out of service: within seconds no task starts there.")
+  static final class Out extends ZoneChangeCommand {
+    Out(Session session) {
+      super(session, true);
+    }
+  }
+
+  /** Returns a zone to service. */
+  @Command(name = "in", description = "Returns a zone to service.")
+  static final class In extends ZoneChangeCommand {
+    In(Session session) {
+      super(session, false);
+    }
+  }
+
+  @Override
+  CommandResult execute() throws CommandException {
+    // Some terminals send an accent as a code point of its own, which no zone's name has.
+    zone = Normalizer.normalize(zone, Normalizer.Form.NFC);
+    try (OpenLog open = session().openLog()) {
+      ConfigStream stream = new ConfigStream(open.log(), session().environment().pause());
+      ConfigState state = stream.readToEnd();
+      long version = state.zoneVersion(zone);
+      if (baseVersion != null && baseVersion != version) {
+        throw raced(state, "its last change is version " + version + ", not " + baseVersion);
+      }
+      if (state.isZoneOut(zone) == out) {
+        return result(version, false);
+      }
+      warnIfUnknown(state);
+      return change(stream, version);
+    }
+  }
+
+  private CommandResult change(ConfigStream stream, long version) throws CommandException {
+    String recordId = UUID.randomUUID().toString();
+    ConfigRecord record =
+        out
+            ? new ZoneTakenOut(recordId, zone, version)
+            : new ZoneBroughtIn(recordId, zone, version);
+    try {
+      return result(stream.append(record, this::warn), true);
+    } catch (CommandException e) {
+      if (e.exitCode() == ExitCode.REFUSED) {
+        throw raced(stream.readToEnd(), e.getMessage());
+      }
+      throw e;
+    }
+  }
+
+  private CommandException raced(ConfigState state, String reason) {
+    return new CommandException(
+        ExitCode.REFUSED,
+        ("zone %s was not changed: %s. It is %s service since version %d;"
+                + " agree with the other operator, then run the command again")
+            .formatted(
+                zone, reason, state.isZoneOut(zone) ? "out of" : "in", state.zoneVersion(zone)));
+  }
+
+  /** A zone without workers is a valid name, so a misspelt one can only be pointed out. */
+  private void warnIfUnknown(ConfigState state) {
+    Set<String> known = new TreeSet<>(state.snapshot("zones").zoneVersions().keySet());
+    for (JobDescription job : state.descriptions()) {
+      known.addAll(job.zones());
+    }
+    if (!known.isEmpty() && !known.contains(zone)) {
+      warn(
+          "warning: no published file and no earlier change names zone "
+              + zone
+              + "; check its spelling. Known zones: "
+              + String.join(", ", known));
+    }
+  }
+
+  private CommandResult result(long version, boolean changed) {
+    String place = out ? "out of service" : "in service";
+    String text =
+        changed
+            ? "Zone %s is %s; version %d.".formatted(zone, place, version)
+            : "Zone %s was %s before; nothing was changed.".formatted(zone, place);
+    return CommandResult.ok(
+        List.of(text), "zone", zone, "out", out, "version", version, "changed", changed);
+  }
+}
--- /dev/null
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/package-info.java
@@ -0,0 +1,2 @@
+/** Commands of the command line. */
+package org.cicadaford.cli.internal.command;
--- /dev/null
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/config/RecordFate.java
@@ -0,0 +1,11 @@
+package org.cicadaford.cli.internal.config;
+
+import org.cicadaford.decision.Verdict;
+
+/**
+ * States what became of a record.
+ *
+ * @param offset offset of the record
+ * @param verdict what every reader makes of it
+ */
+public record RecordFate(long offset, Verdict verdict) {}
--- /dev/null
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/entry/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the HTTP interface of entry daemons. */
+package org.cicadaford.cli.internal.entry;
--- /dev/null
+++ b/cicadaford-cli/src/test/java/org/cicadaford/cli/FakeLog.java
@@ -0,0 +1,93 @@
+package org.cicadaford.cli;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.cicadaford.model.ConfigRecord;
+import org.cicadaford.model.RecordCodec;
+import org.cicadaford.platform.LogEntry;
+import org.cicadaford.platform.LogOutcomeUnknownException;
+import org.cicadaford.platform.LogPage;
+import org.cicadaford.platform.LogService;
+import org.cicadaford.platform.LogUnavailableException;
+import org.cicadaford.platform.OffsetExpiredException;
+
+/** A log in memory whose faults tests choose. */
+public final class FakeLog implements LogService {
+
+  /** What happens to appends. */
+  public enum Fault {
+    /** They succeed. */
+    NONE,
+    /** They take effect and the answer is lost. */
+    ANSWER_LOST,
+    /** They do not take effect, and the writer cannot tell. */
+    REQUEST_LOST,
+    /** They are refused. */
+    UNAVAILABLE
+  }
+
+  /** Records of the {@code config} stream. */
+  public final List<LogEntry> entries = new ArrayList<>();
+
+  /** Fault of the next appends. */
+  public Fault fault = Fault.NONE;
+
+  /** First kept offset. */
+  public long earliestOffset;
+
+  /** Runs once before the next append, as another operator would. */
+  public Runnable beforeAppend = () -> {};
+
+  /** Number of reads that fail from the next append on. */
+  public int failedReadsAfterAppend;
+
+  private int failedReads;
+
+  /** Appends a record without any fault and returns its offset. */
+  public long add(ConfigRecord record) {
+    entries.add(new LogEntry(entries.size(), RecordCodec.encode(record)));
+    return entries.size() - 1L;
+  }
+
+  /** Returns all bytes ever appended, as text. */
+  public String text() {
+    StringBuilder text = new StringBuilder();
+    entries.forEach(e -> text.append(new String(e.content(), StandardCharsets.ISO_8859_1)));
+    return text.toString();
+  }
+
+  @Override
+  public long append(String stream, byte[] content)
+      throws LogUnavailableException, LogOutcomeUnknownException {
+    Runnable other = beforeAppend;
+    beforeAppend = () -> {};
+    other.run();
+    failedReads = failedReadsAfterAppend;
+    if (fault == Fault.UNAVAILABLE) {
+      throw new LogUnavailableException("the log refused the append; append again later", null);
+    }
+    if (fault != Fault.REQUEST_LOST) {
+      entries.add(new LogEntry(entries.size(), content));
+    }
+    if (fault != Fault.NONE) {
+      throw new LogOutcomeUnknownException("no answer; read the stream for the record id", null);
+    }
+    return entries.size() - 1L;
+  }
+
+  @Override
+  public LogPage read(String stream, long fromOffset, int maxBytes, long waitMillis)
+      throws LogUnavailableException, OffsetExpiredException {
+    if (failedReads > 0) {
+      failedReads--;
+      throw new LogUnavailableException("the log did not answer; read again later", null);
+    }
+    if (fromOffset < earliestOffset) {
+      throw new OffsetExpiredException(stream, fromOffset, earliestOffset);
+    }
+    int from = (int) Math.min(fromOffset, entries.size());
+    int to = Math.min(from + 2, entries.size());
+    return new LogPage(entries.subList(from, to), entries.size());
+  }
+}
