Send the membership list only when it has changed

Cause: every entry daemon reads the whole list each second; a member takes about 150 bytes, so today's 136 instances cost 20 KB/s, twice what a node may spend on control. Ruled out: polling less often, since a leaving endpoint must get no new work after a few seconds. Change: the list carries an entity tag and is answered with 304 while it is unchanged; a 304 without a length is a whole answer. Before/after: the new test failed with a closed connection before the 304 was accepted, and passes now; the traffic itself is not measured yet. Conclusion: at 5,800 workers a list per zone is needed as well; CAPACITY.md is to say so.

--- a/cicadaford-platform/src/main/java/org/cicadaford/platform/internal/HttpMembershipService.java
+++ b/cicadaford-platform/src/main/java/org/cicadaford/platform/internal/HttpMembershipService.java
@@ -1,7 +1,9 @@
 package org.cicadaford.platform.internal;
 
+import io.micronaut.http.HttpHeaders;
 import io.micronaut.http.HttpRequest;
 import io.micronaut.http.HttpResponse;
+import io.micronaut.http.HttpStatus;
 import io.micronaut.http.MutableHttpRequest;
 import java.net.URI;
 import java.util.List;
@@ -14,11 +16,18 @@
 import org.cicadaford.platform.PlatformRoutes.MemberList;
 import org.cicadaford.platform.PlatformSettings;
 
-/** Client of the membership list over HTTP. */
+/**
+ * Client of the membership list over HTTP. A list that has not changed is not sent again: polled
+ * every second by every entry instance, it would be the largest part of their traffic.
+ */
 public final class HttpMembershipService implements MembershipService {
 
   private final HttpSender sender;
   private final PlatformSettings settings;
+  private volatile Cached cached;
+
+  /** The last list and the tag by which the platform tells whether it has changed. */
+  private record Cached(String entityTag, List<Member> members) {}
 
   /** Creates a client of the list that {@code settings} name. */
   public HttpMembershipService(HttpSender sender, PlatformSettings settings) {
@@ -28,7 +37,22 @@
 
   @Override
   public List<Member> list() throws MembershipUnavailableException {
-    byte[] body = HttpSender.bodyOf(send(HttpRequest.GET(address()), "use the last list"));
+    MutableHttpRequest<?> request = HttpRequest.GET(address());
+    Cached known = cached;
+    if (known != null) {
+      request.header(HttpHeaders.IF_NONE_MATCH, known.entityTag());
+    }
+    HttpResponse<byte[]> response = send(request, "use the last list");
+    if (known != null && response.code() == HttpStatus.NOT_MODIFIED.getCode()) {
+      return known.members();
+    }
+    List<Member> members = decode(HttpSender.bodyOf(response));
+    String entityTag = response.getHeaders().get(HttpHeaders.ETAG);
+    cached = entityTag == null ? null : new Cached(entityTag, members);
+    return members;
+  }
+
+  private static List<Member> decode(byte[] body) throws MembershipUnavailableException {
     try {
       return RecordCodec.decode(body, MemberList.class).members();
     } catch (MalformedRecordException e) {
@@ -49,7 +73,7 @@
       throws MembershipUnavailableException {
     try {
       HttpResponse<byte[]> response = sender.sendAndWait(request, settings.requestTimeoutMillis());
-      if (response.code() / 100 == 2) {
+      if (isSuccess(response.code())) {
         return response;
       }
       throw new MembershipUnavailableException(
@@ -59,6 +83,10 @@
     }
   }
 
+  private static boolean isSuccess(int code) {
+    return code / 100 == 2 || code == HttpStatus.NOT_MODIFIED.getCode();
+  }
+
   private URI address() {
     return HttpSender.address(settings.logHost(), settings.logPort(), PlatformRoutes.MEMBERS, null);
   }
--- a/cicadaford-platform/src/main/java/org/cicadaford/platform/internal/RequestDeadlineHandler.java
+++ b/cicadaford-platform/src/main/java/org/cicadaford/platform/internal/RequestDeadlineHandler.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.cicadaford.platform.PlatformRoutes;
 
@@ -23,6 +24,9 @@
  */
 final class RequestDeadlineHandler extends ChannelDuplexHandler {
 
+  /** Answers that HTTP defines to have no body: no content, and not modified. */
+  private static final Set<Integer> NO_BODY_STATUSES = Set.of(204, 304);
+
   private Future<?> deadline;
 
   /** Adds a handler to each new connection. */
@@ -69,7 +73,7 @@
   }
 
   private static boolean statesLength(HttpResponse response) {
-    return response.status().code() == 204
+    return NO_BODY_STATUSES.contains(response.status().code())
         || HttpUtil.isContentLengthSet(response)
         || HttpUtil.isTransferEncodingChunked(response);
   }
--- a/cicadaford-standin/src/test/java/org/cicadaford/standin/LogStandinTest.java
+++ b/cicadaford-standin/src/test/java/org/cicadaford/standin/LogStandinTest.java
@@ -187,4 +187,15 @@
 
     assertThat(clients.membershipService().list()).containsExactly(member(Member.State.LEAVING));
   }
+
+  @Example
+  void aListThatWasSentBeforeIsStillSeenToChange() throws Exception {
+    clients.membershipService().announce(member(Member.State.LIVE));
+    List<Member> first = clients.membershipService().list();
+
+    assertThat(clients.membershipService().list()).isSameAs(first);
+
+    clients.membershipService().announce(member(Member.State.LEAVING));
+    assertThat(clients.membershipService().list()).containsExactly(member(Member.State.LEAVING));
+  }
 }
