Read the zone's stream often enough for the ownership policy

A claim needs that the end of the stream was read within 500 ms; with a long poll of 500 ms no instance ever claimed.

--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/EntryServices.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/EntryServices.java
@@ -28,6 +28,12 @@
 
   private static final Logger LOG = LogManager.getLogger(EntryServices.class);
 
+  /**
+   * Time for which the log may hold back an empty answer about the zone, in milliseconds. A claim
+   * needs that the end of the zone's stream was read within the last heartbeat of 500 ms.
+   */
+  private static final long ZONE_POLL_MILLIS = 150;
+
   private final EntrySettings settings;
   private final Platform platform;
   private final InstantSource clock;
@@ -84,15 +90,22 @@
             metrics);
     JobReporter reporter = new JobReporter(settings.zone(), requests, zoneOwner, otherZones);
     this.jobs = new JobService(config, requests, membership, reporter);
-    this.configFollower = follower(ConfigHolder.STREAM, ConfigRecord.class, config);
-    this.requestsFollower = follower(RequestLog.STREAM, RequestRecord.class, requests);
-    this.zoneFollower = follower(ownerSettings.stream(), ZoneRecord.class, zoneOwner);
+    this.configFollower =
+        follower(ConfigHolder.STREAM, ConfigRecord.class, config, settings.pollMillis());
+    this.requestsFollower =
+        follower(RequestLog.STREAM, RequestRecord.class, requests, settings.pollMillis());
+    this.zoneFollower =
+        follower(
+            ownerSettings.stream(),
+            ZoneRecord.class,
+            zoneOwner,
+            Math.min(ZONE_POLL_MILLIS, settings.pollMillis()));
   }
 
   private <R extends LogRecord> StreamFollower<R> follower(
-      String stream, Class<R> type, StreamListener<R> listener) {
+      String stream, Class<R> type, StreamListener<R> listener, long pollMillis) {
     return new StreamFollower<>(
-        stream, type, platform.log(), listener, settings.pollMillis(), clock, random, metrics);
+        stream, type, platform.log(), listener, pollMillis, clock, random, metrics);
   }
 
   /** Starts all threads; the platform is told of this instance as {@code self}. */
