Wait for the scripted server's port to be closed in tests

The listener of a virtual thread goes on accepting until the thread has ended, so the client could connect and lose the connection. Ruled out: a fault of the client, which was right to say unknown after a connection was made. Change: close() waits for the accepting thread. The check is unchanged. Conclusion: a race of the test's own server.

--- a/cicadaford-platform/src/test/java/org/cicadaford/platform/ScriptedServer.java
+++ b/cicadaford-platform/src/test/java/org/cicadaford/platform/ScriptedServer.java
@@ -21,8 +21,10 @@
   final AtomicInteger closedByClientCount = new AtomicInteger();
   final AtomicInteger requestCount = new AtomicInteger();
 
+  private final Thread acceptor;
+
   ScriptedServer() throws IOException {
-    Thread.ofVirtual().start(this::accept);
+    acceptor = Thread.ofVirtual().start(this::accept);
   }
 
   int port() {
@@ -68,8 +70,10 @@
     }
   }
 
+  /** Stops listening. The port still accepts connections until the accepting thread has ended. */
   @Override
-  public void close() throws IOException {
+  public void close() throws IOException, InterruptedException {
     listener.close();
+    acceptor.join();
   }
 }
