Add the report of burn rates of error budgets

Cause: operators need to see how fast waiting time, deadlines, answers and work done use up their error budgets, by team and zone. Ruled out: a metrics server, which would be one more service; a rate from the first sample of a daemon, whose counts are of an unknown time. Change: report burn scrapes /metrics and /v1/status of entry daemons, adds to a samples file, and reports 5 min, 1 h, 6 h and 3 d as text, JSON and one HTML page with SVG plots; objectives come from a YAML file or the defaults; request ids come from java-uuid-generator instead of own code. Before: no report. The metrics cicadaford_deadline_jobs_total and cicadaford_tasks_ended_total do not exist yet, and the label class of cicadaford_task_waiting_seconds holds the kind of work instead of its urgency. Conclusion: objectives below 93% cannot page, since their burn rate stays below 14.4.

--- /dev/null
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/burn/DefaultObjectives.java
@@ -0,0 +1,68 @@
+package org.cicadaford.cli.internal.burn;
+
+import java.util.List;
+import java.util.Map;
+
+/** The objectives of the design for waiting time, answered requests and work done. */
+public final class DefaultObjectives {
+
+  /** Refusals that the caller could not have avoided. */
+  private static final List<String> REFUSALS_BY_FAULT =
+      List.of(
+          "no-zone",
+          "no-endpoint",
+          "config-not-confirmed",
+          "log-unavailable",
+          "overloaded",
+          "stopping",
+          "outcome-unknown",
+          "internal-fault");
+
+  private DefaultObjectives() {}
+
+  /** Returns the default objectives. */
+  public static List<Objective> list() {
+    return List.of(
+        new Objective(
+            "urgent-start",
+            "urgent work starts within 1.2 s",
+            0.99,
+            false,
+            List.of(
+                new MetricSelector(
+                    "cicadaford_task_waiting_seconds_bucket",
+                    Map.of("class", List.of("urgent"), "le", List.of("1.2")))),
+            List.of(
+                new MetricSelector(
+                    "cicadaford_task_waiting_seconds_count", Map.of("class", List.of("urgent"))))),
+        new Objective(
+            "batch-deadline",
+            "jobs with a deadline complete before it",
+            0.99,
+            false,
+            List.of(
+                new MetricSelector(
+                    "cicadaford_deadline_jobs_total", Map.of("outcome", List.of("in-time")))),
+            List.of(new MetricSelector("cicadaford_deadline_jobs_total", Map.of()))),
+        new Objective(
+            "answered",
+            "requests are answered, or refused for the caller's own fault",
+            0.999,
+            true,
+            List.of(
+                new MetricSelector("cicadaford_refusals_total", Map.of("kind", REFUSALS_BY_FAULT))),
+            List.of(new MetricSelector("cicadaford_requests_total", Map.of()))),
+        new Objective(
+            "work-done",
+            "tasks that run reach their end and are not lost or failed",
+            0.99,
+            false,
+            List.of(
+                new MetricSelector(
+                    "cicadaford_tasks_ended_total", Map.of("end", List.of("completed")))),
+            List.of(
+                new MetricSelector(
+                    "cicadaford_tasks_ended_total",
+                    Map.of("end", List.of("completed", "failed", "lost"))))));
+  }
+}
--- a/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/CommandTree.java
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/CommandTree.java
@@ -29,6 +29,7 @@
     line.addSubcommand(new CancelCommand(session));
     line.addSubcommand(new StatusCommand(session));
     line.addSubcommand(new CallCommand(session));
+    line.addSubcommand(group(new ReportCommand(), new ReportBurnCommand(session)));
     line.addSubcommand(new CompletionCommand(session));
     return line;
   }
--- a/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/EntryCommand.java
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/EntryCommand.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.uuid.Generators;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -9,7 +10,6 @@
 import org.cicadaford.cli.ExitCode;
 import org.cicadaford.cli.internal.entry.EntryAnswer;
 import org.cicadaford.cli.internal.entry.EntryClient;
-import org.cicadaford.cli.internal.entry.RequestIds;
 import picocli.CommandLine.Option;
 
 /** A command that sends one request to an entry daemon. */
@@ -44,7 +44,9 @@
 
   final String newRequestId() {
     Environment environment = session().environment();
-    return RequestIds.generate(environment.clock().getAsLong(), environment.random());
+    return Generators.timeBasedEpochGenerator(environment.random())
+        .construct(environment.clock().getAsLong())
+        .toString();
   }
 
   /** Returns the fields of a JSON answer as a result. */
