Count ended tasks and deadlines for service-level objectives

Cause: report burn needs the urgency of waiting work, missed deadlines and lost tasks by team, and no metric had them. Ruled out: working them out of /v1/jobs, which keeps ended jobs for an hour only. Change: the label class of cicadaford_task_waiting_seconds holds the urgency; new counters cicadaford_tasks_ended_total{team,end} and cicadaford_deadline_jobs_total{team,outcome}, which the owner counts for changes that took effect. Before: no such counters. After: mvn -pl cicadaford-entry -am verify passes.

--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/metrics/EntryMetrics.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/metrics/EntryMetrics.java
@@ -34,6 +34,14 @@
       counter("cicadaford_ownership_takeovers_total", "Times this instance became owner.");
   private final Counter faults =
       counter("cicadaford_faults_total", "Faults met and handled, by kind.", "kind");
+  private final Counter tasksEnded =
+      counter("cicadaford_tasks_ended_total", "Placements that ended.", "team", "end");
+  private final Counter deadlineJobs =
+      counter(
+          "cicadaford_deadline_jobs_total",
+          "Parts of jobs with a deadline that ended in time or missed it.",
+          "team",
+          "outcome");
   private final Gauge owner =
       Gauge.builder()
           .name("cicadaford_zone_owner")
@@ -129,6 +137,16 @@
     configAge.set(ageMillis / 1000.0);
   }
 
+  /** Counts a placement that ended. */
+  public void taskEnded(String team, String end) {
+    tasksEnded.labelValues(team, end).inc();
+  }
+
+  /** Counts a job with a deadline that ended. */
+  public void deadlineJob(String team, boolean inTime) {
+    deadlineJobs.labelValues(team, inTime ? "in-time" : "missed").inc();
+  }
+
   /** Records the time from submission to the start of a task. */
   public void taskStarted(String team, String jobClass, long waitingMillis) {
     waiting.labelValues(team, jobClass).observe(Math.max(0, waitingMillis) / 1000.0);
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/zone/ZoneOwner.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/zone/ZoneOwner.java
@@ -20,6 +20,7 @@
 import org.cicadaford.entry.membership.MembershipPoller;
 import org.cicadaford.entry.membership.MembershipPoller.MemberList;
 import org.cicadaford.entry.metrics.EntryMetrics;
+import org.cicadaford.entry.metrics.ServiceLevelCounter;
 import org.cicadaford.entry.request.RequestLog;
 import org.cicadaford.entry.request.RequestLog.JobRequests;
 import org.cicadaford.entry.stream.Backoff;
@@ -140,6 +141,7 @@
     for (ZoneChange change : applied.rejectedChanges()) {
       metrics.invalidChange(kindOf(change));
     }
+    ServiceLevelCounter.count(read.changes(), applied.rejectedChanges(), state, metrics);
   }
 
   private static String kindOf(ZoneChange change) {
@@ -229,7 +231,7 @@
               job ->
                   metrics.taskStarted(
                       job.description().team(),
-                      job.description().kind().name().toLowerCase(Locale.ROOT),
+                      job.description().urgency().name().toLowerCase(Locale.ROOT),
                       report.startedAtMillis() - job.submittedAtMillis()));
     }
   }
