--- a/cicadaford-cli/src/main/java/org/cicadaford/cli/CicadafordMain.java
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/CicadafordMain.java
@@ -60,7 +60,7 @@
     return (host, port) -> {
       PlatformClients clients = new PlatformClients(PlatformSettings.forLog(host, port));
       clients.start();
-      return new OpenLog(clients.logService(), clients::stop);
+      return new OpenLog(clients.logService(), clients.membershipService(), clients::stop);
     };
   }
 }
--- a/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/LogConnector.java
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/LogConnector.java
@@ -1,17 +1,20 @@
 package org.cicadaford.cli.internal.command;
 
 import org.cicadaford.platform.LogService;
+import org.cicadaford.platform.MembershipService;
 
 /** Opens clients of the log. */
 public interface LogConnector {
 
   /**
-   * A client of the log that is to be closed.
+   * Clients of the log and of the membership list, which are to be closed.
    *
-   * @param log the client
+   * @param log client of the log
+   * @param membership client of the membership list, which is served at the log's address
    * @param onClose releases its connections
    */
-  record OpenLog(LogService log, Runnable onClose) implements AutoCloseable {
+  record OpenLog(LogService log, MembershipService membership, Runnable onClose)
+      implements AutoCloseable {
 
     @Override
     public void close() {
--- a/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/ZoneChangeCommand.java
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/ZoneChangeCommand.java
@@ -14,6 +14,8 @@
 import org.cicadaford.model.ConfigRecord.ZoneBroughtIn;
 import org.cicadaford.model.ConfigRecord.ZoneTakenOut;
 import org.cicadaford.model.JobDescription;
+import org.cicadaford.platform.MembershipService;
+import org.cicadaford.platform.MembershipUnavailableException;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -34,6 +36,11 @@
       })
   private Long baseVersion;
 
+  @Option(
+      names = "--even-if-unknown",
+      description = {"Changes a zone that no member, published file or earlier change names."})
+  private boolean evenIfUnknown;
+
   private final boolean out;
 
   private ZoneChangeCommand(Session session, boolean out) {
@@ -73,7 +80,7 @@
       if (state.isZoneOut(zone) == out) {
         return result(version, false);
       }
-      warnIfUnknown(state);
+      checkKnown(state, open.membership());
       return change(stream, version);
     }
   }
@@ -103,18 +110,25 @@
                 zone, reason, state.isZoneOut(zone) ? "out of" : "in", state.zoneVersion(zone)));
   }
 
-  /** A zone without workers is a valid name, so a misspelt one can only be pointed out. */
-  private void warnIfUnknown(ConfigState state) {
+  /** A misspelt name would be recorded, and the zone that was meant would stay as it is. */
+  private void checkKnown(ConfigState state, MembershipService membership) throws CommandException {
     Set<String> known = new TreeSet<>(state.snapshot("zones").zoneVersions().keySet());
     for (JobDescription job : state.descriptions()) {
       known.addAll(job.zones());
     }
-    if (!known.isEmpty() && !known.contains(zone)) {
-      warn(
-          "warning: no published file and no earlier change names zone "
+    try {
+      membership.list().forEach(member -> known.add(member.zone()));
+    } catch (MembershipUnavailableException e) {
+      warn("warning: " + e.getMessage() + "; the name of the zone is checked without the list");
+    }
+    if (!evenIfUnknown && !known.contains(zone)) {
+      throw new CommandException(
+          ExitCode.REFUSED,
+          "zone "
               + zone
-              + "; check its spelling. Known zones: "
-              + String.join(", ", known));
+              + " is not known; known zones are "
+              + String.join(", ", known)
+              + ". Correct the name, or use --even-if-unknown");
     }
   }
 
--- a/cicadaford-cli/src/test/java/org/cicadaford/cli/CommandRunner.java
+++ b/cicadaford-cli/src/test/java/org/cicadaford/cli/CommandRunner.java
@@ -15,6 +15,11 @@
 import org.cicadaford.cli.internal.command.LogConnector.OpenLog;
 import org.cicadaford.cli.internal.entry.EntryConnector;
 import org.cicadaford.cli.internal.entry.EntryFailureException;
+import org.cicadaford.model.Resources;
+import org.cicadaford.platform.Member;
+import org.cicadaford.platform.Member.Role;
+import org.cicadaford.platform.Member.State;
+import org.cicadaford.platform.MembershipService;
 import picocli.CommandLine;
 
 /** Runs commands in this process against a log in memory. */
@@ -50,7 +55,7 @@
     StringWriter err = new StringWriter();
     Environment environment =
         new Environment(
-            (host, port) -> new OpenLog(log, () -> {}),
+            (host, port) -> new OpenLog(log, membership(), () -> {}),
             (daemon, request) -> entryConnector.send(daemon, request),
             new SecureRandom(),
             () -> NOW_MILLIS,
@@ -66,6 +71,31 @@
     return new Outcome(exitCode, out.toString(), err.toString());
   }
 
+  private static MembershipService membership() {
+    return new MembershipService() {
+      @Override
+      public List<Member> list() {
+        return List.of(
+            new Member(
+                "w",
+                Role.WORKER,
+                "Siliguri",
+                "r",
+                "127.0.0.1",
+                1,
+                0,
+                "",
+                Resources.NONE,
+                State.LIVE));
+      }
+
+      @Override
+      public void announce(Member member) {
+        throw new UnsupportedOperationException("the command line announces nothing");
+      }
+    };
+  }
+
   /** Creates a directory with one description file. */
   public static Path directoryWith(String text) {
     try {
--- a/cicadaford-cli/src/test/java/org/cicadaford/cli/internal/command/ZoneChangeCommandTest.java
+++ b/cicadaford-cli/src/test/java/org/cicadaford/cli/internal/command/ZoneChangeCommandTest.java
@@ -60,8 +60,13 @@
   }
 
   @Example
-  void misspeltZoneIsPointedOut() {
-    assertThat(runner.run("zone", "out", "Kolkatta").err())
-        .contains("check its spelling. Known zones: Finistère, Kolkata");
+  void misspeltZoneIsRefused() {
+    Outcome outcome = runner.run("zone", "out", "Kolkatta");
+
+    assertThat(outcome.exitCode()).isEqualTo(1);
+    assertThat(outcome.err()).contains("known zones are Finistère, Kolkata, Siliguri.");
+    assertThat(runner.log.entries).hasSize(1);
+    assertThat(runner.run("zone", "out", "Siliguri").exitCode()).isZero();
+    assertThat(runner.run("zone", "out", "--even-if-unknown", "Kolkatta").exitCode()).isZero();
   }
 }
--- a/cicadaford-description/src/main/java/org/cicadaford/description/DescriptionReferencePage.java
+++ b/cicadaford-description/src/main/java/org/cicadaford/description/DescriptionReferencePage.java
@@ -59,7 +59,7 @@
           memory: 512MiB
           tasks: 30
           spread: 4
-          program: serve balance-check
+          program: service
       ```
       """;
 
--- /dev/null
+++ b/cicadaford-description/src/test/java/org/cicadaford/description/ExamplesTest.java
@@ -0,0 +1,25 @@
+package org.cicadaford.description;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import java.util.List;
+import net.jqwik.api.Example;
+import org.cicadaford.model.JobDescription;
+import org.cicadaford.model.JobKind;
+
+/** Guards against examples that the reader no longer accepts, or that show a risk. */
+class ExamplesTest {
+
+  @Example
+  void examplesAreValidAndASettlementIsNeverRunTwice() throws InvalidDescriptionsException {
+    DescriptionSet set =
+        new DescriptionCollector(new DescriptionLimits(4)).collect(List.of(Path.of("../examples")));
+
+    assertThat(set.jobs()).extracting(JobDescription::kind).contains(JobKind.values());
+    assertThat(set.jobs())
+        .filteredOn(job -> job.name().equals("redemption-settlement"))
+        .singleElement()
+        .satisfies(job -> assertThat(job.repeatable() || job.checkpointable()).isFalse());
+  }
+}
