Hand over true bounds from an owner that is replaced before its first round

Such an owner knew nothing of earlier owners yet and told the next one that no lease was left, so running tasks were recorded as lost and placed again.

--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/LeaseTable.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/LeaseTable.java
@@ -13,6 +13,7 @@
   private HandOver handOver;
   private long previousEpoch = ConfigState.NO_OFFSET;
   private long previousOwnersLastBatchAtMillis;
+  private boolean observed;
 
   LeaseTable(OwnerSettings settings) {
     this.settings = settings;
@@ -86,15 +87,20 @@
 
   /** Takes in what the state says of earlier owners while it shows this owner's epoch. */
   void observeEarlierOwners(ZoneState zone) {
+    observed = true;
     previousEpoch = zone.previousEpoch();
     previousOwnersLastBatchAtMillis = zone.previousOwnersLastBatchAtMillis();
   }
 
   /**
    * Returns the handover to the next owner; nothing may be granted after it. The state may show the
-   * next owner already, whose placements this owner knows nothing of.
+   * next owner already, whose placements this owner knows nothing of. An owner that was replaced
+   * before its first round takes the bounds of the next owner's view, which are no earlier.
    */
   HandOver handOver(KeeperRound round) {
+    if (!observed) {
+      observeEarlierOwners(round.zone());
+    }
     Map<String, Long> untilByWorker = new HashMap<>();
     contacts.forEach(
         (workerId, contact) ->
