Index waiting jobs and changed workers of a zone

The scheduler would otherwise walk the whole backlog and every worker in each decision. Teams' committed amounts now cover all three resources, for dominant shares. The number of zones with an allotment writer is readable from the configuration.

--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/ConfigState.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ConfigState.java
@@ -316,6 +316,11 @@
     return Optional.ofNullable(allotmentFences.get(zone));
   }
 
+  /** Returns the number of zones whose owners have written allotments. */
+  public int allotmentZoneCount() {
+    return allotmentFences.size();
+  }
+
   /**
    * Returns the part of the team's limit that no zone holds, in millicores; negative when lowered.
    */
--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerJournal.java
@@ -0,0 +1,45 @@
+package org.cicadaford.decision;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+/** Remembers in which order workers last changed, so that a reader looks only at those. */
+final class WorkerJournal {
+
+  /** Removed workers kept beyond the number of present ones, for readers that lag behind. */
+  private static final int KEPT_REMOVED_WORKERS = 256;
+
+  private final LinkedHashMap<String, Long> revisionByWorker = new LinkedHashMap<>();
+  private long revision;
+
+  /** Notes that a worker was added, changed or removed. */
+  void note(String workerId) {
+    revision++;
+    revisionByWorker.putLast(workerId, revision);
+  }
+
+  /** Forgets the removed workers that changed first, once many were removed. */
+  void prune(int presentCount, Predicate<String> isPresent) {
+    if (revisionByWorker.size() > 2 * (presentCount + KEPT_REMOVED_WORKERS)) {
+      long keptFrom = revision - KEPT_REMOVED_WORKERS;
+      revisionByWorker
+          .entrySet()
+          .removeIf(entry -> entry.getValue() < keptFrom && !isPresent.test(entry.getKey()));
+    }
+  }
+
+  /** Returns the number of the last change. */
+  long revision() {
+    return revision;
+  }
+
+  /** Returns the workers that changed after {@code since}, the last one first. */
+  List<String> changedSince(long since) {
+    return revisionByWorker.sequencedEntrySet().reversed().stream()
+        .takeWhile(entry -> entry.getValue() > since)
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+}
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneState.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneState.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import org.cicadaford.model.Resources;
 import org.cicadaford.model.TaskId;
 import org.cicadaford.model.ZoneChange;
 import org.cicadaford.model.ZoneRecord;
@@ -207,6 +208,26 @@
     return tables.committedMillicores(team);
   }
 
+  /** Returns what is committed to the team's tasks in this zone. */
+  public Resources committed(String team) {
+    return tables.committed(team);
+  }
+
+  /** Returns the teams that capacity is committed to. */
+  Collection<String> teamsWithCommitted() {
+    return tables.teamsWithCommitted();
+  }
+
+  /** Returns the waiting jobs in the orders that the scheduler reads them in. */
+  WaitingIndex waitingIndex() {
+    return tables.waitingIndex();
+  }
+
+  /** Returns the order in which workers last changed. */
+  WorkerJournal workerJournal() {
+    return tables.workerJournal();
+  }
+
   /** Returns the number of tasks that capacity is committed to. */
   public int committedTaskCount() {
     return tables.committedTaskCount();
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneTables.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneTables.java
@@ -42,7 +42,9 @@
   private final Map<String, JobStatus> jobsById = new LinkedHashMap<>();
   private final Map<String, JobStatus> waitingJobsById = new LinkedHashMap<>();
   private final Map<String, JobTasks> tasksByJob = new HashMap<>();
-  private final Map<String, Long> committedMillicoresByTeam = new HashMap<>();
+  private final Map<String, Resources> committedByTeam = new HashMap<>();
+  private final WaitingIndex waitingIndex = new WaitingIndex();
+  private final WorkerJournal workerJournal = new WorkerJournal();
   private final Deque<JobStatus> closedJobs = new ArrayDeque<>();
   private int committedTaskCount;
 
@@ -77,7 +79,7 @@
     if (!updated.committed().fitsIn(listed.capacity())) {
       return false;
     }
-    workersById.put(listed.workerId(), updated);
+    putWorker(updated);
     return true;
   }
 
@@ -87,6 +89,8 @@
       return false;
     }
     workersById.remove(unlisted.workerId());
+    workerJournal.note(unlisted.workerId());
+    workerJournal.prune(workersById.size(), workersById::containsKey);
     committedByWorker.remove(unlisted.workerId());
     return true;
   }
@@ -191,37 +195,48 @@
     if (worker == null) {
       return false;
     }
-    workersById.put(workerId, worker.withQuarantine(failureCount, untilMillis));
+    putWorker(worker.withQuarantine(failureCount, untilMillis));
     return true;
   }
 
   private void commit(TaskStatus task, WorkerStatus worker) {
     Resources committed = worker.committed().plus(task.reserved());
-    workersById.put(worker.workerId(), worker.withCommitted(committed, worker.taskCount() + 1));
+    putWorker(worker.withCommitted(committed, worker.taskCount() + 1));
     committedByWorker
         .computeIfAbsent(worker.workerId(), id -> new LinkedHashMap<>())
         .put(task.taskId(), task);
-    addTeamMillicores(task, task.reserved().processorsMillicores());
+    addToTeam(task, task.reserved());
     committedTaskCount++;
   }
 
   private void release(TaskStatus task) {
     WorkerStatus worker = workersById.get(task.workerId());
     Resources committed = worker.committed().minus(task.reserved());
-    workersById.put(worker.workerId(), worker.withCommitted(committed, worker.taskCount() - 1));
+    putWorker(worker.withCommitted(committed, worker.taskCount() - 1));
     committedByWorker.get(task.workerId()).remove(task.taskId());
-    addTeamMillicores(task, -task.reserved().processorsMillicores());
+    addToTeam(task, Resources.NONE.minus(task.reserved()));
     committedTaskCount--;
   }
 
-  private void addTeamMillicores(TaskStatus task, long millicores) {
+  private void addToTeam(TaskStatus task, Resources amounts) {
     String team = jobsById.get(task.taskId().jobId()).description().team();
-    committedMillicoresByTeam.merge(team, millicores, Long::sum);
+    Resources sum = committedByTeam.getOrDefault(team, Resources.NONE).plus(amounts);
+    if (sum.equals(Resources.NONE)) {
+      committedByTeam.remove(team);
+    } else {
+      committedByTeam.put(team, sum);
+    }
+  }
+
+  private void putWorker(WorkerStatus worker) {
+    workersById.put(worker.workerId(), worker);
+    workerJournal.note(worker.workerId());
   }
 
   private void store(JobStatus job, TaskStatus task) {
     JobTasks tasks = tasksByJob.get(job.jobId());
     int index = task.taskId().index();
+    int waitingBefore = tasks.waiting.size();
     tasks.all.put(index, task);
     if (task.phase() == Phase.WAITING) {
       tasks.waiting.put(index, task);
@@ -232,6 +247,7 @@
         waitingJobsById.remove(job.jobId());
       }
     }
+    waitingIndex.update(job, waitingBefore, tasks.waiting.size());
   }
 
   /**
@@ -252,7 +268,7 @@
   }
 
   void fill(ZoneSnapshotContent content) {
-    content.workers().forEach(worker -> workersById.put(worker.workerId(), worker));
+    content.workers().forEach(this::putWorker);
     for (JobStatus job : content.jobs()) {
       jobsById.put(job.jobId(), job);
       tasksByJob.put(job.jobId(), new JobTasks());
@@ -276,7 +292,7 @@
     committedByWorker
         .computeIfAbsent(task.workerId(), id -> new LinkedHashMap<>())
         .put(task.taskId(), task);
-    addTeamMillicores(task, task.reserved().processorsMillicores());
+    addToTeam(task, task.reserved());
     committedTaskCount++;
   }
 
@@ -321,11 +337,23 @@
   }
 
   long committedMillicores(String team) {
-    return committedMillicoresByTeam.getOrDefault(team, 0L);
+    return committed(team).processorsMillicores();
+  }
+
+  Resources committed(String team) {
+    return committedByTeam.getOrDefault(team, Resources.NONE);
+  }
+
+  Collection<String> teamsWithCommitted() {
+    return Collections.unmodifiableCollection(committedByTeam.keySet());
+  }
+
+  WaitingIndex waitingIndex() {
+    return waitingIndex;
   }
 
-  int committedTaskCount() {
-    return committedTaskCount;
+  WorkerJournal workerJournal() {
+    return workerJournal;
   }
 
   List<WorkerStatus> workerList() {
