--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneTables.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneTables.java
@@ -356,6 +356,10 @@
     return workerJournal;
   }
 
+  int committedTaskCount() {
+    return committedTaskCount;
+  }
+
   List<WorkerStatus> workerList() {
     return List.copyOf(workersById.values());
   }
