--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/AllotmentPlanner.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/AllotmentPlanner.java
@@ -1,23 +1,306 @@
 package org.cicadaford.decision;
 
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import org.cicadaford.decision.OwnerDecision.AllotmentChange;
+import org.cicadaford.model.ConfigRecord.AllotmentFence;
+import org.cicadaford.model.TeamPolicy;
 
-/** Plans which part of each team's limit the zone holds. */
-final class AllotmentPlanner {
+/**
+ * Plans which part of each team's limit the zone holds, and tells the scheduler how much of it may
+ * be used.
+ *
+ * <p>The limit is handed out in chunks of a quarter of an equal part per zone: small enough that a
+ * zone with little work holds little, large enough that a change is not needed for each task.
+ * Rules:
+ *
+ * <ul>
+ *   <li>The first change of an epoch takes nothing; it fences off the former owner. Nothing starts
+ *       before it is seen in the configuration.
+ *   <li>A zone takes what its waiting work needs and one chunk ahead, and returns what it has not
+ *       needed for 30 s.
+ *   <li>A zone above its equal part leaves the last chunk in the pool. So the pool is without a
+ *       chunk only when a zone below its part needs more, which no zone sees otherwise. Zones above
+ *       their part then return idle allotment at once, and one chunk every 5 s as tasks end.
+ *   <li>When the limit was lowered below what the zones hold, each zone lowers itself to the same
+ *       fraction of what it holds. The amount is worked out anew every 10 s, and every minute once
+ *       it is reached, because the zones see the lowering at different times.
+ * </ul>
+ *
+ * <p>A return counts from the moment it is proposed, and what the scheduler proposes counts as used
+ * until a batch was read back. Changes are numbered here, so that the number of the last one seen
+ * tells which earlier ones can no longer take effect.
+ */
+final class AllotmentPlanner implements TeamLimits {
+
+  static final long IDLE_MILLIS = 30_000;
+
+  private static final long SMALLEST_CHUNK_MILLICORES = 1_000;
+  private static final int CHUNKS_PER_PART = 4;
+  private static final long FULL_PASS_MILLIS = 1_000;
+  private static final long SQUEEZE_MILLIS = 5_000;
+  private static final long TARGET_MILLIS = 10_000;
+
+  /** The same for a zone that has reached its target, so that it does not fall for slow zones. */
+  private static final long REACHED_TARGET_MILLIS = 60_000;
+
+  /** Time after which a change that was not seen is followed by one that settles its fate. */
+  private static final long RESOLVE_MILLIS = 5_000;
+
+  /** Changes per second; 11 zones together stay well within the log's appends per second. */
+  private static final int CHANGES_PER_SECOND = 10;
+
+  private static final int CHANGE_BURST = 40;
+
+  private record Outstanding(long sequence, String team, long millicores, long sinceMillis) {}
+
+  private record Target(long limitMillicores, long millicores, long setAtMillis) {}
+
+  private record Squeeze(long capMillicores, long setAtMillis) {}
+
+  /** Largest need of a team in the present and the last window of {@link #IDLE_MILLIS}. */
+  private record Peak(long windowStartMillis, long present, long last) {
+    private Peak with(long need, long nowMillis) {
+      if (nowMillis - windowStartMillis >= IDLE_MILLIS) {
+        return new Peak(nowMillis, need, present);
+      }
+      return new Peak(windowStartMillis, Math.max(present, need), last);
+    }
+
+    private long need() {
+      return Math.max(present, last);
+    }
+  }
 
   private final String zone;
+  private final List<Outstanding> outstanding = new ArrayList<>();
+  private final Map<String, Long> proposedByTeam = new HashMap<>();
+  private final Map<String, Target> targets = new HashMap<>();
+  private final Map<String, Squeeze> squeezes = new HashMap<>();
+  private final Map<String, Peak> peaks = new HashMap<>();
+  private long epoch = ConfigState.NO_OFFSET;
+  private long lastSequence;
+  private long proposedAtSequence = -1;
+  private long fullPassAtMillis = Long.MIN_VALUE / 2;
+  private double changeTokens = CHANGE_BURST;
+  private long refilledAtMillis;
 
   AllotmentPlanner(String zone) {
     this.zone = zone;
   }
 
-  List<AllotmentChange> decide(OwnerInputs inputs, long nowMillis) {
-    return List.of();
+  @Override
+  public long startableMillicores(OwnerInputs inputs, String team) {
+    if (!isFenced(inputs)) {
+      return 0;
+    }
+    long startable = heldMillicores(inputs, team);
+    Target target = targets.get(team);
+    if (inputs.config().freeMillicores(team) < 0) {
+      startable = Math.min(startable, target == null ? 0 : target.millicores());
+    }
+    Squeeze squeeze = squeezes.get(team);
+    return squeeze == null ? startable : Math.min(startable, squeeze.capMillicores());
+  }
+
+  @Override
+  public long excessMillicores(OwnerInputs inputs, String team) {
+    Target target = targets.get(team);
+    if (target == null || inputs.config().freeMillicores(team) >= 0 || !isFenced(inputs)) {
+      return 0;
+    }
+    return Math.max(0, inputs.zone().committedMillicores(team) - target.millicores());
   }
 
+  /**
+   * {@inheritDoc}
+   *
+   * <p>Of the batches with one number only one takes effect, so the largest proposal counts.
+   */
   @Override
-  public String toString() {
-    return "allotments of zone " + zone;
+  public void noteProposed(OwnerInputs inputs, String team, long millicores) {
+    forgetSettledProposals(inputs);
+    proposedByTeam.merge(team, millicores, Math::max);
+  }
+
+  private void forgetSettledProposals(OwnerInputs inputs) {
+    if (inputs.zone().sequence() != proposedAtSequence) {
+      proposedAtSequence = inputs.zone().sequence();
+      proposedByTeam.clear();
+    }
+  }
+
+  /** Returns the changes to append now, in the order of their numbers. */
+  List<AllotmentChange> decide(OwnerInputs inputs, long nowMillis) {
+    if (epoch == ConfigState.NO_OFFSET) {
+      epoch = inputs.zone().epoch();
+    }
+    List<AllotmentChange> changes = new ArrayList<>();
+    if (epoch == ConfigState.NO_OFFSET || inputs.zone().epoch() != epoch) {
+      return changes;
+    }
+    forgetSettledProposals(inputs);
+    outstanding.removeIf(change -> change.sequence() <= seenSequence(inputs));
+    refillTokens(nowMillis);
+    if (isFenced(inputs)) {
+      plan(inputs, nowMillis, changes);
+    }
+    if (!isFenced(inputs) && outstanding.isEmpty() || isStale(nowMillis)) {
+      add("", 0, nowMillis, changes);
+    }
+    return changes;
+  }
+
+  private boolean isStale(long nowMillis) {
+    return !outstanding.isEmpty()
+        && nowMillis - outstanding.getLast().sinceMillis() >= RESOLVE_MILLIS;
+  }
+
+  private void plan(OwnerInputs inputs, long nowMillis, List<AllotmentChange> changes) {
+    boolean full = nowMillis - fullPassAtMillis >= FULL_PASS_MILLIS;
+    if (full) {
+      fullPassAtMillis = nowMillis;
+    }
+    Collection<String> teams = full ? allTeams(inputs) : inputs.zone().waitingIndex().teams();
+    for (String team : teams) {
+      if (changeTokens >= 1) {
+        planTeam(inputs, team, nowMillis, changes);
+      }
+    }
+  }
+
+  private static Set<String> allTeams(OwnerInputs inputs) {
+    Set<String> teams = new TreeSet<>(inputs.zone().waitingIndex().teams());
+    teams.addAll(inputs.zone().teamsWithCommitted());
+    inputs.config().teams().forEach(team -> teams.add(team.name()));
+    return teams;
+  }
+
+  private void planTeam(
+      OwnerInputs inputs, String team, long nowMillis, List<AllotmentChange> changes) {
+    long used = inputs.zone().committedMillicores(team) + proposedByTeam.getOrDefault(team, 0L);
+    long need = used + inputs.zone().waitingIndex().waitingMillicores(team);
+    Peak peak = peaks.getOrDefault(team, new Peak(nowMillis, 0, 0)).with(need, nowMillis);
+    peaks.put(team, peak);
+    long free = inputs.config().freeMillicores(team);
+    if (free < 0) {
+      lowerToTarget(inputs, team, used, nowMillis, changes);
+      return;
+    }
+    targets.remove(team);
+    long limit = inputs.config().team(team).map(TeamPolicy::limitMillicores).orElse(0L);
+    int zones = Math.max(1, inputs.config().allotmentZoneCount());
+    long part = limit / zones;
+    long chunk = Math.max(SMALLEST_CHUNK_MILLICORES, part / CHUNKS_PER_PART);
+    long held = heldMillicores(inputs, team);
+    boolean poolIsEmpty = free < chunk;
+    squeeze(team, used, poolIsEmpty ? part : Long.MAX_VALUE, chunk, nowMillis);
+    if (isChanging(team)) {
+      return;
+    }
+    long keep = peak.need() > 0 ? roundUp(peak.need(), chunk) + chunk : 0;
+    if (poolIsEmpty) {
+      keep = Math.min(keep, part);
+    } else {
+      keep = Math.min(keep, need + Math.max(chunk, part));
+    }
+    keep = Math.max(keep, used);
+    if (held > keep) {
+      add(team, keep - held, nowMillis, changes);
+    } else if (need > held) {
+      long polite = free - chunk;
+      long entitled = Math.min(free, used == 0 ? need - held : part - held);
+      long amount = Math.min(roundUp(need - held, chunk) + chunk, Math.max(polite, entitled));
+      if (amount > 0) {
+        add(team, amount, nowMillis, changes);
+      }
+    }
+  }
+
+  /** Keeps the team from starting more, so that what ends can be returned down to {@code part}. */
+  private void squeeze(String team, long used, long part, long chunk, long nowMillis) {
+    if (used <= part) {
+      squeezes.remove(team);
+      return;
+    }
+    Squeeze squeeze = squeezes.get(team);
+    if (squeeze == null || nowMillis - squeeze.setAtMillis() >= SQUEEZE_MILLIS) {
+      squeezes.put(team, new Squeeze(Math.max(part, used - chunk), nowMillis));
+    }
+  }
+
+  private void lowerToTarget(
+      OwnerInputs inputs, String team, long used, long nowMillis, List<AllotmentChange> changes) {
+    long limit = inputs.config().team(team).map(TeamPolicy::limitMillicores).orElse(0L);
+    long held = heldMillicores(inputs, team);
+    Target target = targets.get(team);
+    if (target == null
+        || target.limitMillicores() != limit
+        || nowMillis - target.setAtMillis()
+            >= (held > target.millicores() ? TARGET_MILLIS : REACHED_TARGET_MILLIS)) {
+      long sum = limit - inputs.config().freeMillicores(team);
+      long millicores = sum <= 0 ? 0 : (long) Math.floor((double) held * limit / sum);
+      target = new Target(limit, millicores, nowMillis);
+      targets.put(team, target);
+    }
+    long keep = Math.max(used, target.millicores());
+    if (held > keep && !isChanging(team)) {
+      add(team, keep - held, nowMillis, changes);
+    }
+  }
+
+  private boolean isChanging(String team) {
+    return outstanding.stream().anyMatch(change -> change.team().equals(team));
+  }
+
+  private void add(String team, long millicores, long nowMillis, List<AllotmentChange> changes) {
+    lastSequence++;
+    changeTokens--;
+    outstanding.add(new Outstanding(lastSequence, team, millicores, nowMillis));
+    changes.add(new AllotmentChange(team, millicores, lastSequence));
+  }
+
+  /** Returns the zone's allotment less what is being returned. */
+  private long heldMillicores(OwnerInputs inputs, String team) {
+    long held = inputs.config().allotmentMillicores(team, zone);
+    long seen = seenSequence(inputs);
+    for (Outstanding change : outstanding) {
+      if (change.sequence() > seen && change.millicores() < 0 && change.team().equals(team)) {
+        held += change.millicores();
+      }
+    }
+    return held;
+  }
+
+  private boolean isFenced(OwnerInputs inputs) {
+    return epoch != ConfigState.NO_OFFSET
+        && inputs.zone().epoch() == epoch
+        && inputs.config().allotmentFence(zone).map(fence -> fence.epoch() == epoch).orElse(false);
+  }
+
+  private long seenSequence(OwnerInputs inputs) {
+    return inputs
+        .config()
+        .allotmentFence(zone)
+        .filter(fence -> fence.epoch() == epoch)
+        .map(AllotmentFence::sequence)
+        .orElse(0L);
+  }
+
+  private void refillTokens(long nowMillis) {
+    if (refilledAtMillis > 0) {
+      double added = Math.max(0, nowMillis - refilledAtMillis) * CHANGES_PER_SECOND / 1000.0;
+      changeTokens = Math.min(CHANGE_BURST, changeTokens + added);
+    }
+    refilledAtMillis = nowMillis;
+  }
+
+  private static long roundUp(long amount, long chunk) {
+    return (amount + chunk - 1) / chunk * chunk;
   }
 }
--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/FairPlacer.java
@@ -0,0 +1,207 @@
+package org.cicadaford.decision;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import org.cicadaford.decision.PlacementRound.Outcome;
+import org.cicadaford.decision.WaitingIndex.QueueKey;
+import org.cicadaford.decision.WaitingIndex.TeamQueues;
+import org.cicadaford.model.Urgency;
+
+/**
+ * Places waiting work in turns of the teams: the team with the lowest weighted dominant share goes
+ * next, and within a team the job that was submitted first. Work near its deadline goes before the
+ * turns.
+ *
+ * <p>A size class of a team whose first job finds no room is left out for the rest of the decision,
+ * so that the work per decision does not grow with the backlog.
+ */
+final class FairPlacer {
+
+  /** Attempts after which a decision ends, whether they placed something or not. */
+  private static final int MAX_ATTEMPTS = 4_000;
+
+  /** Jobs near their deadline that one decision looks at; the next one goes on behind them. */
+  private static final int MAX_DEADLINE_JOBS = 256;
+
+  private final boolean fairShare;
+  private int attempts;
+  private QueueKey deadlineCursor;
+
+  FairPlacer(boolean fairShare) {
+    this.fairShare = fairShare;
+  }
+
+  /** Starts a new decision. */
+  void begin() {
+    attempts = 0;
+  }
+
+  /** Places work of one urgency. */
+  void place(PlacementRound round, Urgency urgency) {
+    PriorityQueue<TeamTurn> turns = new PriorityQueue<>();
+    for (Map.Entry<String, TeamQueues> entry : round.zone().waitingIndex().byTeam().entrySet()) {
+      TeamQueues queues = entry.getValue();
+      String team = entry.getKey();
+      if (!queues.queues(urgency).isEmpty() && round.availableMillicores(team) > 0) {
+        TeamTurn turn = new TeamTurn(round, team, queues, urgency);
+        turn.refreshKey(round);
+        turns.add(turn);
+      }
+    }
+    while (!turns.isEmpty() && !round.isFull() && attempts < MAX_ATTEMPTS) {
+      TeamTurn turn = turns.poll();
+      if (turn.step(round)) {
+        turn.refreshKey(round);
+        turns.add(turn);
+      }
+    }
+  }
+
+  /**
+   * Places work whose latest start has come, the one that is due first before the others. Work that
+   * is past its deadline waits its turn like other work, so that it does not make more work late.
+   */
+  void placeNearDeadline(PlacementRound round) {
+    long now = round.nowMillis();
+    QueueKey from = deadlineCursor == null ? new QueueKey(Long.MIN_VALUE, "") : deadlineCursor;
+    deadlineCursor = null;
+    int count = 0;
+    for (Map.Entry<QueueKey, JobStatus> entry :
+        round.zone().waitingIndex().byLatestStart().tailMap(from, false).entrySet()) {
+      if (entry.getKey().atMillis() > now || round.isFull()) {
+        return;
+      }
+      JobStatus job = entry.getValue();
+      if (now <= job.submittedAtMillis() + job.description().deadlineMillis()) {
+        placeTasks(round, job);
+      }
+      if (++count >= MAX_DEADLINE_JOBS) {
+        deadlineCursor = entry.getKey();
+        return;
+      }
+    }
+  }
+
+  private static void placeTasks(PlacementRound round, JobStatus job) {
+    if (PlacementRound.isGang(job)) {
+      round.placeGang(job);
+      return;
+    }
+    for (TaskStatus task : round.zone().waitingTasksOf(job.jobId())) {
+      Outcome outcome = round.place(job, task);
+      if (round.isFull() || outcome == Outcome.NO_ROOM || outcome == Outcome.NO_ALLOTMENT) {
+        return;
+      }
+    }
+  }
+
+  /** Waiting jobs of one size class of a team, in the order of submission. */
+  private static final class ClassCursor {
+    private final ZoneState zone;
+    private final Iterator<JobStatus> jobs;
+    private JobStatus job;
+    private Iterator<TaskStatus> tasks = Collections.emptyIterator();
+
+    private ClassCursor(ZoneState zone, Iterator<JobStatus> jobs) {
+      this.zone = zone;
+      this.jobs = jobs;
+      nextJob();
+    }
+
+    private boolean nextJob() {
+      job = jobs.hasNext() ? jobs.next() : null;
+      tasks = job == null ? tasks : zone.waitingTasksOf(job.jobId()).iterator();
+      return job != null;
+    }
+
+    /** Moves on to a job with another task to try; returns whether there is one. */
+    private boolean hasTask() {
+      while (job != null && !tasks.hasNext()) {
+        nextJob();
+      }
+      return job != null;
+    }
+  }
+
+  private final class TeamTurn implements Comparable<TeamTurn> {
+    private final String team;
+    private final List<ClassCursor> cursors = new ArrayList<>();
+    private double key;
+
+    private TeamTurn(PlacementRound round, String team, TeamQueues queues, Urgency urgency) {
+      this.team = team;
+      queues
+          .queues(urgency)
+          .values()
+          .forEach(q -> cursors.add(new ClassCursor(round.zone(), q.values().iterator())));
+    }
+
+    private void refreshKey(PlacementRound round) {
+      if (fairShare) {
+        key = round.weightedShare(team);
+      } else {
+        ClassCursor first = first();
+        key = first == null ? 0 : first.job.submittedAtMillis();
+      }
+    }
+
+    private ClassCursor first() {
+      ClassCursor first = null;
+      for (ClassCursor cursor : cursors) {
+        if (first == null
+            || WaitingIndex.submissionKey(cursor.job)
+                    .compareTo(WaitingIndex.submissionKey(first.job))
+                < 0) {
+          first = cursor;
+        }
+      }
+      return first;
+    }
+
+    /** Tries the team's first job and returns whether the team has more to try. */
+    private boolean step(PlacementRound round) {
+      cursors.removeIf(cursor -> !cursor.hasTask());
+      ClassCursor cursor = first();
+      if (cursor == null) {
+        return false;
+      }
+      attempts++;
+      Outcome outcome = attempt(round, cursor);
+      if (outcome == Outcome.NO_ALLOTMENT || outcome == Outcome.NO_ROOM) {
+        skip(cursor);
+      }
+      return !cursors.isEmpty();
+    }
+
+    private Outcome attempt(PlacementRound round, ClassCursor cursor) {
+      JobStatus job = cursor.job;
+      if (!PlacementRound.isGang(job)) {
+        return round.place(job, cursor.tasks.next());
+      }
+      Outcome outcome = round.placeGang(job);
+      if (outcome == Outcome.PLACED || outcome == Outcome.SKIPPED) {
+        cursor.nextJob();
+        cursors.removeIf(c -> c.job == null);
+      }
+      return outcome;
+    }
+
+    /** Leaves out a size class, or only the job if its own bound on racks may be the cause. */
+    private void skip(ClassCursor cursor) {
+      boolean ownBound = cursor.job.description().maxTasksPerRack() > 0;
+      if (!ownBound || !cursor.nextJob()) {
+        cursors.remove(cursor);
+      }
+    }
+
+    @Override
+    public int compareTo(TeamTurn other) {
+      int byKey = Double.compare(key, other.key);
+      return byKey != 0 ? byKey : team.compareTo(other.team);
+    }
+  }
+}
--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/GangPlanner.java
@@ -0,0 +1,193 @@
+package org.cicadaford.decision;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.cicadaford.decision.TaskStatus.Phase;
+import org.cicadaford.decision.WaitingIndex.QueueKey;
+import org.cicadaford.model.JobKind;
+import org.cicadaford.model.Resources;
+
+/**
+ * Keeps gang jobs whole and gives room to those that wait long.
+ *
+ * <p>A waiting gang job holds nothing, so gang jobs cannot block each other. One gang job of the
+ * zone at a time may have workers reserved, for a bounded time: room that frees there is kept for
+ * it, and work that may be preempted for it is stopped.
+ */
+final class GangPlanner {
+
+  /** Time for which a gang job waits before room is reserved for it, in milliseconds. */
+  static final long RESERVE_AFTER_MILLIS = 30_000;
+
+  /** Longest time of a reservation, in milliseconds; other gang jobs have their turn then. */
+  static final long MAX_RESERVATION_MILLIS = 300_000;
+
+  /** Time from the reservation on after which work is preempted, in milliseconds. */
+  static final long PREEMPT_AFTER_MILLIS = 10_000;
+
+  private static final int MAX_GANGS_CHECKED = 64;
+
+  private record Candidate(WorkerSlot slot, long fitsNow, long fitsLater) {}
+
+  private final boolean preemption;
+  private final Map<String, Long> notBeforeMillis = new HashMap<>();
+  private final List<WorkerSlot> reservedSlots = new ArrayList<>();
+  private String reservedFor = "";
+  private long reservedAtMillis;
+  private QueueKey cursor = new QueueKey(Long.MIN_VALUE, "");
+
+  GangPlanner(boolean preemption) {
+    this.preemption = preemption;
+  }
+
+  /** Returns whether the tasks of a gang job may be stopped and started again. */
+  static boolean isRestartable(JobStatus job) {
+    return job.description().repeatable() || job.description().checkpointable();
+  }
+
+  /** Stops the rest of each gang job that lost a task; the whole gang job waits again then. */
+  void stopIncomplete(PlacementRound round) {
+    int count = 0;
+    for (Map.Entry<QueueKey, JobStatus> entry :
+        round.zone().waitingIndex().gangs().tailMap(cursor, false).entrySet()) {
+      JobStatus job = entry.getValue();
+      if (round.zone().committedTaskCount(job.jobId()) > 0 && isRestartable(job)) {
+        round.zone().tasksOf(job.jobId()).stream()
+            .filter(task -> task.phase() == Phase.PLACED)
+            .forEach(round::stop);
+      }
+      if (++count >= MAX_GANGS_CHECKED) {
+        cursor = entry.getKey();
+        return;
+      }
+    }
+    cursor = new QueueKey(Long.MIN_VALUE, "");
+  }
+
+  /** Ends a reservation that is of no more use, starts one, and makes room on its workers. */
+  void reserve(PlacementRound round) {
+    long now = round.nowMillis();
+    notBeforeMillis.values().removeIf(notBefore -> notBefore <= now);
+    if (!reservedFor.isEmpty()) {
+      boolean waits = !round.zone().waitingTasksOf(reservedFor).isEmpty();
+      boolean expired = now - reservedAtMillis >= MAX_RESERVATION_MILLIS;
+      if (!waits || expired) {
+        notBeforeMillis.put(reservedFor, now + MAX_RESERVATION_MILLIS);
+        end(round);
+      }
+    }
+    if (reservedFor.isEmpty()) {
+      start(round);
+    } else if (preemption && now - reservedAtMillis >= PREEMPT_AFTER_MILLIS) {
+      round.zone().job(reservedFor).ifPresent(job -> makeRoom(round, job));
+    }
+  }
+
+  private void end(PlacementRound round) {
+    reservedSlots.forEach(slot -> round.index().reserve(slot, ""));
+    reservedSlots.clear();
+    reservedFor = "";
+  }
+
+  private void start(PlacementRound round) {
+    JobStatus oldest = null;
+    for (JobStatus job : round.blockedJobs()) {
+      boolean waitedLong = round.nowMillis() - job.submittedAtMillis() >= RESERVE_AFTER_MILLIS;
+      boolean eligible =
+          PlacementRound.isGang(job) && waitedLong && !notBeforeMillis.containsKey(job.jobId());
+      if (eligible
+          && (oldest == null
+              || WaitingIndex.submissionKey(job).compareTo(WaitingIndex.submissionKey(oldest))
+                  < 0)) {
+        oldest = job;
+      }
+    }
+    if (oldest != null) {
+      chooseWorkers(round, oldest);
+    }
+  }
+
+  /** Chooses the workers that hold the most tasks now, then those that can hold the most. */
+  private void chooseWorkers(PlacementRound round, JobStatus job) {
+    int bound = job.description().maxTasksPerRack();
+    Map<String, Long> byRack = new HashMap<>();
+    long missing = round.zone().waitingTasksOf(job.jobId()).size();
+    List<WorkerSlot> chosen = new ArrayList<>();
+    for (Candidate candidate : candidates(round, round.sizeOf(job))) {
+      String rack = candidate.slot().rack();
+      long inRack = byRack.getOrDefault(rack, 0L);
+      long usable = candidate.fitsLater();
+      if (bound > 0) {
+        usable = Math.min(bound - inRack, usable);
+      }
+      if (usable > 0 && missing > 0) {
+        byRack.put(rack, inRack + usable);
+        chosen.add(candidate.slot());
+        missing -= usable;
+      }
+    }
+    if (missing <= 0) {
+      reservedFor = job.jobId();
+      reservedAtMillis = round.nowMillis();
+      reservedSlots.addAll(chosen);
+      chosen.forEach(slot -> round.index().reserve(slot, job.jobId()));
+    }
+  }
+
+  private static List<Candidate> candidates(PlacementRound round, Resources size) {
+    List<Candidate> candidates = new ArrayList<>();
+    for (WorkerSlot slot : round.index().slots()) {
+      if (slot.isUsable() && !slot.isHeadroom()) {
+        long fitsNow = ImpossibleJobFinder.fits(size, slot.free());
+        long fitsLater = ImpossibleJobFinder.fits(size, roomWithoutBatch(round, slot));
+        if (fitsLater > 0) {
+          candidates.add(new Candidate(slot, fitsNow, fitsLater));
+        }
+      }
+    }
+    candidates.sort(
+        Comparator.comparingLong((Candidate c) -> -c.fitsNow())
+            .thenComparingLong(c -> -c.fitsLater())
+            .thenComparing(c -> c.slot().workerId));
+    return candidates;
+  }
+
+  /** Returns what is free on a worker once all batch runs and gang jobs there have ended. */
+  private static Resources roomWithoutBatch(PlacementRound round, WorkerSlot slot) {
+    Resources room = slot.free();
+    for (TaskStatus task : round.zone().committedTasksOn(slot.workerId)) {
+      if (round.job(task).description().kind() != JobKind.SERVICE) {
+        room = room.plus(task.reserved());
+      }
+    }
+    return room;
+  }
+
+  private void makeRoom(PlacementRound round, JobStatus job) {
+    Resources size = round.sizeOf(job);
+    long missing = round.zone().waitingTasksOf(job.jobId()).size();
+    for (WorkerSlot slot : reservedSlots) {
+      Resources room = slot.free();
+      for (TaskStatus task : round.zone().committedTasksOn(slot.workerId)) {
+        room = round.isStopping(task) ? room.plus(task.reserved()) : room;
+      }
+      missing -= ImpossibleJobFinder.fits(size, room);
+    }
+    for (WorkerSlot slot : reservedSlots) {
+      Resources room = slot.free();
+      for (TaskStatus task : round.zone().committedTasksOn(slot.workerId)) {
+        if (missing <= 0) {
+          return;
+        }
+        if (Preemptor.isVictim(round, job, task) && round.stopToMakeRoom(task)) {
+          long fitsBefore = ImpossibleJobFinder.fits(size, room);
+          room = room.plus(task.reserved());
+          missing -= ImpossibleJobFinder.fits(size, room) - fitsBefore;
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ImpossibleJobFinder.java
@@ -0,0 +1,131 @@
+package org.cicadaford.decision;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.cicadaford.decision.WaitingIndex.QueueKey;
+import org.cicadaford.model.Resources;
+
+/**
+ * Ends jobs that the workers of the zone can never run, so that their callers get an answer at
+ * once.
+ *
+ * <p>Judges by the capacity of all workers on the list, not by what is free, and only once the list
+ * has been the same for a while: after a start or a rack failure it may be incomplete. A job of
+ * which tasks run is never ended.
+ */
+final class ImpossibleJobFinder {
+
+  /** Time for which the list of workers must not have changed, in milliseconds. */
+  static final long STABLE_LIST_MILLIS = 30_000;
+
+  private static final int MAX_JOBS_PER_DECISION = 128;
+
+  private final String zone;
+  private final Map<String, List<Resources>> capacitiesByRack = new TreeMap<>();
+  private long capacitiesAsOfMillis = -1;
+  private QueueKey cursor = new QueueKey(Long.MIN_VALUE, "");
+
+  ImpossibleJobFinder(String zone) {
+    this.zone = zone;
+  }
+
+  void decide(PlacementRound round) {
+    WorkerIndex index = round.index();
+    boolean known = !index.listedWorkers().isEmpty();
+    if (!known || round.nowMillis() - index.listChangedAtMillis() < STABLE_LIST_MILLIS) {
+      return;
+    }
+    readCapacities(index);
+    QueueKey last = null;
+    int count = 0;
+    for (Map.Entry<QueueKey, JobStatus> entry :
+        round.zone().waitingIndex().bySubmission().tailMap(cursor, false).entrySet()) {
+      judge(round, entry.getValue());
+      last = entry.getKey();
+      if (++count >= MAX_JOBS_PER_DECISION) {
+        break;
+      }
+    }
+    cursor = count < MAX_JOBS_PER_DECISION ? new QueueKey(Long.MIN_VALUE, "") : last;
+  }
+
+  private void readCapacities(WorkerIndex index) {
+    if (capacitiesAsOfMillis == index.listChangedAtMillis()) {
+      return;
+    }
+    capacitiesAsOfMillis = index.listChangedAtMillis();
+    capacitiesByRack.clear();
+    for (ListedWorker worker : index.listedWorkers()) {
+      if (!worker.leaving()) {
+        capacitiesByRack
+            .computeIfAbsent(worker.rack(), rack -> new ArrayList<>())
+            .add(worker.capacity());
+      }
+    }
+  }
+
+  private void judge(PlacementRound round, JobStatus job) {
+    if (round.zone().committedTaskCount(job.jobId()) == 0) {
+      int taskCount = round.zone().waitingTasksOf(job.jobId()).size();
+      reason(job, taskCount).ifPresent(reason -> round.closeImpossible(job, reason));
+    }
+  }
+
+  private Optional<String> reason(JobStatus job, int taskCount) {
+    Resources size = job.description().resourcesPerTask();
+    int bound = job.description().maxTasksPerRack();
+    boolean together = PlacementRound.isGang(job);
+    long wanted = together || bound > 0 ? taskCount : 1;
+    long fitting = 0;
+    for (List<Resources> capacities : capacitiesByRack.values()) {
+      long inRack = 0;
+      for (Resources capacity : capacities) {
+        long onWorker = fits(size, capacity);
+        inRack += together ? onWorker : Math.min(1, onWorker) * wanted;
+        if (inRack >= wanted) {
+          break;
+        }
+      }
+      fitting += bound > 0 ? Math.min(bound, inRack) : inRack;
+      if (fitting >= wanted) {
+        return Optional.empty();
+      }
+    }
+    return Optional.of(describe(size, fitting, taskCount, together, bound));
+  }
+
+  private String describe(
+      Resources size, long fitting, int taskCount, boolean together, int bound) {
+    if (fitting == 0) {
+      return "no worker of zone " + zone + " is as large as " + size + "; declare a smaller size";
+    }
+    String cause =
+        together
+            ? "the workers of zone " + zone + " hold only " + fitting + " tasks at once"
+            : "the racks of zone "
+                + zone
+                + " hold only "
+                + fitting
+                + " tasks at "
+                + bound
+                + " each";
+    return cause + " but the job has " + taskCount + "; declare fewer tasks or more zones";
+  }
+
+  /** Returns how many tasks of a size a capacity holds. */
+  static long fits(Resources size, Resources capacity) {
+    if (!size.fitsIn(capacity)) {
+      return 0;
+    }
+    long count = ratio(capacity.processorsMillicores(), size.processorsMillicores());
+    count = Math.min(count, ratio(capacity.memoryMebibytes(), size.memoryMebibytes()));
+    return Math.min(count, ratio(capacity.acceleratorCount(), size.acceleratorCount()));
+  }
+
+  private static long ratio(long capacity, long size) {
+    return size <= 0 ? Integer.MAX_VALUE : capacity / size;
+  }
+}
--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/LimitDrainer.java
@@ -0,0 +1,60 @@
+package org.cicadaford.decision;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.cicadaford.model.JobDescription;
+import org.cicadaford.model.JobKind;
+
+/**
+ * Stops tasks of a team whose limit was lowered below what it runs in the zone.
+ *
+ * <p>The task placed last goes first, as it has done the least work. Tasks that cannot be repeated,
+ * and gang jobs, run to their end and only keep new work of the team from starting.
+ */
+final class LimitDrainer {
+
+  private static final long INTERVAL_MILLIS = 1_000;
+
+  private long drainedAtMillis = Long.MIN_VALUE / 2;
+
+  void decide(PlacementRound round) {
+    if (round.nowMillis() - drainedAtMillis < INTERVAL_MILLIS) {
+      return;
+    }
+    drainedAtMillis = round.nowMillis();
+    for (String team : round.zone().teamsWithCommitted()) {
+      long excess = round.excessMillicores(team);
+      if (excess > 0) {
+        drain(round, team, excess);
+      }
+    }
+  }
+
+  private void drain(PlacementRound round, String team, long excessMillicores) {
+    List<TaskStatus> candidates = new ArrayList<>();
+    long left = excessMillicores;
+    for (WorkerSlot slot : round.index().slots()) {
+      for (TaskStatus task : round.zone().committedTasksOn(slot.workerId)) {
+        JobDescription description = round.job(task).description();
+        if (!description.team().equals(team)) {
+          continue;
+        }
+        if (round.isStopping(task)) {
+          left -= task.reserved().processorsMillicores();
+        } else if (description.repeatable() && description.kind() != JobKind.GANG) {
+          candidates.add(task);
+        }
+      }
+    }
+    candidates.sort(
+        Comparator.comparingLong((TaskStatus task) -> -task.placedAtMillis())
+            .thenComparing(TaskStatus::taskId));
+    for (TaskStatus task : candidates) {
+      if (left <= 0 || !round.stopToMakeRoom(task)) {
+        return;
+      }
+      left -= task.reserved().processorsMillicores();
+    }
+  }
+}
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/OwnerDecision.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/OwnerDecision.java
@@ -23,6 +23,8 @@
    *
    * @param team the team
    * @param millicores amount to take, or to return if negative
+   * @param sequence number within the epoch that the record is to carry; a change that is not
+   *     appended uses up its number
    */
-  public record AllotmentChange(String team, long millicores) {}
+  public record AllotmentChange(String team, long millicores, long sequence) {}
 }
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/WaitingIndex.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/WaitingIndex.java
@@ -34,7 +34,7 @@
   }
 
   /**
-   * Group of sizes that lie within a fifth of one another.
+   * Group of sizes of which none is more than a quarter larger than another.
    *
    * @param processors quarter octave of the processors
    * @param memory quarter octave of the memory
@@ -58,7 +58,11 @@
     }
 
     private static int quarterOctave(long amount) {
-      return amount <= 0 ? 0 : 1 + (int) Math.floor(4 * Math.log(amount) / Math.log(2));
+      if (amount < 4) {
+        return (int) Math.max(0, amount);
+      }
+      int octave = 63 - Long.numberOfLeadingZeros(amount);
+      return 4 * octave + (int) (amount >> (octave - 2) & 3);
     }
   }
 
@@ -97,6 +101,7 @@
   private final Map<String, TeamQueues> byTeam = new TreeMap<>();
   private final NavigableMap<QueueKey, JobStatus> bySubmission = new TreeMap<>();
   private final NavigableMap<QueueKey, JobStatus> byLatestStart = new TreeMap<>();
+  private final NavigableMap<QueueKey, JobStatus> gangs = new TreeMap<>();
 
   /** Takes in that the number of waiting tasks of a job changed. */
   void update(JobStatus job, int countBefore, int countAfter) {
@@ -117,6 +122,9 @@
   private void add(JobStatus job, TeamQueues queues) {
     queues.add(job);
     bySubmission.put(submissionKey(job), job);
+    if (job.description().kind() == JobKind.GANG) {
+      gangs.put(submissionKey(job), job);
+    }
     if (hasOrderByDeadline(job)) {
       byLatestStart.put(new QueueKey(latestStartMillis(job), job.jobId()), job);
     }
@@ -125,6 +133,7 @@
   private void remove(JobStatus job, TeamQueues queues) {
     queues.remove(job);
     bySubmission.remove(submissionKey(job));
+    gangs.remove(submissionKey(job));
     byLatestStart.remove(new QueueKey(latestStartMillis(job), job.jobId()));
     if (queues.queues.isEmpty()) {
       byTeam.remove(job.description().team());
@@ -162,6 +171,11 @@
     return Collections.unmodifiableNavigableMap(byLatestStart);
   }
 
+  /** Returns the gang jobs with waiting tasks in the order of submission. */
+  NavigableMap<QueueKey, JobStatus> gangs() {
+    return Collections.unmodifiableNavigableMap(gangs);
+  }
+
   /** Returns the teams with waiting tasks in the order of their names. */
   Collection<String> teams() {
     return Collections.unmodifiableCollection(byTeam.keySet());
--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerIndex.java
@@ -0,0 +1,299 @@
+package org.cicadaford.decision;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.cicadaford.decision.WaitingIndex.SizeClass;
+import org.cicadaford.model.Resources;
+
+/**
+ * Workers of a zone by free capacity. Follows the recorded state and takes off what the present
+ * decision places; each decision starts again from the recorded state.
+ */
+final class WorkerIndex {
+
+  private final PlacementPolicy policy;
+  private final double headroomFraction;
+  private final UniformRandomProvider random;
+  private final Map<String, WorkerSlot> slotsById = new TreeMap<>();
+  private final FreeCapacityTree plainTree = new FreeCapacityTree();
+  private final FreeCapacityTree spareTree = new FreeCapacityTree();
+  private final FreeCapacityTree headroomTree = new FreeCapacityTree();
+  private final FreeCapacityTree reservedTree = new FreeCapacityTree();
+  private final Map<Integer, FreeCapacityTree> acceleratorTrees = new TreeMap<>();
+  private final Map<String, WorkerSlot> quarantinedById = new TreeMap<>();
+  private final Set<WorkerSlot> touched = new HashSet<>();
+  private final Map<SizeClass, Resources> withoutRoom = new HashMap<>();
+  private List<WorkerSlot> slotsInOrder = List.of();
+  private List<ListedWorker> lastList = List.of();
+  private Set<String> listedIds = Set.of();
+  private long listChangedAtMillis;
+  private long seenRevision;
+  private Resources usableCapacity = Resources.NONE;
+
+  WorkerIndex(PlacementPolicy policy, double headroomFraction) {
+    this.policy = policy;
+    this.headroomFraction = headroomFraction;
+    long seed = policy instanceof PlacementPolicy.RandomFit randomFit ? randomFit.seed() : 0;
+    this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+  }
+
+  /** Follows the recorded state and drops the tentative placements of the last decision. */
+  void sync(OwnerInputs inputs, long nowMillis) {
+    boolean listChanged = followList(inputs.listedWorkers(), nowMillis);
+    WorkerJournal journal = inputs.zone().workerJournal();
+    boolean membersChanged = false;
+    Set<String> changed = new HashSet<>(journal.changedSince(seenRevision));
+    touched.forEach(slot -> changed.add(slot.workerId));
+    touched.clear();
+    seenRevision = journal.revision();
+    for (String workerId : changed) {
+      membersChanged |= load(workerId, inputs.zone().worker(workerId).orElse(null));
+    }
+    if (membersChanged || listChanged) {
+      arrangeMembers();
+    }
+  }
+
+  private boolean followList(List<ListedWorker> listed, long nowMillis) {
+    if (listed == lastList) {
+      return false;
+    }
+    boolean same = new HashSet<>(listed).equals(new HashSet<>(lastList));
+    lastList = listed;
+    if (same) {
+      return false;
+    }
+    listChangedAtMillis = nowMillis;
+    listedIds = new HashSet<>();
+    listed.stream().filter(w -> !w.leaving()).forEach(w -> listedIds.add(w.workerId()));
+    return true;
+  }
+
+  private boolean load(String workerId, WorkerStatus status) {
+    WorkerSlot slot = slotsById.get(workerId);
+    if (status == null) {
+      if (slot != null) {
+        slot.moveTo(null, null);
+        slotsById.remove(workerId);
+        quarantinedById.remove(workerId);
+      }
+      return slot != null;
+    }
+    boolean isNew = slot == null;
+    if (isNew) {
+      slot = new WorkerSlot(workerId);
+      slotsById.put(workerId, slot);
+    }
+    Resources freeBefore = slot.free();
+    Resources capacityBefore = isNew ? Resources.NONE : slot.capacity();
+    boolean quarantinedBefore = !isNew && slot.isQuarantined();
+    slot.load(status);
+    if (!slot.free().fitsIn(freeBefore)) {
+      withoutRoom.clear();
+    }
+    reindex(slot);
+    return isNew
+        || !capacityBefore.equals(slot.capacity())
+        || quarantinedBefore != slot.isQuarantined();
+  }
+
+  private void arrangeMembers() {
+    withoutRoom.clear();
+    slotsInOrder = List.copyOf(slotsById.values());
+    quarantinedById.clear();
+    usableCapacity = Resources.NONE;
+    List<WorkerSlot> plain = new ArrayList<>();
+    for (WorkerSlot slot : slotsInOrder) {
+      slot.setListed(listedIds.contains(slot.workerId));
+      slot.setHeadroom(false);
+      if (slot.isQuarantined()) {
+        quarantinedById.put(slot.workerId, slot);
+      }
+      if (slot.isUsable()) {
+        usableCapacity = usableCapacity.plus(slot.capacity());
+        if (!slot.hasAccelerators()) {
+          plain.add(slot);
+        }
+      }
+    }
+    chooseHeadroom(plain);
+    slotsInOrder.forEach(this::reindex);
+  }
+
+  /** Chooses by a hash of the ids, so that a change of the list moves few of the choices. */
+  private void chooseHeadroom(List<WorkerSlot> plain) {
+    int count = (int) (plain.size() * headroomFraction);
+    if (count > 0) {
+      plain.sort(
+          Comparator.comparingInt((WorkerSlot s) -> FreeCapacityTree.mix(s.workerId.hashCode()))
+              .thenComparing(s -> s.workerId));
+      plain.subList(0, count).forEach(slot -> slot.setHeadroom(true));
+    }
+  }
+
+  private void reindex(WorkerSlot slot) {
+    if (!slot.isUsable()) {
+      slot.moveTo(null, null);
+    } else if (!slot.reservedForJob().isEmpty()) {
+      slot.moveTo(reservedTree, null);
+    } else if (slot.isHeadroom()) {
+      slot.moveTo(headroomTree, null);
+    } else if (slot.hasAccelerators()) {
+      int freeCount = slot.free().acceleratorCount();
+      slot.moveTo(
+          acceleratorTrees.computeIfAbsent(freeCount, n -> new FreeCapacityTree()), spareTree);
+    } else {
+      slot.moveTo(plainTree, null);
+    }
+  }
+
+  /** Takes a tentative placement off a worker. */
+  void take(WorkerSlot slot, Resources size) {
+    slot.take(size);
+    touched.add(slot);
+    reindex(slot);
+  }
+
+  /** Takes a tentative placement back. */
+  void give(WorkerSlot slot, Resources size) {
+    slot.give(size);
+    reindex(slot);
+  }
+
+  /** Reserves a worker's room for a gang job, or ends the reservation with an empty id. */
+  void reserve(WorkerSlot slot, String jobId) {
+    slot.setReservedForJob(jobId);
+    if (jobId.isEmpty()) {
+      withoutRoom.clear();
+    }
+    if (slotsById.get(slot.workerId) == slot) {
+      reindex(slot);
+    }
+  }
+
+  /**
+   * Returns a worker with room for a task, or null.
+   *
+   * @param urgent whether workers kept free for urgent work, or reserved for gang jobs, may be used
+   */
+  WorkerSlot find(Resources size, boolean urgent, Predicate<WorkerSlot> allowed) {
+    return switch (policy) {
+      case PlacementPolicy.BestFit bestFit -> findBest(size, urgent, allowed);
+      case PlacementPolicy.FirstFit firstFit -> findFrom(0, size, urgent, allowed);
+      case PlacementPolicy.RandomFit randomFit ->
+          slotsInOrder.isEmpty()
+              ? null
+              : findFrom(random.nextInt(slotsInOrder.size()), size, urgent, allowed);
+    };
+  }
+
+  private WorkerSlot findFrom(
+      int start, Resources size, boolean urgent, Predicate<WorkerSlot> allowed) {
+    for (int step = 0; step < slotsInOrder.size(); step++) {
+      WorkerSlot slot = slotsInOrder.get((start + step) % slotsInOrder.size());
+      boolean open = urgent || !slot.isHeadroom() && slot.reservedForJob().isEmpty();
+      if (open && slot.isUsable() && size.fitsIn(slot.free()) && allowed.test(slot)) {
+        return slot;
+      }
+    }
+    return null;
+  }
+
+  private WorkerSlot findBest(Resources size, boolean urgent, Predicate<WorkerSlot> allowed) {
+    if (size.acceleratorCount() > 0) {
+      return findAccelerators(size, allowed);
+    }
+    WorkerSlot found = smallest(plainTree, size, allowed);
+    if (found == null) {
+      found = smallest(spareTree, size, allowed);
+    }
+    if (found == null && urgent) {
+      found = smallest(headroomTree, size, allowed);
+    }
+    if (found == null && urgent) {
+      found = smallest(reservedTree, size, allowed);
+    }
+    return found;
+  }
+
+  private WorkerSlot findAccelerators(Resources size, Predicate<WorkerSlot> allowed) {
+    for (Map.Entry<Integer, FreeCapacityTree> entry : acceleratorTrees.entrySet()) {
+      if (entry.getKey() >= size.acceleratorCount()) {
+        WorkerSlot found = smallest(entry.getValue(), size, allowed);
+        if (found != null) {
+          return found;
+        }
+      }
+    }
+    return null;
+  }
+
+  private static WorkerSlot smallest(
+      FreeCapacityTree tree, Resources size, Predicate<WorkerSlot> allowed) {
+    return tree.smallest(size.processorsMillicores(), size.memoryMebibytes(), allowed);
+  }
+
+  /** Returns a worker reserved for the gang job that has room, or null. */
+  WorkerSlot findReserved(Resources size, String jobId, Predicate<WorkerSlot> allowed) {
+    return smallest(
+        reservedTree,
+        size,
+        slot ->
+            slot.reservedForJob().equals(jobId) && size.fitsIn(slot.free()) && allowed.test(slot));
+  }
+
+  /** Returns a quarantined worker that is due a probe and has room, or null. */
+  WorkerSlot findProbe(Resources size, long nowMillis) {
+    for (WorkerSlot slot : quarantinedById.values()) {
+      if (slot.isProbeDue(nowMillis) && size.fitsIn(slot.free())) {
+        return slot;
+      }
+    }
+    return null;
+  }
+
+  /** Returns whether a task of at most this size found no room since capacity was last freed. */
+  boolean isKnownWithoutRoom(Resources size) {
+    Resources failed = withoutRoom.get(SizeClass.of(size, 0));
+    return failed != null && failed.fitsIn(size);
+  }
+
+  /** Remembers that a task that is not urgent and not bound to racks found no room. */
+  void noteWithoutRoom(Resources size) {
+    withoutRoom.merge(SizeClass.of(size, 0), size, (old, added) -> added.fitsIn(old) ? added : old);
+  }
+
+  /** Returns all workers in the order of their ids. */
+  List<WorkerSlot> slots() {
+    return slotsInOrder;
+  }
+
+  WorkerSlot slot(String workerId) {
+    return slotsById.get(workerId);
+  }
+
+  Collection<ListedWorker> listedWorkers() {
+    return Collections.unmodifiableCollection(lastList);
+  }
+
+  /** Returns the capacity of all workers that may get tasks. */
+  Resources usableCapacity() {
+    return usableCapacity;
+  }
+
+  /** Returns the time at which the list of workers last changed. */
+  long listChangedAtMillis() {
+    return listChangedAtMillis;
+  }
+}
--- /dev/null
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerSlot.java
@@ -0,0 +1,140 @@
+package org.cicadaford.decision;
+
+import org.cicadaford.model.Resources;
+
+/** A worker as the scheduler sees it within a decision, with tentative placements taken off. */
+final class WorkerSlot {
+
+  /** Place of the slot in a tree, kept so that it can be removed after its amounts changed. */
+  record TreeEntry(FreeCapacityTree tree, long millicores, long mebibytes) {}
+
+  final String workerId;
+  private WorkerStatus status;
+  private Resources free = Resources.NONE;
+  private int taskCount;
+  private boolean listed;
+  private boolean headroom;
+  private String reservedForJob = "";
+  private TreeEntry mainEntry;
+  private TreeEntry spareEntry;
+
+  WorkerSlot(String workerId) {
+    this.workerId = workerId;
+  }
+
+  void load(WorkerStatus newStatus) {
+    status = newStatus;
+    free = newStatus.free();
+    taskCount = newStatus.taskCount();
+  }
+
+  void take(Resources size) {
+    free = free.minus(size);
+    taskCount++;
+  }
+
+  void give(Resources size) {
+    free = free.plus(size);
+    taskCount--;
+  }
+
+  Resources capacity() {
+    return status.capacity();
+  }
+
+  Resources free() {
+    return free;
+  }
+
+  String rack() {
+    return status.rack();
+  }
+
+  boolean hasAccelerators() {
+    return status.capacity().acceleratorCount() > 0;
+  }
+
+  /**
+   * Returns what tasks without accelerators may use: each free accelerator keeps its part of the
+   * processors and memory, so that it stays usable.
+   */
+  Resources spare() {
+    if (!hasAccelerators()) {
+      return free;
+    }
+    Resources capacity = status.capacity();
+    int freeCount = free.acceleratorCount();
+    int count = capacity.acceleratorCount();
+    return new Resources(
+        Math.max(
+            0, free.processorsMillicores() - capacity.processorsMillicores() * freeCount / count),
+        Math.max(0, free.memoryMebibytes() - capacity.memoryMebibytes() * freeCount / count),
+        0);
+  }
+
+  /** Returns whether the worker may get tasks, other than a probe. */
+  boolean isUsable() {
+    return listed && !status.isQuarantined();
+  }
+
+  /** Returns whether the worker's quarantine allows one probe task now. */
+  boolean isProbeDue(long nowMillis) {
+    return listed
+        && status.isQuarantined()
+        && taskCount == 0
+        && nowMillis >= status.quarantineUntilMillis();
+  }
+
+  boolean isQuarantined() {
+    return status.isQuarantined();
+  }
+
+  boolean isListed() {
+    return listed;
+  }
+
+  void setListed(boolean newListed) {
+    listed = newListed;
+  }
+
+  boolean isHeadroom() {
+    return headroom;
+  }
+
+  void setHeadroom(boolean newHeadroom) {
+    headroom = newHeadroom;
+  }
+
+  /** Returns the gang job that the worker's room is reserved for, or an empty string. */
+  String reservedForJob() {
+    return reservedForJob;
+  }
+
+  void setReservedForJob(String jobId) {
+    reservedForJob = jobId;
+  }
+
+  /** Moves the slot to other trees; either may be null. */
+  void moveTo(FreeCapacityTree mainTree, FreeCapacityTree spareTree) {
+    mainEntry = move(mainEntry, mainTree, free);
+    spareEntry = move(spareEntry, spareTree, spareTree == null ? free : spare());
+  }
+
+  private TreeEntry move(TreeEntry entry, FreeCapacityTree tree, Resources amounts) {
+    long millicores = amounts.processorsMillicores();
+    long mebibytes = amounts.memoryMebibytes();
+    if (entry != null) {
+      if (entry.tree() == tree
+          && entry.millicores() == millicores
+          && entry.mebibytes() == mebibytes) {
+        return entry;
+      }
+      entry.tree().remove(this, entry.millicores(), entry.mebibytes());
+    }
+    if (tree == null) {
+      return null;
+    }
+    tree.insert(this, millicores, mebibytes);
+    return new TreeEntry(tree, millicores, mebibytes);
+  }
+}
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneOwnerLogic.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneOwnerLogic.java
@@ -22,8 +22,8 @@
   public ZoneOwnerLogic(String zone, OwnerSettings settings, long epochStartMillis) {
     this.requestAdmitter = new RequestAdmitter(zone);
     this.leaseKeeper = new LeaseKeeper(zone, settings, epochStartMillis);
-    this.scheduler = new ZoneScheduler(zone);
     this.allotmentPlanner = new AllotmentPlanner(zone);
+    this.scheduler = new ZoneScheduler(zone, allotmentPlanner);
   }
 
   /**
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneScheduler.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneScheduler.java
@@ -1,44 +1,79 @@
 package org.cicadaford.decision;
 
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import org.cicadaford.model.Resources;
+import org.cicadaford.model.Urgency;
 import org.cicadaford.model.ZoneChange;
-import org.cicadaford.model.ZoneChange.TaskPlaced;
 
-/** Places waiting tasks on workers. */
-final class ZoneScheduler {
+/**
+ * Places waiting tasks on workers and stops running ones to make room.
+ *
+ * <p>Each decision starts from the recorded state; nothing that was proposed before but is not
+ * recorded counts. At most one batch of an owner may be on its way, so that of two batches with the
+ * same number only one takes effect. Not safe for use by several threads.
+ */
+public final class ZoneScheduler {
 
   private final String zone;
+  private final SchedulerSettings settings;
+  private final TeamLimits limits;
+  private final WorkerIndex index;
+  private final FairPlacer fairPlacer;
+  private final StopBudget stopBudget;
+  private final GangPlanner gangPlanner;
+  private final Preemptor preemptor;
+  private final LimitDrainer limitDrainer;
+  private final ImpossibleJobFinder impossibleJobFinder;
 
-  ZoneScheduler(String zone) {
+  /** Creates the scheduler of a zone. */
+  public ZoneScheduler(String zone, SchedulerSettings settings, TeamLimits limits) {
     this.zone = zone;
+    this.settings = settings;
+    this.limits = limits;
+    this.index = new WorkerIndex(settings.policy(), settings.headroomFraction());
+    this.fairPlacer = new FairPlacer(settings.fairShare());
+    this.stopBudget = new StopBudget(settings.maxStopsPerSecond());
+    this.gangPlanner = new GangPlanner(settings.preemption());
+    this.preemptor = new Preemptor(stopBudget);
+    this.limitDrainer = new LimitDrainer();
+    this.impossibleJobFinder = new ImpossibleJobFinder(zone);
+  }
+
+  /** Creates a scheduler with the settings of the design. */
+  ZoneScheduler(String zone, TeamLimits limits) {
+    this(zone, SchedulerSettings.DEFAULT, limits);
   }
 
   List<ZoneChange> decide(OwnerInputs inputs, LeaseKeeper leaseKeeper, long nowMillis) {
+    return decide(inputs, TaskSizes.DECLARED, nowMillis);
+  }
+
+  /** Returns what to record: placements, stops and jobs that can never run. */
+  public List<ZoneChange> decide(OwnerInputs inputs, TaskSizes sizes, long nowMillis) {
+    index.sync(inputs, nowMillis);
+    stopBudget.refresh(inputs.zone(), nowMillis);
     if (inputs.config().isZoneOut(zone)) {
       return List.of();
     }
-    Map<String, Resources> freeByWorker = new HashMap<>();
-    inputs.zone().workers().forEach(w -> freeByWorker.put(w.workerId(), w.free()));
-    List<ZoneChange> changes = new ArrayList<>();
-    for (JobStatus job : inputs.zone().waitingJobs()) {
-      Resources size = job.description().resourcesPerTask();
-      for (TaskStatus task : inputs.zone().waitingTasksOf(job.jobId())) {
-        freeByWorker.entrySet().stream()
-            .filter(entry -> size.fitsIn(entry.getValue()))
-            .findFirst()
-            .ifPresent(
-                entry -> {
-                  entry.setValue(entry.getValue().minus(size));
-                  changes.add(
-                      new TaskPlaced(
-                          task.taskId(), task.attempt() + 1, entry.getKey(), size, nowMillis));
-                });
-      }
+    PlacementRound round =
+        new PlacementRound(inputs, index, sizes, limits, settings, stopBudget, nowMillis);
+    impossibleJobFinder.decide(round);
+    gangPlanner.stopIncomplete(round);
+    limitDrainer.decide(round);
+    placeAll(round);
+    gangPlanner.reserve(round);
+    if (settings.preemption()) {
+      preemptor.decide(round);
+    }
+    return round.finish();
+  }
+
+  private void placeAll(PlacementRound round) {
+    fairPlacer.begin();
+    fairPlacer.place(round, Urgency.URGENT);
+    if (settings.deadlineOrder()) {
+      fairPlacer.placeNearDeadline(round);
     }
-    return changes;
+    fairPlacer.place(round, Urgency.NORMAL);
+    fairPlacer.place(round, Urgency.DEFERRABLE);
   }
 }
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneState.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneState.java
@@ -203,6 +203,11 @@
     return tables.committedTasksOn(workerId);
   }
 
+  /** Returns the number of tasks of a job that capacity is committed to. */
+  int committedTaskCount(String jobId) {
+    return tables.committedTaskCount(jobId);
+  }
+
   /** Returns the processors committed to the team's tasks in this zone, in millicores. */
   public long committedMillicores(String team) {
     return tables.committedMillicores(team);
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneTables.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneTables.java
@@ -51,6 +51,7 @@
   private static final class JobTasks {
     private final Map<Integer, TaskStatus> all = new TreeMap<>();
     private final Map<Integer, TaskStatus> waiting = new TreeMap<>();
+    private int committedCount;
   }
 
   /** Applies a change and returns whether it was valid. */
@@ -206,6 +207,7 @@
         .computeIfAbsent(worker.workerId(), id -> new LinkedHashMap<>())
         .put(task.taskId(), task);
     addToTeam(task, task.reserved());
+    tasksByJob.get(task.taskId().jobId()).committedCount++;
     committedTaskCount++;
   }
 
@@ -215,6 +217,7 @@
     putWorker(worker.withCommitted(committed, worker.taskCount() - 1));
     committedByWorker.get(task.workerId()).remove(task.taskId());
     addToTeam(task, Resources.NONE.minus(task.reserved()));
+    tasksByJob.get(task.taskId().jobId()).committedCount--;
     committedTaskCount--;
   }
 
@@ -293,6 +296,7 @@
         .computeIfAbsent(task.workerId(), id -> new LinkedHashMap<>())
         .put(task.taskId(), task);
     addToTeam(task, task.reserved());
+    tasksByJob.get(task.taskId().jobId()).committedCount++;
     committedTaskCount++;
   }
 
@@ -336,6 +340,11 @@
         committedByWorker.getOrDefault(workerId, Map.of()).values());
   }
 
+  int committedTaskCount(String jobId) {
+    JobTasks tasks = tasksByJob.get(jobId);
+    return tasks == null ? 0 : tasks.committedCount;
+  }
+
   long committedMillicores(String team) {
     return committed(team).processorsMillicores();
   }
