--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/AllotmentPlanner.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/AllotmentPlanner.java
@@ -28,8 +28,8 @@
  *       chunk only when a zone below its part needs more, which no zone sees otherwise. Zones above
  *       their part then return idle allotment at once, and one chunk every 5 s as tasks end.
  *   <li>When the limit was lowered below what the zones hold, each zone lowers itself to the same
- *       fraction of what it holds. The amount is worked out anew every 10 s, and every minute once
- *       it is reached, because the zones see the lowering at different times.
+ *       fraction of what it holds, but not below its equal part. The amount is worked out anew
+ *       every 10 s, because the zones see the lowering at different times.
  * </ul>
  *
  * <p>A return counts from the moment it is proposed, and what the scheduler proposes counts as used
@@ -46,9 +46,6 @@
   private static final long SQUEEZE_MILLIS = 5_000;
   private static final long TARGET_MILLIS = 10_000;
 
-  /** The same for a zone that has reached its target, so that it does not fall for slow zones. */
-  private static final long REACHED_TARGET_MILLIS = 60_000;
-
   /** Time after which a change that was not seen is followed by one that settles its fate. */
   private static final long RESOLVE_MILLIS = 5_000;
 
@@ -241,11 +238,8 @@
     Target target = targets.get(team);
     if (target == null
         || target.limitMillicores() != limit
-        || nowMillis - target.setAtMillis()
-            >= (held > target.millicores() ? TARGET_MILLIS : REACHED_TARGET_MILLIS)) {
-      long sum = limit - inputs.config().freeMillicores(team);
-      long millicores = sum <= 0 ? 0 : (long) Math.floor((double) held * limit / sum);
-      target = new Target(limit, millicores, nowMillis);
+        || nowMillis - target.setAtMillis() >= TARGET_MILLIS) {
+      target = new Target(limit, targetMillicores(inputs, team, limit, held), nowMillis);
       targets.put(team, target);
     }
     long keep = Math.max(used, target.millicores());
@@ -254,6 +248,18 @@
     }
   }
 
+  /**
+   * Returns the zone's part of a lowered limit. It is rounded down to whole cores, so that repeated
+   * lowering ends; it is not less than an equal part, so that zones whose tasks cannot be stopped
+   * do not make the others give up everything.
+   */
+  private long targetMillicores(OwnerInputs inputs, String team, long limit, long held) {
+    long sum = limit - inputs.config().freeMillicores(team);
+    long proportional = sum <= 0 ? 0 : (long) ((double) held * limit / sum);
+    long equal = limit / Math.max(1, inputs.config().allotmentZoneCount());
+    return Math.max(proportional / 1_000 * 1_000, Math.min(held, equal));
+  }
+
   private boolean isChanging(String team) {
     return outstanding.stream().anyMatch(change -> change.team().equals(team));
   }
--- /dev/null
+++ b/cicadaford-decision/src/test/java/org/cicadaford/decision/AllotmentPlannerTest.java
@@ -0,0 +1,252 @@
+package org.cicadaford.decision;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.cicadaford.decision.OwnerDecision.AllotmentChange;
+import org.cicadaford.model.ConfigRecord;
+import org.cicadaford.model.ConfigRecord.AllotmentReleased;
+import org.cicadaford.model.ConfigRecord.AllotmentTaken;
+import org.cicadaford.model.Resources;
+import org.cicadaford.model.TaskEnd;
+import org.cicadaford.model.TeamPolicy;
+import org.cicadaford.model.ZoneRecord.OwnerBatch;
+
+/** Guards against a team that runs more than its limit across several zones (R5). */
+class AllotmentPlannerTest {
+
+  private static final List<String> TEAMS = List.of("a", "b");
+  private static final int ZONES = 3;
+
+  /** The configuration stream and zones that read it late. */
+  private static final class Fleet {
+    private final List<ConfigRecord> log = new ArrayList<>();
+    private final ConfigState truth = new ConfigState();
+    private final List<Owner> owners = new ArrayList<>();
+
+    private Fleet(long limitMillicores) {
+      publish(limitMillicores);
+      for (int i = 0; i < ZONES; i++) {
+        owners.add(new Owner("z" + i, this));
+      }
+    }
+
+    private void publish(long limitMillicores) {
+      List<TeamPolicy> teams =
+          TEAMS.stream().map(team -> new TeamPolicy(team, 1, limitMillicores)).toList();
+      append(TestZone.publish(truth.publishVersion(), teams));
+    }
+
+    private void append(ConfigRecord record) {
+      log.add(record);
+      truth.apply(log.size() - 1, record);
+    }
+
+    private long heldSum(String team) {
+      return owners.stream().mapToLong(o -> truth.allotmentMillicores(team, o.name)).sum();
+    }
+
+    private long committedSum(String team) {
+      return owners.stream().mapToLong(o -> o.zone.state.committedMillicores(team)).sum();
+    }
+  }
+
+  /** One zone with its owner, whose records arrive late or not at all. */
+  private static final class Owner {
+    private final String name;
+    private final Fleet fleet;
+    private final TestZone zone;
+    private final List<ConfigRecord> unsentChanges = new ArrayList<>();
+    private final List<OwnerBatch> unsentBatches = new ArrayList<>();
+    private int readCount;
+    private AllotmentPlanner planner;
+    private ZoneScheduler scheduler;
+
+    private Owner(String name, Fleet fleet) {
+      this.name = name;
+      this.fleet = fleet;
+      this.zone = new TestZone(name, new ConfigState());
+      zone.addWorkers(4, 2, new Resources(64_000, 131_072, 0));
+      start();
+    }
+
+    private void start() {
+      planner = new AllotmentPlanner(name);
+      scheduler = new ZoneScheduler(name, planner);
+    }
+
+    private void replace(long now) {
+      zone.claim(now);
+      start();
+    }
+
+    private void readConfig(int count) {
+      for (int i = 0; i < count && readCount < fleet.log.size(); i++) {
+        zone.config.apply(readCount, fleet.log.get(readCount));
+        readCount++;
+      }
+    }
+
+    private void decide(long now) {
+      OwnerInputs inputs = zone.inputs(now);
+      unsentBatches.add(zone.batch(scheduler.decide(inputs, TaskSizes.DECLARED, now), now));
+      for (AllotmentChange change : planner.decide(inputs, now)) {
+        long amount = change.millicores();
+        long epoch = zone.state.epoch();
+        unsentChanges.add(
+            amount >= 0
+                ? new AllotmentTaken("t", name, epoch, change.sequence(), change.team(), amount)
+                : new AllotmentReleased(
+                    "r", name, epoch, change.sequence(), change.team(), -amount));
+      }
+    }
+
+    private void send(Random random, int percent) {
+      unsentChanges.removeIf(change -> arrives(random, percent, () -> fleet.append(change)));
+      unsentBatches.removeIf(batch -> arrives(random, percent, () -> zone.apply(batch)));
+    }
+
+    private static boolean arrives(Random random, int percent, Runnable arrival) {
+      int draw = random.nextInt(100);
+      if (draw < percent) {
+        arrival.run();
+      }
+      return draw < percent + 4;
+    }
+
+    private void endTasks(Random random, int percent, long now) {
+      for (TaskStatus task : zone.committedTasks()) {
+        if (random.nextInt(100) < percent) {
+          zone.end(task, TaskEnd.COMPLETED, now);
+        }
+      }
+      zone.endStopping(now);
+    }
+  }
+
+  @Property(seed = "41", tries = 60)
+  void noHistoryRunsMoreThanTheAllotments(@ForAll long seed) {
+    Random random = new Random(seed);
+    Fleet fleet = new Fleet(60_000);
+    long[] heldBefore = new long[TEAMS.size()];
+    for (int step = 0; step < 250; step++) {
+      long now = 1_000L * step;
+      if (random.nextInt(40) == 0) {
+        fleet.publish(20_000 + random.nextInt(80_000));
+      }
+      for (Owner owner : fleet.owners) {
+        if (random.nextInt(3) == 0) {
+          Resources size = new Resources(1_000 * (1 + random.nextInt(4)), 64, 0);
+          TestJob job = new TestJob(TEAMS.get(random.nextInt(2)), size, 1 + random.nextInt(12));
+          owner.zone.admit("j" + step, job.repeatable(random.nextInt(3) > 0), now);
+        }
+        if (random.nextInt(60) == 0) {
+          owner.replace(now);
+        }
+        owner.readConfig(random.nextInt(8));
+        owner.decide(now);
+        owner.send(random, 60);
+        owner.endTasks(random, step / 50 % 2 == 0 ? 5 : 40, now);
+      }
+      assertWithinAllotments(fleet, heldBefore);
+    }
+  }
+
+  private static void assertWithinAllotments(Fleet fleet, long[] heldBefore) {
+    for (int i = 0; i < TEAMS.size(); i++) {
+      String team = TEAMS.get(i);
+      for (Owner owner : fleet.owners) {
+        assertThat(owner.zone.state.committedMillicores(team))
+            .as("team %s in zone %s", team, owner.name)
+            .isLessThanOrEqualTo(fleet.truth.allotmentMillicores(team, owner.name));
+      }
+      long held = fleet.heldSum(team);
+      if (fleet.truth.freeMillicores(team) < 0) {
+        assertThat(held).as("sum of team %s only falls", team).isLessThanOrEqualTo(heldBefore[i]);
+      }
+      heldBefore[i] = held;
+    }
+  }
+
+  private static void run(Fleet fleet, long fromMillis, long toMillis, int endPercent) {
+    Random random = new Random(fromMillis);
+    for (long now = fromMillis; now < toMillis; now += 1_000) {
+      for (Owner owner : fleet.owners) {
+        owner.readConfig(Integer.MAX_VALUE);
+        owner.decide(now);
+        owner.send(random, 100);
+        owner.endTasks(random, endPercent, now);
+      }
+    }
+  }
+
+  private static TestJob demand(int taskCount) {
+    return new TestJob("a", new Resources(1_000, 64, 0), taskCount);
+  }
+
+  /** Guards against an owner that starts tasks before the former owner is fenced off. */
+  @Example
+  void nothingStartsBeforeTheFence() {
+    Fleet fleet = new Fleet(60_000);
+    Owner owner = fleet.owners.getFirst();
+    run(fleet, 0, 5_000, 0);
+    owner.zone.admit("j", demand(10), 0);
+    run(fleet, 5_000, 10_000, 0);
+    assertThat(owner.zone.state.committedMillicores("a")).isEqualTo(10_000);
+    owner.replace(10_000);
+    owner.zone.admit("k", demand(2), 10_000);
+
+    assertThat(planFirst(owner).millicores()).isZero();
+    assertThat(owner.scheduler.decide(owner.zone.inputs(10_000), TaskSizes.DECLARED, 10_000))
+        .isEmpty();
+    run(fleet, 11_000, 20_000, 0);
+    assertThat(owner.zone.state.committedMillicores("a")).isEqualTo(12_000);
+  }
+
+  private static AllotmentChange planFirst(Owner owner) {
+    return new AllotmentPlanner(owner.name).decide(owner.zone.inputs(10_000), 10_000).getFirst();
+  }
+
+  /** Guards against allotment that stays where no work needs it. */
+  @Example
+  void idleAllotmentGoesBack() {
+    Fleet fleet = new Fleet(60_000);
+    fleet.owners.getFirst().zone.admit("j", demand(50), 0);
+    run(fleet, 0, 5_000, 0);
+    assertThat(fleet.committedSum("a")).isEqualTo(50_000);
+    run(fleet, 5_000, 6_000, 100);
+    run(fleet, 6_000, 6_000 + 3 * AllotmentPlanner.IDLE_MILLIS, 0);
+    assertThat(fleet.heldSum("a")).isZero();
+  }
+
+  /** Guards against a zone that keeps the whole limit while work waits in another one. */
+  @Example
+  void starvingZoneGetsItsPart() {
+    Fleet fleet = new Fleet(60_000);
+    fleet.owners.getFirst().zone.admit("j", demand(9_000), 0);
+    run(fleet, 0, 20_000, 10);
+    assertThat(fleet.owners.getFirst().zone.state.committedMillicores("a"))
+        .isGreaterThanOrEqualTo(50_000);
+    fleet.owners.getLast().zone.admit("j", demand(9_000), 20_000);
+    run(fleet, 20_000, 80_000, 10);
+    assertThat(fleet.truth.allotmentMillicores("a", "z2")).isGreaterThanOrEqualTo(15_000);
+  }
+
+  /** Guards against a lowered limit that running work never comes down to. */
+  @Example
+  void loweredLimitIsDrained() {
+    Fleet fleet = new Fleet(90_000);
+    fleet.owners.forEach(owner -> owner.zone.admit("j", demand(28), 0));
+    run(fleet, 0, 20_000, 0);
+    assertThat(fleet.committedSum("a")).isGreaterThan(75_000);
+    fleet.publish(30_000);
+    run(fleet, 20_000, 150_000, 0);
+    assertThat(fleet.heldSum("a")).isLessThanOrEqualTo(30_000);
+    assertThat(fleet.committedSum("a")).isBetween(20_000L, 30_000L);
+  }
+}
