--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/OwnerInputs.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/OwnerInputs.java
@@ -23,4 +23,16 @@
     long ownBatchAtMillis,
     List<ListedWorker> listedWorkers,
     List<RequestRecord> newRequests,
-    long nextRequestsOffset) {}
+    long nextRequestsOffset) {
+
+  OwnerInputs withListedWorkers(List<ListedWorker> workers) {
+    return new OwnerInputs(
+        zone,
+        config,
+        configConfirmedAtMillis,
+        ownBatchAtMillis,
+        workers,
+        newRequests,
+        nextRequestsOffset);
+  }
+}
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneOwnerLogic.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneOwnerLogic.java
@@ -18,6 +18,7 @@
   private final LeaseKeeper leaseKeeper;
   private final ZoneScheduler scheduler;
   private final AllotmentPlanner allotmentPlanner;
+  private final TaskSizes taskSizes;
   private long epoch;
   private boolean handedOver;
 
@@ -40,8 +41,9 @@
     this.epoch = epoch;
     this.requestAdmitter = new RequestAdmitter(zone);
     this.leaseKeeper = new LeaseKeeper(settings, lifeCycle, epochStartMillis);
-    this.scheduler = new ZoneScheduler(zone);
     this.allotmentPlanner = new AllotmentPlanner(zone);
+    this.scheduler = new ZoneScheduler(zone, allotmentPlanner);
+    this.taskSizes = new MeasuredTaskSizes(leaseKeeper::usageEstimate);
   }
 
   /**
@@ -85,7 +87,7 @@
     KeeperRound round = round(inputs, nowMillis);
     List<ZoneChange> changes = new ArrayList<>(requestAdmitter.decide(inputs, nowMillis));
     changes.addAll(leaseKeeper.changes(round));
-    changes.addAll(scheduler.decide(inputs, leaseKeeper, nowMillis));
+    changes.addAll(scheduler.decide(withReachableWorkers(inputs), taskSizes, nowMillis));
     return new OwnerDecision(
         changes,
         inputs.nextRequestsOffset(),
@@ -93,6 +95,16 @@
         allotmentPlanner.decide(inputs, nowMillis));
   }
 
+  /** Shows workers that do not answer as leaving, so that nothing is placed on them. */
+  private OwnerInputs withReachableWorkers(OwnerInputs inputs) {
+    List<ListedWorker> listed =
+        inputs.listedWorkers().stream()
+            .map(
+                worker -> leaseKeeper.acceptsTasks(worker.workerId()) ? worker : worker.asLeaving())
+            .toList();
+    return inputs.withListedWorkers(listed);
+  }
+
   private KeeperRound round(OwnerInputs inputs, long nowMillis) {
     return new KeeperRound(inputs, inputs.config().isZoneOut(zone), epoch, nowMillis);
   }
--- a/cicadaford-decision/src/test/java/org/cicadaford/decision/fake/FakeOwner.java
+++ b/cicadaford-decision/src/test/java/org/cicadaford/decision/fake/FakeOwner.java
@@ -8,10 +8,13 @@
 import org.cicadaford.decision.HandOver;
 import org.cicadaford.decision.LifeCycleSettings;
 import org.cicadaford.decision.OwnerDecision;
+import org.cicadaford.decision.OwnerDecision.AllotmentChange;
 import org.cicadaford.decision.OwnerInputs;
 import org.cicadaford.decision.WorkerOrder;
 import org.cicadaford.decision.ZoneOwnerLogic;
 import org.cicadaford.decision.ZoneState;
+import org.cicadaford.model.ConfigRecord.AllotmentReleased;
+import org.cicadaford.model.ConfigRecord.AllotmentTaken;
 import org.cicadaford.model.RequestRecord;
 import org.cicadaford.model.WorkerAnswer;
 import org.cicadaford.model.ZoneRecord.OwnerBatch;
@@ -39,6 +42,7 @@
   private long configConfirmedAtMillis;
   private long batchNumber;
   private long batchWrittenAtMillis;
+  private long batchNumberWritten;
   long pausedUntilMillis;
   long cutOffUntilMillis;
 
@@ -158,6 +162,9 @@
     }
     OwnerDecision decision = logic.decide(inputs(), clockMillis());
     outbox.addAll(decision.orders());
+    if (!isCutOff()) {
+      decision.allotmentChanges().forEach(this::appendAllotment);
+    }
     boolean open =
         batchWrittenAtMillis > 0
             && clockMillis() < batchWrittenAtMillis + BATCH_TIMEOUT_MILLIS
@@ -177,7 +184,16 @@
     }
   }
 
-  private long batchNumberWritten;
+  private void appendAllotment(AllotmentChange change) {
+    String recordId = id + "-allotment-" + batchNumber++;
+    long amount = change.millicores();
+    cell.configLog.append(
+        amount >= 0
+            ? new AllotmentTaken(
+                recordId, FakeCell.ZONE, ownEpoch, change.sequence(), change.team(), amount)
+            : new AllotmentReleased(
+                recordId, FakeCell.ZONE, ownEpoch, change.sequence(), change.team(), -amount));
+  }
 
   private void send() {
     int count = 1 + cell.random(8);
