Join the links to peers with the configuration and the zone owner

Cause: a zone that cannot reach the log must hear of withdrawn keys and zones taken out, and a new owner must be told the last leases of the previous one. Ruled out: a view that falls back to the log's older offset after a peer was ahead; records at or before the version in force are skipped instead. Conclusion: news reaches a cut-off zone through peers; a test with real processes is to follow.

--- a/cicadaford-daemon/src/main/java/org/cicadaford/daemon/EntryDaemon.java
+++ b/cicadaford-daemon/src/main/java/org/cicadaford/daemon/EntryDaemon.java
@@ -4,6 +4,7 @@
 import io.micronaut.runtime.server.EmbeddedServer;
 import java.io.PrintStream;
 import java.io.PrintWriter;
+import java.net.InetSocketAddress;
 import java.time.InstantSource;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -16,13 +17,13 @@
 import org.cicadaford.entry.EntrySettings;
 import org.cicadaford.entry.Platform;
 import org.cicadaford.entry.Readiness;
-import org.cicadaford.entry.job.ZoneParts;
 import org.cicadaford.model.Resources;
 import org.cicadaford.platform.Member;
 import org.cicadaford.platform.Member.Role;
 import org.cicadaford.platform.Member.State;
 import org.cicadaford.platform.PlatformClients;
 import org.cicadaford.platform.PlatformSettings;
+import org.cicadaford.wire.PeerException;
 
 /** Runs the entry services behind an HTTP server. */
 public final class EntryDaemon {
@@ -57,7 +58,7 @@
         new EntryServices(
             settings.entry(),
             platform,
-            ZoneParts.none(),
+            new InetSocketAddress(settings.bindAddress(), settings.peerPort()),
             InstantSource.system(),
             RandomGenerator.getDefault());
   }
@@ -73,7 +74,7 @@
     System.exit(exitCode);
   }
 
-  private int run(PrintStream out) throws InterruptedException {
+  private int run(PrintStream out) throws InterruptedException, PeerException {
     Thread hook = new Thread(this::stopAndHalt, "stop");
     Runtime.getRuntime().addShutdownHook(hook);
     start();
@@ -87,8 +88,12 @@
     return DaemonCommand.EXIT_OK;
   }
 
-  /** Starts the HTTP server and then all services. */
-  public void start() {
+  /**
+   * Starts the HTTP server and then all services.
+   *
+   * @throws PeerException if the address for peers cannot be bound
+   */
+  public void start() throws PeerException {
     clients.start();
     context =
         ApplicationContext.builder()
@@ -170,7 +175,7 @@
             entry.zone(),
             settings.bindAddress(),
             server.getPort(),
-            settings.peerPort());
+            services.peers().port());
   }
 
   private void stopAndHalt() {
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/EntryServices.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/EntryServices.java
@@ -1,5 +1,6 @@
 package org.cicadaford.entry;
 
+import java.net.InetSocketAddress;
 import java.time.InstantSource;
 import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
@@ -10,6 +11,7 @@
 import org.cicadaford.entry.job.ZoneParts;
 import org.cicadaford.entry.membership.MembershipPoller;
 import org.cicadaford.entry.metrics.EntryMetrics;
+import org.cicadaford.entry.peer.PeerCoordinator;
 import org.cicadaford.entry.request.RequestLog;
 import org.cicadaford.entry.stream.LogWriter;
 import org.cicadaford.entry.stream.StreamFollower;
@@ -22,6 +24,8 @@
 import org.cicadaford.model.RequestRecord;
 import org.cicadaford.model.ZoneRecord;
 import org.cicadaford.platform.Member;
+import org.cicadaford.wire.PeerException;
+import org.cicadaford.wire.PeerMessage;
 
 /** All services of an entry instance, joined together. */
 public final class EntryServices {
@@ -47,17 +51,22 @@
   private final MembershipPoller membership;
   private final WorkerLink workerLink;
   private final ZoneOwnerService zoneOwner;
+  private final PeerCoordinator peers;
   private final JobService jobs;
   private final StreamFollower<ConfigRecord> configFollower;
   private final StreamFollower<RequestRecord> requestsFollower;
   private final StreamFollower<ZoneRecord> zoneFollower;
   private volatile boolean wasReady;
 
-  /** Creates services that are not started. */
+  /**
+   * Creates services that are not started.
+   *
+   * @param peerAddress address that peers connect to; port 0 lets the system choose
+   */
   public EntryServices(
       EntrySettings settings,
       Platform platform,
-      ZoneParts otherZones,
+      InetSocketAddress peerAddress,
       InstantSource clock,
       RandomGenerator random) {
     this.settings = settings;
@@ -88,7 +97,18 @@
             clock,
             random,
             metrics);
-    JobReporter reporter = new JobReporter(settings.zone(), requests, zoneOwner, otherZones);
+    JobReporter ownJobs = new JobReporter(settings.zone(), requests, zoneOwner, ZoneParts.none());
+    this.peers =
+        new PeerCoordinator(
+            peerAddress,
+            new PeerMessage.Hello(settings.instanceId(), settings.zone()),
+            config,
+            zoneOwner,
+            ownJobs,
+            membership,
+            clock,
+            metrics);
+    JobReporter reporter = new JobReporter(settings.zone(), requests, zoneOwner, peers);
     this.jobs = new JobService(config, requests, membership, reporter);
     this.configFollower =
         follower(ConfigHolder.STREAM, ConfigRecord.class, config, settings.pollMillis());
@@ -108,12 +128,17 @@
         stream, type, platform.log(), listener, pollMillis, clock, random, metrics);
   }
 
-  /** Starts all threads; the platform is told of this instance as {@code self}. */
-  public void start(Member self) {
+  /**
+   * Starts all threads; the platform is told of this instance as {@code self} with its peer port.
+   *
+   * @throws PeerException if the address for peers cannot be bound
+   */
+  public void start(Member self) throws PeerException {
+    peers.start();
     requestWriter.start();
     ownerWriter.start();
     workerLink.start();
-    membership.start(self);
+    membership.start(self.withPeerPort(peers.port()));
     zoneOwner.start();
     configFollower.start();
     requestsFollower.start();
@@ -132,6 +157,7 @@
       LOG.warn("{} requests did not finish in time", gate.inProgressCount());
     }
     zoneOwner.stop();
+    peers.stop();
     membership.announceLeaving();
     zoneFollower.stop();
     requestsFollower.stop();
@@ -202,6 +228,11 @@
     return membership;
   }
 
+  /** Returns the links to peers. */
+  public PeerCoordinator peers() {
+    return peers;
+  }
+
   /** Returns the zone owner. */
   public ZoneOwnerService zoneOwner() {
     return zoneOwner;
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/config/ConfigHolder.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/config/ConfigHolder.java
@@ -1,5 +1,7 @@
 package org.cicadaford.entry.config;
 
+import java.util.List;
+import java.util.Optional;
 import java.util.UUID;
 import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
@@ -12,11 +14,15 @@
 import org.cicadaford.entry.stream.StreamPosition;
 import org.cicadaford.model.ConfigRecord;
 import org.cicadaford.model.ConfigRecord.ConfigSnapshot;
+import org.cicadaford.model.MalformedRecordException;
+import org.cicadaford.model.RecordCodec;
+import org.cicadaford.wire.PeerMessage.ConfigRecordsAnswer;
 
 /**
  * Applies the records of the {@code config} stream and publishes immutable views of the result.
  *
- * <p>Records are taken in on the follower's thread; {@link #view()} may be called from any thread.
+ * <p>Records come from the follower's thread and, while the log is out of reach, from peers. All
+ * methods may be called from any thread.
  */
 public final class ConfigHolder implements StreamListener<ConfigRecord> {
 
@@ -29,6 +35,7 @@
   private final RandomGenerator random;
   private final EntryMetrics metrics;
   private final long snapshotIntervalMillis;
+  private final RecentRecords recentRecords = new RecentRecords();
   private ConfigState state = new ConfigState();
   private boolean changed;
   private long snapshotDueAtMillis;
@@ -54,9 +61,17 @@
   }
 
   @Override
-  public void onRecord(long offset, ConfigRecord record, long readAtMillis) {
+  public synchronized void onRecord(long offset, ConfigRecord record, long readAtMillis) {
+    if (offset <= state.version()) {
+      return;
+    }
+    apply(offset, record, readAtMillis);
+  }
+
+  private void apply(long offset, ConfigRecord record, long readAtMillis) {
     Verdict verdict = state.apply(offset, record);
     changed = true;
+    recentRecords.add(offset, record);
     if (verdict instanceof Verdict.Rejected rejected) {
       metrics.fault("config-record-rejected");
       LOG.debug("config record {} at {} rejected: {}", record, offset, rejected.reason());
@@ -66,28 +81,84 @@
   }
 
   @Override
-  public void onPage(StreamPosition position) {
+  public synchronized void onPage(StreamPosition position) {
     boolean usable = state.isComplete() || position.nextOffset() == 0;
     if (!usable || state.version() < view.version()) {
       return;
     }
     ConfigState published = changed ? state.copy() : view.state();
     changed = false;
-    long confirmedAtMillis =
-        position.atEnd() ? position.requestedAtMillis() : view.confirmedAtMillis();
-    view = new ConfigView(published, confirmedAtMillis);
+    long readAtMillis = position.atEnd() ? position.requestedAtMillis() : 0;
+    view = new ConfigView(published, Math.max(readAtMillis, view.confirmedAtMillis()));
     if (position.atEnd()) {
       writeSnapshotIfDue(position.requestedAtMillis());
     }
   }
 
   @Override
-  public void onGap(long earliestOffset) {
+  public synchronized void onGap(long earliestOffset) {
     // The state is rebuilt from the next snapshot; the last view stays in force until then.
     state = new ConfigState();
+    recentRecords.clear();
     changed = true;
   }
 
+  /** Returns records from {@code fromOffset} on for a peer, or a snapshot if they are not kept. */
+  public synchronized ConfigRecordsAnswer recordsFrom(long fromOffset) {
+    boolean usable = state.isComplete() && state.version() == view.version();
+    long confirmedAtMillis = usable ? view.confirmedAtMillis() : 0;
+    Optional<List<byte[]>> records = recentRecords.from(fromOffset, state.version());
+    if (records.isPresent()) {
+      return new ConfigRecordsAnswer(new byte[0], fromOffset, records.get(), confirmedAtMillis);
+    }
+    ConfigState known = view.state();
+    byte[] snapshot = known.isComplete() ? RecordCodec.encode(known.snapshot("peer")) : new byte[0];
+    return new ConfigRecordsAnswer(snapshot, fromOffset, List.of(), confirmedAtMillis);
+  }
+
+  /**
+   * Takes in what a peer has read of the log.
+   *
+   * @throws MalformedRecordException if the answer holds something else than configuration records
+   */
+  public synchronized void offer(ConfigRecordsAnswer answer, long nowMillis)
+      throws MalformedRecordException {
+    if (answer.snapshot().length > 0) {
+      ConfigSnapshot snapshot = RecordCodec.decode(answer.snapshot(), ConfigSnapshot.class);
+      if (state.loadFromPeer(snapshot)) {
+        recentRecords.clear();
+        changed = true;
+      }
+    }
+    long offset = answer.firstOffset();
+    for (byte[] content : answer.records()) {
+      boolean follows = offset == state.version() + 1 && (offset == 0 || state.isComplete());
+      if (follows) {
+        apply(offset, RecordCodec.decode(content, ConfigRecord.class), nowMillis);
+      }
+      offset++;
+    }
+    publish(view.confirmedAtMillis());
+  }
+
+  /**
+   * Takes in that the log had nothing newer than {@code version} at {@code confirmedAtMillis}, as a
+   * peer has seen. This counts only if the peer's version is in force here.
+   */
+  public synchronized void confirm(long version, long confirmedAtMillis) {
+    if (view.version() >= version && confirmedAtMillis > view.confirmedAtMillis()) {
+      view = new ConfigView(view.state(), confirmedAtMillis);
+    }
+  }
+
+  private void publish(long confirmedAtMillis) {
+    boolean usable = state.isComplete() && state.version() >= view.version();
+    if (changed && usable) {
+      changed = false;
+      view = new ConfigView(state.copy(), confirmedAtMillis);
+    }
+  }
+
   private void writeSnapshotIfDue(long nowMillis) {
     if (!state.isComplete()) {
       return;
--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/config/RecentRecords.java
@@ -0,0 +1,66 @@
+package org.cicadaford.entry.config;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import org.cicadaford.model.ConfigRecord;
+import org.cicadaford.model.RecordCodec;
+
+/** The last configuration records, kept for peers that are behind. */
+final class RecentRecords {
+
+  /** Records kept; half a day of changes at the size to design for, of about 200 bytes each. */
+  private static final int MAX_COUNT = 1_200;
+
+  /** Records in one answer, which keeps it below the largest frame. */
+  private static final int MAX_ANSWER_COUNT = 200;
+
+  private static final int MAX_ANSWER_BYTES = 512 * 1024;
+
+  private final Deque<ConfigRecord> records = new ArrayDeque<>();
+  private long nextOffset;
+
+  /** Adds the record at {@code offset}; a gap before it drops all earlier ones. */
+  void add(long offset, ConfigRecord record) {
+    if (offset != nextOffset) {
+      records.clear();
+    }
+    nextOffset = offset + 1;
+    records.add(record);
+    if (records.size() > MAX_COUNT) {
+      records.remove();
+    }
+  }
+
+  void clear() {
+    records.clear();
+  }
+
+  /** Returns records from {@code fromOffset} on, or nothing if not all of them are kept. */
+  Optional<List<byte[]>> from(long fromOffset, long version) {
+    long firstOffset = nextOffset - records.size();
+    if (fromOffset > version) {
+      return Optional.of(List.of());
+    }
+    if (records.isEmpty() || fromOffset < firstOffset) {
+      return Optional.empty();
+    }
+    return Optional.of(encode(fromOffset - firstOffset));
+  }
+
+  private List<byte[]> encode(long skipCount) {
+    List<byte[]> contents = new ArrayList<>();
+    long bytes = 0;
+    for (ConfigRecord record : records.stream().skip(skipCount).limit(MAX_ANSWER_COUNT).toList()) {
+      byte[] content = RecordCodec.encode(record);
+      bytes += content.length;
+      if (bytes > MAX_ANSWER_BYTES && !contents.isEmpty()) {
+        break;
+      }
+      contents.add(content);
+    }
+    return contents;
+  }
+}
--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/peer/PeerCoordinator.java
@@ -0,0 +1,206 @@
+package org.cicadaford.entry.peer;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cicadaford.decision.OwnerSettings;
+import org.cicadaford.entry.config.ConfigHolder;
+import org.cicadaford.entry.config.ConfigView;
+import org.cicadaford.entry.job.JobReport.ZonePart;
+import org.cicadaford.entry.job.JobReporter;
+import org.cicadaford.entry.job.ZoneParts;
+import org.cicadaford.entry.membership.MembershipPoller;
+import org.cicadaford.entry.metrics.EntryMetrics;
+import org.cicadaford.entry.zone.ZoneOwnerService;
+import org.cicadaford.entry.zone.ZoneSummary;
+import org.cicadaford.model.MalformedRecordException;
+import org.cicadaford.model.RecordCodec;
+import org.cicadaford.wire.PeerException;
+import org.cicadaford.wire.PeerMessage;
+import org.cicadaford.wire.PeerMessage.ConfigRecordsAnswer;
+import org.cicadaford.wire.PeerMessage.HandOver;
+import org.cicadaford.wire.PeerMessage.Heartbeat;
+import org.cicadaford.wire.PeerSettings;
+
+/**
+ * Joins the links to peers with the configuration, the zone owner and the jobs of this instance.
+ */
+public final class PeerCoordinator implements PeerKnowledge, ZoneParts {
+
+  private static final Logger LOG = LogManager.getLogger(PeerCoordinator.class);
+  private static final long TICK_MILLIS = 500;
+  private static final long HAND_OVER_WAIT_MILLIS = 1_500;
+
+  private final PeerMessage.Hello self;
+  private final ConfigHolder config;
+  private final ZoneOwnerService zoneOwner;
+  private final JobReporter ownJobs;
+  private final MembershipPoller membership;
+  private final InstantSource clock;
+  private final EntryMetrics metrics;
+  private final EventLoopGroup eventLoops =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final PeerService peers;
+  private org.cicadaford.decision.HandOver sentHandOver;
+
+  /**
+   * Creates a coordinator that is not started.
+   *
+   * @param ownJobs reports the jobs of this zone alone
+   */
+  public PeerCoordinator(
+      InetSocketAddress bindAddress,
+      PeerMessage.Hello self,
+      ConfigHolder config,
+      ZoneOwnerService zoneOwner,
+      JobReporter ownJobs,
+      MembershipPoller membership,
+      InstantSource clock,
+      EntryMetrics metrics) {
+    this.self = self;
+    this.config = config;
+    this.zoneOwner = zoneOwner;
+    this.ownJobs = ownJobs;
+    this.membership = membership;
+    this.clock = clock;
+    this.metrics = metrics;
+    this.peers =
+        new PeerService(
+            bindAddress,
+            PeerSettings.DEFAULT,
+            self,
+            OwnerSettings.DEFAULT.clockDriftMillis(),
+            this,
+            new PeerDirectory(),
+            eventLoops,
+            clock::millis);
+  }
+
+  /**
+   * Starts to accept and to open links.
+   *
+   * @throws PeerException if the address cannot be bound
+   */
+  public void start() throws PeerException {
+    peers.start();
+    eventLoops
+        .next()
+        .scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Tells peers the last leases, if this instance owned the zone, and closes all links. */
+  public void stop() throws InterruptedException {
+    CompletableFuture<Void> told = sendNewHandOver();
+    try {
+      told.get(HAND_OVER_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+    } catch (ExecutionException | TimeoutException e) {
+      // The next owner then waits for the outage grace before it gives up a worker it cannot reach.
+      metrics.fault("hand-over-not-told");
+    }
+    peers.stop();
+    eventLoops.shutdownGracefully(0, HAND_OVER_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Returns the port that peers connect to. */
+  public int port() {
+    return peers.port();
+  }
+
+  private void tick() {
+    peers.updatePeers(membership.current().members());
+    sendNewHandOver();
+  }
+
+  private synchronized CompletableFuture<Void> sendNewHandOver() {
+    Optional<org.cicadaford.decision.HandOver> last = zoneOwner.lastHandOver();
+    if (last.isEmpty() || last.get().equals(sentHandOver)) {
+      return CompletableFuture.completedFuture(null);
+    }
+    sentHandOver = last.get();
+    return peers.sendHandOver(
+        new HandOver(self.zone(), sentHandOver.epoch(), sentHandOver.leaseUntilMillisByWorker()));
+  }
+
+  @Override
+  public Heartbeat heartbeat() {
+    ZoneSummary zone = zoneOwner.summary();
+    ConfigView view = config.view();
+    return new Heartbeat(
+        self.instanceId(),
+        self.zone(),
+        zone.epoch(),
+        zone.owner(),
+        view.version(),
+        view.confirmedAtMillis());
+  }
+
+  @Override
+  public void hear(Heartbeat heartbeat) {
+    if (heartbeat.ownsZone() && heartbeat.zone().equals(self.zone())) {
+      zoneOwner.onPeerHeartbeat(heartbeat.zoneEpoch());
+    }
+  }
+
+  @Override
+  public ConfigRecordsAnswer configRecords(long fromOffset) {
+    return config.recordsFrom(fromOffset);
+  }
+
+  @Override
+  public void offerConfig(ConfigRecordsAnswer records) {
+    try {
+      config.offer(records, clock.millis());
+    } catch (MalformedRecordException e) {
+      metrics.fault("malformed-peer-record");
+      LOG.debug("a peer sent a malformed configuration: {}", e.getMessage());
+    }
+  }
+
+  @Override
+  public void confirmConfig(long version, long confirmedAtMillis) {
+    config.confirm(version, confirmedAtMillis);
+  }
+
+  @Override
+  public void takeHandOver(HandOver handOver) {
+    if (handOver.zone().equals(self.zone())) {
+      zoneOwner.onPeerHandOver(
+          new org.cicadaford.decision.HandOver(
+              handOver.epoch(), handOver.leaseUntilMillisByWorker()));
+    }
+  }
+
+  @Override
+  public CompletableFuture<byte[]> jobStatus(String jobId) {
+    return ownJobs
+        .findOwnPart(jobId)
+        .thenApply(part -> part.map(RecordCodec::encode).orElseGet(() -> new byte[0]));
+  }
+
+  @Override
+  public CompletableFuture<Optional<ZonePart>> find(String zone, String jobId) {
+    return peers
+        .jobStatus(zone, jobId)
+        .thenApply(PeerCoordinator::decode)
+        .exceptionally(failure -> Optional.empty());
+  }
+
+  private static Optional<ZonePart> decode(byte[] content) {
+    try {
+      return content.length == 0
+          ? Optional.empty()
+          : Optional.of(RecordCodec.decode(content, ZonePart.class));
+    } catch (MalformedRecordException e) {
+      return Optional.empty();
+    }
+  }
+}
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/peer/PeerKnowledge.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/peer/PeerKnowledge.java
@@ -1,5 +1,6 @@
 package org.cicadaford.entry.peer;
 
+import java.util.concurrent.CompletableFuture;
 import org.cicadaford.wire.PeerMessage.ConfigRecordsAnswer;
 import org.cicadaford.wire.PeerMessage.HandOver;
 import org.cicadaford.wire.PeerMessage.Heartbeat;
@@ -12,6 +13,9 @@
   /** Returns what this daemon states in its heartbeats. */
   Heartbeat heartbeat();
 
+  /** Takes in what a peer states in its heartbeat. */
+  void hear(Heartbeat heartbeat);
+
   /** Returns configuration records from {@code fromOffset} on, or a snapshot if they are gone. */
   ConfigRecordsAnswer configRecords(long fromOffset);
 
@@ -28,5 +32,5 @@
   void takeHandOver(HandOver handOver);
 
   /** Returns the state of a job in this zone as MessagePack; empty if the zone does not know it. */
-  byte[] jobStatus(String jobId);
+  CompletableFuture<byte[]> jobStatus(String jobId);
 }
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/peer/PeerService.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/peer/PeerService.java
@@ -130,6 +130,7 @@
 
   private void heard(String instanceId, Heartbeat heartbeat) {
     directory.heard(heartbeat, clockMillis.getAsLong());
+    knowledge.hear(heartbeat);
     long ownVersion = knowledge.heartbeat().configVersion();
     if (heartbeat.configVersion() > ownVersion) {
       ask(instanceId, new ConfigRecordsRequest(ownVersion + 1)).thenAccept(this::takeConfig);
@@ -148,26 +149,35 @@
     knowledge.confirmConfig(version, confirmedAtMillis - clockDriftMillis);
   }
 
-  private PeerMessage answer(PeerMessage message) {
+  private CompletableFuture<PeerMessage> answer(PeerMessage message) {
     return switch (message) {
+      case JobStatusRequest request ->
+          knowledge
+              .jobStatus(request.jobId())
+              .thenApply(content -> new JobStatusAnswer(request.jobId(), content));
       case Heartbeat heartbeat -> {
         directory.heard(heartbeat, clockMillis.getAsLong());
-        yield knowledge.heartbeat();
+        knowledge.hear(heartbeat);
+        yield CompletableFuture.completedFuture(knowledge.heartbeat());
       }
-      case ConfigRecordsRequest request -> knowledge.configRecords(request.fromOffset());
+      case ConfigRecordsRequest request ->
+          CompletableFuture.completedFuture(knowledge.configRecords(request.fromOffset()));
       case HandOver handOver -> {
         knowledge.takeHandOver(handOver);
-        yield knowledge.heartbeat();
+        yield CompletableFuture.completedFuture(knowledge.heartbeat());
       }
-      case JobStatusRequest request ->
-          new JobStatusAnswer(request.jobId(), knowledge.jobStatus(request.jobId()));
-      case PeerMessage.Hello hello -> self;
-      case ConfigRecordsAnswer unexpected -> new Refusal("send a request");
-      case JobStatusAnswer unexpected -> new Refusal("send a request");
-      case Refusal unexpected -> new Refusal("send a request");
+      case PeerMessage.Hello hello -> CompletableFuture.completedFuture(self);
+      case ConfigRecordsAnswer unexpected -> refusal();
+      case JobStatusAnswer unexpected -> refusal();
+      case Refusal unexpected -> refusal();
     };
   }
 
+  private static CompletableFuture<PeerMessage> refusal() {
+    return CompletableFuture.completedFuture(
+        new Refusal("answers are not requests; send a request"));
+  }
+
   /** Tells all linked peers of the own zone the last leases that this daemon granted. */
   public synchronized CompletableFuture<Void> sendHandOver(HandOver handOver) {
     CompletableFuture<?>[] answers =
--- a/cicadaford-entry/src/test/java/org/cicadaford/entry/EntryServicesTest.java
+++ b/cicadaford-entry/src/test/java/org/cicadaford/entry/EntryServicesTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -16,7 +18,6 @@
 import org.cicadaford.entry.job.JobReceipt;
 import org.cicadaford.entry.job.JobReport;
 import org.cicadaford.entry.job.JobRequest;
-import org.cicadaford.entry.job.ZoneParts;
 import org.cicadaford.entry.support.Await;
 import org.cicadaford.entry.support.FakeCell;
 import org.cicadaford.entry.support.FakeLog;
@@ -27,11 +28,13 @@
 import org.cicadaford.model.ZoneRecord.OwnerBatch;
 import org.cicadaford.platform.Member.Role;
 import org.cicadaford.platform.Member.State;
+import org.cicadaford.wire.PeerException;
 
 /** Guards against tasks that run twice or never while instances race, stop and lose the log. */
 class EntryServicesTest {
 
-  private static final ZoneParts NO_OTHER_ZONE = ZoneParts.none();
+  private static final InetSocketAddress ANY_PORT =
+      new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
 
   private final FakeLog log = new FakeLog();
   private final FakeCell cell = new FakeCell();
@@ -131,10 +134,14 @@
         new EntryServices(
             Samples.settings(instanceId),
             cell.platform(log),
-            NO_OTHER_ZONE,
+            ANY_PORT,
             InstantSource.system(),
             RandomGenerator.getDefault());
-    services.start(FakeCell.member(instanceId, Role.ENTRY, "a", Resources.NONE));
+    try {
+      services.start(FakeCell.member(instanceId, Role.ENTRY, "a", Resources.NONE));
+    } catch (PeerException e) {
+      throw new AssertionError(e);
+    }
     started.add(services);
     Await.until(() -> services.readiness().ready());
     return services;
--- a/cicadaford-entry/src/test/java/org/cicadaford/entry/config/ConfigHolderTest.java
+++ b/cicadaford-entry/src/test/java/org/cicadaford/entry/config/ConfigHolderTest.java
@@ -27,8 +27,11 @@
   private final FakeLog log = new FakeLog();
   private final EntryMetrics metrics = new EntryMetrics();
   private final LogWriter writer = new LogWriter("test", log, 8, InstantSource.system(), metrics);
-  private final ConfigHolder holder =
-      new ConfigHolder(writer, RETENTION_MILLIS, RandomGenerator.of("L64X128MixRandom"), metrics);
+  private final ConfigHolder holder = new ConfigHolder(writer, RETENTION_MILLIS, random(), metrics);
+
+  private static RandomGenerator random() {
+    return RandomGenerator.of("L64X128MixRandom");
+  }
 
   @BeforeTry
   void start() {
@@ -104,6 +107,19 @@
             });
   }
 
+  @Example
+  void confirmationOfAVersionThatIsNotInForceDoesNotCount() {
+    Samples.publish(log);
+    feed(0, 1_000);
+    holder.onPage(new StreamPosition(3, true, 1_000));
+
+    holder.confirm(3, 5_000);
+    assertThat(holder.view().confirmedAtMillis()).isEqualTo(1_000);
+
+    holder.confirm(2, 5_000);
+    assertThat(holder.view().confirmedAtMillis()).isEqualTo(5_000);
+  }
+
   private void feed(long fromOffset, long readAtMillis) {
     List<ConfigRecord> records = log.records("config", ConfigRecord.class);
     for (long offset = fromOffset; offset < records.size(); offset++) {
--- a/cicadaford-entry/src/test/java/org/cicadaford/entry/peer/PeerServiceTest.java
+++ b/cicadaford-entry/src/test/java/org/cicadaford/entry/peer/PeerServiceTest.java
@@ -3,11 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
@@ -24,10 +26,10 @@
 import org.cicadaford.wire.PeerSettings;
 
 /** Guards against a zone that is cut off from the log and learns nothing through its peers. */
-@SuppressWarnings("deprecation")
 class PeerServiceTest {
 
-  private static final EventLoopGroup EVENT_LOOPS = new NioEventLoopGroup(2);
+  private static final EventLoopGroup EVENT_LOOPS =
+      new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
   private static final PeerSettings SETTINGS = new PeerSettings(4_096, 20, 400, 1_000, 8);
   private static final long DRIFT_MILLIS = 500;
   private static final long LOG_CONFIRMED_AT_MILLIS = 9_000;
@@ -154,8 +156,11 @@
     }
 
     @Override
-    public byte[] jobStatus(String jobId) {
-      return new byte[0];
+    public CompletableFuture<byte[]> jobStatus(String jobId) {
+      return CompletableFuture.completedFuture(new byte[0]);
     }
+
+    @Override
+    public void hear(Heartbeat heartbeat) {}
   }
 }
--- a/cicadaford-platform/src/main/java/org/cicadaford/platform/Member.java
+++ b/cicadaford-platform/src/main/java/org/cicadaford/platform/Member.java
@@ -28,6 +28,12 @@
     Resources capacity,
     State state) {
 
+  /** Returns this instance with another port for peers. */
+  public Member withPeerPort(int newPeerPort) {
+    return new Member(
+        instanceId, role, zone, rack, host, port, newPeerPort, service, capacity, state);
+  }
+
   /** What an instance does. */
   public enum Role {
     /** Runs an entry daemon. */
--- a/cicadaford-wire/src/main/java/org/cicadaford/wire/PeerHandler.java
+++ b/cicadaford-wire/src/main/java/org/cicadaford/wire/PeerHandler.java
@@ -1,5 +1,7 @@
 package org.cicadaford.wire;
 
+import java.util.concurrent.CompletableFuture;
+
 /** Answers the messages of peers. Called on a network thread, so it must not block. */
 @FunctionalInterface
 public interface PeerHandler {
@@ -9,5 +11,5 @@
    *
    * @param peer who sent it
    */
-  PeerMessage answer(PeerMessage.Hello peer, PeerMessage message);
+  CompletableFuture<PeerMessage> answer(PeerMessage.Hello peer, PeerMessage message);
 }
--- a/cicadaford-wire/src/main/java/org/cicadaford/wire/PeerServer.java
+++ b/cicadaford-wire/src/main/java/org/cicadaford/wire/PeerServer.java
@@ -14,6 +14,7 @@
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.logging.log4j.LogManager;
@@ -108,21 +109,26 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, PeerFrame frame) {
-      PeerMessage answer = answer(frame.message());
-      context.writeAndFlush(new PeerFrame(PeerFrame.VERSION, frame.messageId(), true, answer));
+      answer(frame.message())
+          .exceptionally(failure -> new PeerMessage.Refusal(String.valueOf(failure.getMessage())))
+          .thenAccept(answer -> send(context, frame.messageId(), answer));
     }
 
-    private PeerMessage answer(PeerMessage message) {
+    private CompletableFuture<PeerMessage> answer(PeerMessage message) {
       if (message instanceof PeerMessage.Hello hello) {
         peer = hello;
-        return self;
+        return CompletableFuture.completedFuture(self);
       }
       if (peer == null) {
-        return new PeerMessage.Refusal("send a hello first");
+        return CompletableFuture.completedFuture(new PeerMessage.Refusal("send a hello first"));
       }
       return handler.answer(peer, message);
     }
 
+    private static void send(ChannelHandlerContext context, long messageId, PeerMessage answer) {
+      context.writeAndFlush(new PeerFrame(PeerFrame.VERSION, messageId, true, answer));
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
       rejectedFrames.incrementAndGet();
--- a/cicadaford-wire/src/test/java/org/cicadaford/wire/PeerLinkTest.java
+++ b/cicadaford-wire/src/test/java/org/cicadaford/wire/PeerLinkTest.java
@@ -3,7 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -20,10 +21,10 @@
 import net.jqwik.api.lifecycle.AfterContainer;
 
 /** Guards against connections that go silent for good, and against answers to other requests. */
-@SuppressWarnings("deprecation")
 class PeerLinkTest {
 
-  private static final EventLoopGroup EVENT_LOOPS = new NioEventLoopGroup(2);
+  private static final EventLoopGroup EVENT_LOOPS =
+      new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
   private static final PeerSettings SETTINGS = new PeerSettings(4_096, 20, 400, 1_000, 8);
   private static final PeerMessage.Heartbeat HEARTBEAT =
       new PeerMessage.Heartbeat("client", "zone", 1, false, 2, 3);
@@ -81,7 +82,7 @@
         new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
         SETTINGS,
         new PeerMessage.Hello("server", "zone"),
-        (peer, message) -> message,
+        (peer, message) -> CompletableFuture.completedFuture(message),
         EVENT_LOOPS);
   }
 
--- a/cicadaford-wire/src/test/java/org/cicadaford/wire/PeerServerTest.java
+++ b/cicadaford-wire/src/test/java/org/cicadaford/wire/PeerServerTest.java
@@ -3,13 +3,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.util.concurrent.CompletableFuture;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterContainer;
 import net.jqwik.api.lifecycle.AfterTry;
@@ -17,10 +19,10 @@
 import org.cicadaford.model.RecordCodec;
 
 /** Guards against frames that cost the daemon its memory or its other connections. */
-@SuppressWarnings("deprecation")
 class PeerServerTest {
 
-  private static final EventLoopGroup EVENT_LOOPS = new NioEventLoopGroup(1);
+  private static final EventLoopGroup EVENT_LOOPS =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private static final int TEST_MAX_FRAME_BYTES = 4_096;
   private static final int READ_TIMEOUT_MILLIS = 30_000;
 
@@ -33,7 +35,7 @@
             new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
             new PeerSettings(TEST_MAX_FRAME_BYTES, 50, 60_000, 1_000, 8),
             new PeerMessage.Hello("server", "zone"),
-            (peer, message) -> message,
+            (peer, message) -> CompletableFuture.completedFuture(message),
             EVENT_LOOPS);
     server.start();
   }
