--- /dev/null
+++ b/cicadaford-daemon/src/test/java/org/cicadaford/daemon/EntryDaemonTest.java
@@ -0,0 +1,358 @@
+package org.cicadaford.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import net.jqwik.api.lifecycle.BeforeTry;
+import org.cicadaford.entry.RequestIdIssuer;
+import org.cicadaford.entry.job.TeamKeys;
+import org.cicadaford.model.ConfigRecord.ConfigPublished;
+import org.cicadaford.model.ConfigRecord.KeyGranted;
+import org.cicadaford.model.JobDescription;
+import org.cicadaford.model.JobKind;
+import org.cicadaford.model.QueuePolicy;
+import org.cicadaford.model.RecordCodec;
+import org.cicadaford.model.Resources;
+import org.cicadaford.model.TeamPolicy;
+import org.cicadaford.model.Urgency;
+import org.cicadaford.platform.PlatformClients;
+import org.cicadaford.platform.PlatformSettings;
+import org.cicadaford.standin.Faults;
+import org.cicadaford.standin.LogStandin;
+import org.cicadaford.standin.WorkerStandin;
+
+/** Guards the whole path from an HTTP request to a task on a worker, and each bad request. */
+class EntryDaemonTest {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final String KEY = "key-of-counters";
+  private static final String OTHER_KEY = "key-of-panels";
+  private static final int MAX_BODY_BYTES = 8_192;
+
+  private final HttpClient http = HttpClient.newHttpClient();
+  private final LogStandin log = new LogStandin(LogStandin.Settings.DEFAULT);
+  private final Map<org.cicadaford.model.TaskId, Long> checkpoints = new ConcurrentHashMap<>();
+  private final WorkerStandin worker =
+      new WorkerStandin(
+          new WorkerStandin.Settings(
+              "worker-1", "a", "rack", new Resources(8_000, 8_192, 0), 0, 80, 10),
+          checkpoints,
+          System::currentTimeMillis);
+  private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+  private final List<EntryDaemon> daemons = new ArrayList<>();
+  private PlatformClients clients;
+
+  @BeforeTry
+  void startPlatform() throws Exception {
+    log.start();
+    worker.start();
+    clients = new PlatformClients(PlatformSettings.forLog("127.0.0.1", log.port()));
+    clients.start();
+    timer.scheduleAtFixedRate(worker::advance, 5, 5, TimeUnit.MILLISECONDS);
+    timer.scheduleAtFixedRate(this::announceWorker, 0, 500, TimeUnit.MILLISECONDS);
+    publish();
+  }
+
+  @AfterTry
+  void stopAll() throws Exception {
+    for (EntryDaemon daemon : daemons) {
+      daemon.stop();
+    }
+    timer.shutdownNow();
+    clients.stop();
+    worker.stop();
+    log.stop();
+  }
+
+  @Example
+  void submittedJobRunsAndItsAnswerIsTold() throws Exception {
+    EntryDaemon daemon = startReady();
+    String requestId = RequestIdIssuer.generate();
+
+    HttpResponse<String> accepted = submit(daemon, "{\"description\":\"prize-list\"}", requestId);
+    assertThat(accepted.statusCode()).isEqualTo(202);
+    assertThat(accepted.headers().firstValue("Cicadaford-Request-Id")).contains(requestId);
+    String job = JSON.readTree(accepted.body()).get("jobId").textValue();
+    await(() -> "completed".equals(report(daemon, job).path("state").asText()));
+
+    JsonNode task = report(daemon, job).at("/zones/0/tasks/0");
+    assertThat(task.path("workerId").asText()).isEqualTo("worker-1");
+    assertThat(task.path("answer").asText()).isEqualTo("written");
+    assertThat(submit(daemon, "{\"description\":\"prize-list\"}", requestId).body())
+        .isEqualTo(accepted.body());
+  }
+
+  @Example
+  void cancelledServiceStops() throws Exception {
+    EntryDaemon daemon = startReady();
+    HttpResponse<String> accepted =
+        submit(daemon, "{\"description\":\"counter\"}", RequestIdIssuer.generate());
+    String path = "/v1/jobs/" + JSON.readTree(accepted.body()).get("jobId").textValue();
+
+    assertProblem(send(daemon, "DELETE", path, null, Map.of()), 401, "key-missing");
+    assertProblem(send(daemon, "DELETE", path, null, key(OTHER_KEY)), 403, "wrong-team");
+    assertThat(send(daemon, "DELETE", path, null, key(KEY)).statusCode()).isEqualTo(202);
+
+    String job = path.substring("/v1/jobs/".length());
+    await(() -> "cancelled".equals(report(daemon, job).path("state").asText()));
+  }
+
+  @Example
+  void eachBadRequestIsRefusedWithItsKind() throws Exception {
+    EntryDaemon daemon = startReady();
+    String good = "{\"description\":\"prize-list\"}";
+    String jobs = "/v1/jobs";
+
+    assertProblem(send(daemon, "POST", jobs, "{", key(KEY)), 400, "malformed-request");
+    assertProblem(send(daemon, "POST", jobs, "", key(KEY)), 400, "malformed-request");
+    assertProblem(send(daemon, "POST", jobs, "[]", key(KEY)), 400, "malformed-request");
+    assertProblem(
+        send(daemon, "POST", jobs, "{\"nmae\":\"x\"}", key(KEY)), 400, "malformed-request");
+    assertProblem(
+        send(daemon, "POST", jobs, "{\"name\":\"x\"}", key(KEY)), 400, "malformed-request");
+    assertProblem(
+        send(daemon, "POST", jobs, "{\"description\":\"none\"}", key(KEY)),
+        404,
+        "unknown-description");
+    assertProblem(send(daemon, "POST", jobs, good, Map.of()), 401, "key-missing");
+    assertProblem(send(daemon, "POST", jobs, good, key("guess")), 401, "unknown-key");
+    assertProblem(send(daemon, "POST", jobs, good, key(OTHER_KEY)), 403, "wrong-team");
+    assertProblem(
+        send(daemon, "POST", jobs, good, with(key(KEY), "Cicadaford-Request-Id", "1")),
+        400,
+        "malformed-request");
+    assertProblem(
+        send(daemon, "POST", jobs, good, with(key(KEY), "Cicadaford-Deadline-Millis", "soon")),
+        400,
+        "malformed-request");
+    assertProblem(
+        send(
+            daemon,
+            "POST",
+            jobs,
+            good,
+            with(key(KEY), "Cicadaford-Request-Id", "018f0000-0000-7000-8000-000000000000")),
+        409,
+        "request-id-expired");
+    assertProblem(
+        send(daemon, "POST", jobs, "x".repeat(MAX_BODY_BYTES + 1), key(KEY)),
+        413,
+        "body-too-large");
+    assertProblem(send(daemon, "GET", "/v1/jobs/none", null, key(KEY)), 404, "unknown-job");
+    assertProblem(send(daemon, "GET", "/v2", null, Map.of()), 404, "unknown-route");
+    assertProblem(send(daemon, "PUT", jobs, good, key(KEY)), 405, "wrong-method");
+    assertThat(send(daemon, "GET", "/metrics", null, Map.of()).body())
+        .contains("cicadaford_refusals_total{kind=\"wrong-team\"}")
+        .contains("cicadaford_refusals_total{kind=\"body-too-large\"}");
+  }
+
+  @Example
+  void daemonWaitsForTheLogAndSaysSo() throws Exception {
+    log.setFaults(down());
+    EntryDaemon daemon = start();
+
+    HttpResponse<String> readiness = send(daemon, "GET", "/health/readiness", null, Map.of());
+    assertThat(readiness.statusCode()).isEqualTo(503);
+    assertThat(readiness.body()).contains("check that the log can be reached");
+    assertThat(send(daemon, "GET", "/health/liveness", null, Map.of()).statusCode()).isEqualTo(200);
+
+    log.setFaults(Faults.NONE);
+    await(() -> daemon.services().readiness().ready());
+  }
+
+  @Example
+  void stopCutsOffNoRequest() throws Exception {
+    EntryDaemon daemon = startReady();
+    HttpRequest slow =
+        request(daemon, "POST", "/v1/jobs", "{\"description\":\"prize-list\"}", key(KEY)).build();
+    log.setFaults(slow(300));
+    List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+    for (int i = 0; i < 3; i++) {
+      answers.add(http.sendAsync(slow, HttpResponse.BodyHandlers.ofString()));
+    }
+    await(() -> daemon.services().gate().inProgressCount() == 3);
+
+    daemon.stop();
+
+    for (CompletableFuture<HttpResponse<String>> answer : answers) {
+      assertThat(answer.join().statusCode()).isEqualTo(202);
+    }
+  }
+
+  private EntryDaemon start() {
+    AtomicReference<EntryDaemon> started = new AtomicReference<>();
+    StringWriter errors = new StringWriter();
+    DaemonCommand.execute(
+        settings -> {
+          started.set(new EntryDaemon(settings));
+          return 0;
+        },
+        new PrintWriter(errors, true),
+        new PrintWriter(errors, true),
+        "--zone=a",
+        "--port=0",
+        "--log-address=127.0.0.1:" + log.port(),
+        "--max-body-bytes=" + MAX_BODY_BYTES,
+        "--read-back-timeout-millis=10000");
+    assertThat(errors.toString()).isEmpty();
+    started.get().start();
+    daemons.add(started.get());
+    return started.get();
+  }
+
+  private EntryDaemon startReady() throws InterruptedException {
+    EntryDaemon daemon = start();
+    await(() -> daemon.services().readiness().ready());
+    await(() -> daemon.services().config().view().version() == 2);
+    await(
+        () ->
+            daemon.services().membership().current().members().stream()
+                .anyMatch(member -> member.instanceId().equals("worker-1")));
+    return daemon;
+  }
+
+  private void publish() throws Exception {
+    append(
+        new ConfigPublished(
+            "publish",
+            -1,
+            List.of(
+                job("prize-list", JobKind.BATCH, "echo written"),
+                job("counter", JobKind.SERVICE, "service")),
+            List.of(new TeamPolicy("counters", 4, 20_000), new TeamPolicy("panels", 1, 20_000)),
+            List.of(new QueuePolicy("counter", false)),
+            List.of(),
+            List.of(),
+            List.of()));
+    append(new KeyGranted("grant-1", TeamKeys.hashOf(KEY), "counters"));
+    append(new KeyGranted("grant-2", TeamKeys.hashOf(OTHER_KEY), "panels"));
+  }
+
+  private void append(Object configRecord) throws Exception {
+    clients.logService().append("config", RecordCodec.encode(configRecord));
+  }
+
+  private static JobDescription job(String name, JobKind kind, String program) {
+    return new JobDescription(
+        name,
+        "counters",
+        kind,
+        "counter",
+        Urgency.NORMAL,
+        new Resources(500, 64, 0),
+        2,
+        List.of(),
+        0,
+        0,
+        0,
+        false,
+        true,
+        program);
+  }
+
+  private void announceWorker() {
+    worker
+        .announcement()
+        .forEach(
+            member -> {
+              try {
+                clients.membershipService().announce(member);
+              } catch (org.cicadaford.platform.MembershipUnavailableException e) {
+                // The next announcement follows in half a second.
+                return;
+              }
+            });
+  }
+
+  private JsonNode report(EntryDaemon daemon, String job) {
+    try {
+      return JSON.readTree(send(daemon, "GET", "/v1/jobs/" + job, null, key(KEY)).body());
+    } catch (Exception e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private HttpResponse<String> submit(EntryDaemon daemon, String body, String requestId)
+      throws Exception {
+    return send(
+        daemon, "POST", "/v1/jobs", body, with(key(KEY), "Cicadaford-Request-Id", requestId));
+  }
+
+  private HttpResponse<String> send(
+      EntryDaemon daemon, String method, String path, String body, Map<String, String> headers)
+      throws Exception {
+    return http.send(
+        request(daemon, method, path, body, headers).build(), HttpResponse.BodyHandlers.ofString());
+  }
+
+  private static HttpRequest.Builder request(
+      EntryDaemon daemon, String method, String path, String body, Map<String, String> headers) {
+    HttpRequest.Builder builder =
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + daemon.port() + path))
+            .version(HttpClient.Version.HTTP_1_1)
+            .method(
+                method,
+                body == null
+                    ? HttpRequest.BodyPublishers.noBody()
+                    : HttpRequest.BodyPublishers.ofString(body));
+    builder.header("Content-Type", "application/json");
+    headers.forEach(builder::header);
+    return builder;
+  }
+
+  private static Map<String, String> key(String key) {
+    return Map.of("Cicadaford-Key", key);
+  }
+
+  private static Map<String, String> with(Map<String, String> headers, String name, String value) {
+    Map<String, String> all = new HashMap<>(headers);
+    all.put(name, value);
+    return all;
+  }
+
+  private static void assertProblem(HttpResponse<String> response, int status, String kind)
+      throws Exception {
+    assertThat(response.body()).contains("urn:cicadaford:problem:" + kind + "\"");
+    assertThat(response.statusCode()).isEqualTo(status);
+    assertThat(response.headers().firstValue("Content-Type"))
+        .hasValueSatisfying(type -> assertThat(type).startsWith("application/problem+json"));
+    JsonNode problem = JSON.readTree(response.body());
+    assertThat(problem.path("status").asInt()).isEqualTo(status);
+    assertThat(problem.path("detail").asText()).isNotBlank();
+    assertThat(problem.path("ran").asText()).isIn("not-run", "unknown");
+  }
+
+  private static Faults down() {
+    return new Faults(true, 0, 0, false, null, null, false, false, false, false, null);
+  }
+
+  private static Faults slow(long millis) {
+    return new Faults(false, millis, 0, false, null, null, false, false, false, false, null);
+  }
+
+  private static void await(BooleanSupplier condition) throws InterruptedException {
+    while (!condition.getAsBoolean()) {
+      Thread.sleep(10);
+    }
+  }
+}
--- a/cicadaford-standin/src/main/java/org/cicadaford/standin/WorkerStandin.java
+++ b/cicadaford-standin/src/main/java/org/cicadaford/standin/WorkerStandin.java
@@ -175,7 +175,7 @@
   }
 
   /** Ends tasks whose program or lease has ended, and forgets those that ended long ago. */
-  synchronized void advance() {
+  public synchronized void advance() {
     if (server.faults().paused()) {
       return;
     }
