Let answers still arrive on a peer connection that was replaced

Cause: PeerLinkTest.eachRequestGetsItsOwnAnswer failed at a load of over 20 on 10 cores. A peer that is slow for half of the silence time gets a second connection, and the first one was closed with its open requests. Ruled out: a longer silence time in the product, which would delay the detection of lost connections. Change: the replaced connection ends by its own silence time. Conclusion: slow peers lose no answers.

--- a/cicadaford-wire/src/main/java/org/cicadaford/wire/PeerLink.java
+++ b/cicadaford-wire/src/main/java/org/cicadaford/wire/PeerLink.java
@@ -126,7 +126,7 @@
       connection.close();
       return;
     }
-    close(current);
+    // The old connection is left to its own silence time, so that late answers still arrive on it.
     current = connection;
     lastAnswerAtNanos = System.nanoTime();
     connection.ask(heartbeatSource.get()).thenAccept(this::answered);
