--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/RequestLedger.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/RequestLedger.java
@@ -168,12 +168,13 @@
   /**
    * Returns whether every claim that could still be repeated was applied. A reader that started
    * where earlier records have expired may not know a claim of an id that is still accepted, until
-   * the horizon has passed all ids that those records can hold.
+   * the horizon has passed all ids that those records can hold. The first record that it sees may
+   * itself have arrived late, by up to the window of its id.
    */
   public boolean isComplete() {
+    long marginMillis = 2 * MAX_CALLER_CLOCK_LEAD_MILLIS + ID_WINDOW_MILLIS;
     return startedAtFirstRecord
-        || firstRecordMillis > 0
-            && horizonMillis() > firstRecordMillis + 2 * MAX_CALLER_CLOCK_LEAD_MILLIS;
+        || firstRecordMillis > 0 && horizonMillis() > firstRecordMillis + marginMillis;
   }
 
   /**
