--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/QuarantineKeeper.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/QuarantineKeeper.java
@@ -23,6 +23,9 @@
   /** Different workers on which a job has failed from which on the failures count against it. */
   private static final int WORKERS_TO_BLAME_JOB = 2;
 
+  /** Bounds the memory of a worker that fails tasks of jobs that are to blame themselves. */
+  private static final int MAX_FAILURES_KEPT = 16;
+
   private final LifeCycleSettings settings;
   private final Map<String, WorkerRecord> workers = new HashMap<>();
   private final Map<String, JobRecord> jobs = new HashMap<>();
@@ -87,6 +90,9 @@
     job(task).failedOn.add(task.workerId());
     WorkerRecord worker = worker(task.workerId());
     worker.failedJobsInRow.add(task.taskId().jobId());
+    if (worker.failedJobsInRow.size() > MAX_FAILURES_KEPT) {
+      worker.failedJobsInRow.removeFirst();
+    }
     worker.lastFailedJob = task.taskId().jobId();
     worker.failedPlacementMillis = Math.max(worker.failedPlacementMillis, task.placedAtMillis());
   }
--- a/cicadaford-decision/src/test/java/org/cicadaford/decision/fake/FakeCell.java
+++ b/cicadaford-decision/src/test/java/org/cicadaford/decision/fake/FakeCell.java
@@ -18,6 +18,7 @@
 import org.cicadaford.model.ConfigRecord;
 import org.cicadaford.model.JobDescription;
 import org.cicadaford.model.JobKind;
+import org.cicadaford.model.JobState;
 import org.cicadaford.model.RequestRecord;
 import org.cicadaford.model.RequestRecord.JobCancelled;
 import org.cicadaford.model.RequestRecord.JobSubmitted;
@@ -339,13 +340,15 @@
     }
   }
 
-  /** Returns the tasks that could run and do not, and capacity that is committed to nothing. */
+  /** Returns requests, tasks and jobs that have not ended although all work should have. */
   public List<String> unsettled() {
     List<String> found = new ArrayList<>();
+    if (zone.requestsOffset() < requests.size()) {
+      found.add("requests from " + zone.requestsOffset() + " on are not admitted");
+    }
     for (var job : zone.jobs()) {
       for (var task : zone.tasksOf(job.jobId())) {
-        boolean service = job.description().kind() == JobKind.SERVICE;
-        if (task.isCommitted() && !service || job.state().name().equals("ACTIVE") && !service) {
+        if (task.isCommitted() || job.state() == JobState.ACTIVE) {
           found.add(job.state() + " " + task);
         }
       }
