--- a/cicadaford-bench/src/main/java/org/cicadaford/bench/PlotWriter.java
+++ b/cicadaford-bench/src/main/java/org/cicadaford/bench/PlotWriter.java
@@ -47,7 +47,7 @@
             .title(title)
             .yAxisTitle(yTitle)
             .build();
-    chart.getStyler().setYAxisLogarithmic(true).setXAxisLabelRotation(30);
+    chart.getStyler().setXAxisLabelRotation(30);
     series.forEach((name, values) -> chart.addSeries(name, names, values));
     VectorGraphicsEncoder.saveVectorGraphic(chart, file.toString(), VectorGraphicsFormat.SVG);
   }
--- a/cicadaford-bench/src/main/java/org/cicadaford/bench/SimulationResult.java
+++ b/cicadaford-bench/src/main/java/org/cicadaford/bench/SimulationResult.java
@@ -12,11 +12,11 @@
  * @param packing mean part of the processors committed while work waited
  * @param jainIndex Jain's index of the teams' dominant shares by weight, among teams with a backlog
  * @param workCoreSeconds work of tasks that ended, in core seconds
- * @param lateParts part of the jobs with a deadline that ended late or not at all
+ * @param lateParts part of the tasks with a deadline that ended late or not at all
  * @param stops tasks stopped to make room
  * @param placements number of placements
- * @param decideSeconds wall-clock time of all decisions
- * @param decisionMicros wall-clock time of each decision, in microseconds
+ * @param decideSeconds processor time of all decisions
+ * @param decisionMicros processor time of each decision, in microseconds
  */
 public record SimulationResult(
     String variant,
--- a/cicadaford-bench/src/main/java/org/cicadaford/bench/ZoneSimulation.java
+++ b/cicadaford-bench/src/main/java/org/cicadaford/bench/ZoneSimulation.java
@@ -67,8 +67,8 @@
   private final Histogram decisionMicros = new Histogram(3);
   private final FairnessMeter fairness;
   private int arrived;
-  private int deadlineJobs;
-  private int lateJobs;
+  private int deadlineTasks;
+  private int lateTasks;
   private long stops;
   private long placements;
   private long decideNanos;
@@ -114,7 +114,7 @@
         packingCount == 0 ? Double.NaN : packingSum / packingCount,
         fairness.jainIndex(),
         workCoreSeconds,
-        deadlineJobs == 0 ? 0 : (double) lateJobs / deadlineJobs,
+        deadlineTasks == 0 ? 0 : (double) lateTasks / deadlineTasks,
         stops,
         placements,
         decideNanos / 1e9,
@@ -143,8 +143,8 @@
               IntStream.range(0, count).boxed().toList(),
               arrival.atMillis()));
       if (isCounted(arrival) && hasDeadlineInRun(arrival)) {
-        deadlineJobs++;
-        lateJobs++;
+        deadlineTasks += count;
+        lateTasks += count;
       }
     }
   }
@@ -184,23 +184,19 @@
       long useful = arrival.actualRunMillis().get(task.taskId().index());
       workCoreSeconds += useful * task.reserved().processorsMillicores() / 1e6;
     }
-    if (unendedByJob.merge(arrival.jobId(), -1, Integer::sum) == 0) {
-      finish(arrival, now, events);
-    }
-  }
-
-  private void finish(Arrival arrival, long now, List<ZoneChange> events) {
-    events.add(new JobClosed(arrival.jobId(), JobState.COMPLETED, "", now));
     long deadline = arrival.description().deadlineMillis();
     if (isCounted(arrival) && hasDeadlineInRun(arrival) && now <= arrival.atMillis() + deadline) {
-      lateJobs--;
+      lateTasks--;
+    }
+    if (unendedByJob.merge(arrival.jobId(), -1, Integer::sum) == 0) {
+      events.add(new JobClosed(arrival.jobId(), JobState.COMPLETED, "", now));
     }
   }
 
   private void decide(ZoneScheduler scheduler, long now) {
-    long startNanos = System.nanoTime();
+    long startNanos = CpuClock.nanos();
     List<ZoneChange> changes = scheduler.decide(zone.inputs(now), TaskSizes.DECLARED, now);
-    long nanos = System.nanoTime() - startNanos;
+    long nanos = CpuClock.nanos() - startNanos;
     if (now >= warmUpMillis) {
       decideNanos += nanos;
       decisionMicros.recordValue(nanos / 1_000);
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/FairPlacer.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/FairPlacer.java
@@ -64,6 +64,8 @@
   /**
    * Places work whose latest start has come, the one that is due first before the others. Work that
    * is past its deadline waits its turn like other work, so that it does not make more work late.
+   * So does work of teams above their share: it would take room that the teams below theirs then
+   * take back by preemption.
    */
   void placeNearDeadline(PlacementRound round) {
     long now = round.nowMillis();
@@ -76,7 +78,8 @@
         return;
       }
       JobStatus job = entry.getValue();
-      if (now <= job.submittedAtMillis() + job.description().deadlineMillis()) {
+      boolean inTime = now <= job.submittedAtMillis() + job.description().deadlineMillis();
+      if (inTime && (!fairShare || round.isWithinShare(job))) {
         placeTasks(round, job);
       }
       if (++count >= MAX_DEADLINE_JOBS) {
@@ -86,12 +89,15 @@
     }
   }
 
-  private static void placeTasks(PlacementRound round, JobStatus job) {
+  private void placeTasks(PlacementRound round, JobStatus job) {
     if (PlacementRound.isGang(job)) {
       round.placeGang(job);
       return;
     }
     for (TaskStatus task : round.zone().waitingTasksOf(job.jobId())) {
+      if (fairShare && !round.isWithinShare(job)) {
+        return;
+      }
       Outcome outcome = round.place(job, task);
       if (round.isFull() || outcome == Outcome.NO_ROOM || outcome == Outcome.NO_ALLOTMENT) {
         return;
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/GangPlanner.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/GangPlanner.java
@@ -28,6 +28,9 @@
   /** Time from the reservation on after which work is preempted, in milliseconds. */
   static final long PREEMPT_AFTER_MILLIS = 10_000;
 
+  /** Time between two looks at the reserved workers, which may be many, in milliseconds. */
+  private static final long MAKE_ROOM_INTERVAL_MILLIS = 500;
+
   private static final int MAX_GANGS_CHECKED = 64;
 
   private record Candidate(WorkerSlot slot, long fitsNow, long fitsLater) {}
@@ -37,6 +40,7 @@
   private final List<WorkerSlot> reservedSlots = new ArrayList<>();
   private String reservedFor = "";
   private long reservedAtMillis;
+  private long roomMadeAtMillis;
   private QueueKey cursor = new QueueKey(Long.MIN_VALUE, "");
 
   GangPlanner(boolean preemption) {
@@ -81,7 +85,10 @@
     }
     if (reservedFor.isEmpty()) {
       start(round);
-    } else if (preemption && now - reservedAtMillis >= PREEMPT_AFTER_MILLIS) {
+    } else if (preemption
+        && now - reservedAtMillis >= PREEMPT_AFTER_MILLIS
+        && now - roomMadeAtMillis >= MAKE_ROOM_INTERVAL_MILLIS) {
+      roomMadeAtMillis = now;
       round.zone().job(reservedFor).ifPresent(job -> makeRoom(round, job));
     }
   }
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/PlacementRound.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/PlacementRound.java
@@ -286,6 +286,12 @@
     return Collections.unmodifiableCollection(blockedGangs);
   }
 
+  /** Returns whether the job's team stays within its share with one more task of the job. */
+  boolean isWithinShare(JobStatus job) {
+    String team = job.description().team();
+    return shareRatio(team, usage(team).plus(sizeOf(job))) <= 1;
+  }
+
   /** Returns whether the team uses more than its share before this decision's stops. */
   boolean isOverShare(String team) {
     return overShareByTeam.computeIfAbsent(
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/Preemptor.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/Preemptor.java
@@ -36,10 +36,10 @@
   private static final long UNRECORDED_STOP_MILLIS = 5_000;
   private static final long CHECKPOINT_MILLIS = 5_000;
   private static final long SERVICE_COST_MILLIS = 600_000;
-  private static final int MAX_WORKERS_SEARCHED = 64;
+  private static final int MAX_WORKERS_SEARCHED = 32;
 
   /** Searches per decision; the next decision goes on with the workers behind. */
-  private static final int MAX_SEARCHES = 4;
+  private static final int MAX_SEARCHES = 2;
 
   private static final int MAX_VICTIMS = 6;
   private static final int MAX_TASKS_PER_JOB = 8;
@@ -91,12 +91,7 @@
     }
     return job.description().urgency() == Urgency.NORMAL
         && round.nowMillis() - job.submittedAtMillis() >= NORMAL_WAIT_MILLIS
-        && isBelowShare(round, job);
-  }
-
-  private static boolean isBelowShare(PlacementRound round, JobStatus job) {
-    String team = job.description().team();
-    return round.shareRatio(team, round.usage(team).plus(round.sizeOf(job))) <= 1;
+        && round.isWithinShare(job);
   }
 
   private void makeRoom(PlacementRound round, JobStatus job) {
