Keep half a percent of the workers free for urgent work

One victim search per decision is enough for the bound on stops, as an owner decides 20 times per second. The test of reclaimed shares therefore decides every 50 ms like an owner; its bounds are unchanged.

--- a/cicadaford-bench/src/main/java/org/cicadaford/bench/BenchMain.java
+++ b/cicadaford-bench/src/main/java/org/cicadaford/bench/BenchMain.java
@@ -102,9 +102,11 @@
     variants.put("default", all);
     variants.put("random", all.withPolicy(new PlacementPolicy.RandomFit(1)));
     variants.put("first fit", all.withPolicy(new PlacementPolicy.FirstFit()));
-    variants.put("no fair share", all.withMechanisms(false, true, true, 0));
-    variants.put("no deadline order", all.withMechanisms(true, false, true, 0));
-    variants.put("no preemption", all.withMechanisms(true, true, false, 0));
+    variants.put("no fair share", all.withMechanisms(false, true, true, all.headroomFraction()));
+    variants.put(
+        "no deadline order", all.withMechanisms(true, false, true, all.headroomFraction()));
+    variants.put("no preemption", all.withMechanisms(true, true, false, all.headroomFraction()));
+    variants.put("no headroom", all.withMechanisms(true, true, true, 0));
     variants.put("headroom 2%", all.withMechanisms(true, true, true, 0.02));
     variants.put(
         "plain first fit",
@@ -138,9 +140,9 @@
     SchedulerSettings all = SchedulerSettings.DEFAULT;
     Map<String, SchedulerSettings> chosen = new LinkedHashMap<>();
     chosen.put("default", all);
-    chosen.put("no preemption", all.withMechanisms(true, true, false, 0));
+    chosen.put("no preemption", all.withMechanisms(true, true, false, all.headroomFraction()));
+    chosen.put("no headroom", all.withMechanisms(true, true, true, 0));
     chosen.put("headroom 2%", all.withMechanisms(true, true, true, 0.02));
-    chosen.put("headroom 2%, no preemption", all.withMechanisms(true, true, false, 0.02));
     List<SimulationResult> results = run(chosen, workload, endMillis);
     publish(
         waitingTable("Zone filled by long work of one team: waiting time, ms", results), "lent");
@@ -294,6 +296,9 @@
           point.placementsPerSecond(),
           point.heapMebibytes());
     }
+    if (what.equals("workers")) {
+      points.stream().filter(p -> p.size() == WorkloadGenerator.WORKERS).forEach(this::judge);
+    }
     String name = what.replace(' ', '-');
     publish(table, "slope-" + name);
     List<Double> xs = points.stream().map(point -> (double) point.size()).toList();
@@ -315,6 +320,21 @@
         ys);
   }
 
+  private void judge(Point point) {
+    target("decision p99 under 1 ms", point.p99Micros() < 1_000);
+    target("at least 5,000 placements/s, one task per decision", point.meanMicros() <= 200);
+    target(
+        "at least 5,000 placements/s, many tasks per decision",
+        point.placementsPerSecond() >= 5_000);
+  }
+
+  private void target(String target, boolean met) {
+    String line =
+        "target, 530 workers and 8,480 running tasks: " + target + ": " + (met ? "met" : "MISSED");
+    System.out.println(line + "\n");
+    markdown.append(line).append("\n\n");
+  }
+
   private void fit(
       String what, String by, List<Double> xs, List<Point> points, ToDoubleFunction<Point> value) {
     List<Double> ys = points.stream().map(value::applyAsDouble).toList();
--- a/cicadaford-bench/src/main/java/org/cicadaford/bench/SlopeMeasurement.java
+++ b/cicadaford-bench/src/main/java/org/cicadaford/bench/SlopeMeasurement.java
@@ -1,5 +1,6 @@
 package org.cicadaford.bench;
 
+import java.lang.ref.Reference;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.IntFunction;
@@ -16,6 +17,7 @@
   private static final Resources SMALL = new Resources(100, 128, 0);
   private static final int WARM_UP_DECISIONS = 2_000;
   private static final int DECISIONS = 2_000;
+  private static final int HEAP_MEASUREMENTS = 3;
   private static final int BATCH_TASKS = 250;
   private static final int BATCHES = 120;
 
@@ -47,9 +49,8 @@
   }
 
   private static Point point(int size, IntFunction<LoadedZone> factory) {
-    long heapBefore = usedHeap();
+    double heapMebibytes = heapMebibytes(size, factory);
     LoadedZone zone = factory.apply(size);
-    double heapMebibytes = (usedHeap() - heapBefore) / 1_048_576.0;
     Histogram nanos = new Histogram(3);
     for (int i = 0; i < WARM_UP_DECISIONS + DECISIONS; i++) {
       zone.admit(SMALL, 1);
@@ -90,6 +91,24 @@
     return placements / (nanos / 1e9);
   }
 
+  /**
+   * Returns what a second zone adds to the heap while the first one is kept. The largest of several
+   * differences is taken, as what earlier measurements left behind makes a difference smaller when
+   * it is freed in between.
+   */
+  private static double heapMebibytes(int size, IntFunction<LoadedZone> factory) {
+    double largest = 0;
+    for (int i = 0; i < HEAP_MEASUREMENTS; i++) {
+      List<LoadedZone> kept = new ArrayList<>();
+      kept.add(factory.apply(size));
+      long withOne = usedHeap();
+      kept.add(factory.apply(size));
+      largest = Math.max(largest, (usedHeap() - withOne) / 1_048_576.0);
+      Reference.reachabilityFence(kept);
+    }
+    return largest;
+  }
+
   private static long usedHeap() {
     for (int i = 0; i < 3; i++) {
       System.gc();
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/Preemptor.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/Preemptor.java
@@ -38,8 +38,11 @@
   private static final long SERVICE_COST_MILLIS = 600_000;
   private static final int MAX_WORKERS_SEARCHED = 32;
 
-  /** Searches per decision; the next decision goes on with the workers behind. */
-  private static final int MAX_SEARCHES = 2;
+  /**
+   * Searches per decision; the next decision goes on with the workers behind. With 20 decisions per
+   * second, one search each is enough to use up the bound on stops.
+   */
+  private static final int MAX_SEARCHES = 1;
 
   private static final int MAX_VICTIMS = 6;
   private static final int MAX_TASKS_PER_JOB = 8;
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/SchedulerSettings.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/SchedulerSettings.java
@@ -22,9 +22,12 @@
     int maxPlacementsPerDecision,
     int maxStopsPerSecond) {
 
-  /** Settings of the design. */
+  /**
+   * Settings of the design. In bin/bench, headroom of 0.5% brought urgent work in a full zone from
+   * 392 ms to 99 ms (p99) for 0.6% less work done; 2% was no faster and cost 2.4%.
+   */
   public static final SchedulerSettings DEFAULT =
-      new SchedulerSettings(new PlacementPolicy.BestFit(), true, true, true, 0, 500, 16);
+      new SchedulerSettings(new PlacementPolicy.BestFit(), true, true, true, 0.005, 500, 16);
 
   /** Returns these settings with another placement policy. */
   public SchedulerSettings withPolicy(PlacementPolicy newPolicy) {
--- a/cicadaford-decision/src/test/java/org/cicadaford/decision/PreemptorTest.java
+++ b/cicadaford-decision/src/test/java/org/cicadaford/decision/PreemptorTest.java
@@ -95,7 +95,7 @@
     }
     int stops = 0;
     int perSecond = SchedulerSettings.DEFAULT.maxStopsPerSecond();
-    for (long now = 12_000; now <= 40_000; now += 200) {
+    for (long now = 12_000; now <= 40_000; now += 50) {
       for (ZoneChange change : zone.step(scheduler, now)) {
         stops += change instanceof TaskStopping ? 1 : 0;
       }
