--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/FairPlacer.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/FairPlacer.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +29,7 @@
   private static final int MAX_DEADLINE_JOBS = 256;
 
   private final boolean fairShare;
+  private final Map<String, List<JobStatus>> dueByTeam = new HashMap<>();
   private int attempts;
   private QueueKey deadlineCursor;
 
@@ -38,6 +40,7 @@
   /** Starts a new decision. */
   void begin() {
     attempts = 0;
+    dueByTeam.clear();
   }
 
   /** Places work of one urgency. */
@@ -64,8 +67,8 @@
   /**
    * Places work whose latest start has come, the one that is due first before the others. Work that
    * is past its deadline waits its turn like other work, so that it does not make more work late.
-   * So does work of teams above their share: it would take room that the teams below theirs then
-   * take back by preemption.
+   * Work of teams above their share waits for the turn of its team and goes first there: it would
+   * take room that the teams below their share then take back by preemption.
    */
   void placeNearDeadline(PlacementRound round) {
     long now = round.nowMillis();
@@ -78,9 +81,8 @@
         return;
       }
       JobStatus job = entry.getValue();
-      boolean inTime = now <= job.submittedAtMillis() + job.description().deadlineMillis();
-      if (inTime && (!fairShare || round.isWithinShare(job))) {
-        placeTasks(round, job);
+      if (now <= job.submittedAtMillis() + job.description().deadlineMillis()) {
+        placeDue(round, job);
       }
       if (++count >= MAX_DEADLINE_JOBS) {
         deadlineCursor = entry.getKey();
@@ -89,6 +91,14 @@
     }
   }
 
+  private void placeDue(PlacementRound round, JobStatus job) {
+    if (!fairShare || round.isWithinShare(job)) {
+      placeTasks(round, job);
+    } else {
+      dueByTeam.computeIfAbsent(job.description().team(), team -> new ArrayList<>()).add(job);
+    }
+  }
+
   private void placeTasks(PlacementRound round, JobStatus job) {
     if (PlacementRound.isGang(job)) {
       round.placeGang(job);
@@ -136,10 +146,17 @@
   private final class TeamTurn implements Comparable<TeamTurn> {
     private final String team;
     private final List<ClassCursor> cursors = new ArrayList<>();
+    private final ClassCursor due;
     private double key;
 
     private TeamTurn(PlacementRound round, String team, TeamQueues queues, Urgency urgency) {
       this.team = team;
+      this.due =
+          new ClassCursor(
+              round.zone(),
+              dueByTeam.getOrDefault(team, List.of()).stream()
+                  .filter(job -> job.description().urgency() == urgency)
+                  .iterator());
       queues
           .queues(urgency)
           .values()
@@ -170,6 +187,10 @@
 
     /** Tries the team's first job and returns whether the team has more to try. */
     private boolean step(PlacementRound round) {
+      if (due.hasTask()) {
+        stepDue(round);
+        return true;
+      }
       cursors.removeIf(cursor -> !cursor.hasTask());
       ClassCursor cursor = first();
       if (cursor == null) {
@@ -183,6 +204,14 @@
       return !cursors.isEmpty();
     }
 
+    private void stepDue(PlacementRound round) {
+      attempts++;
+      Outcome outcome = attempt(round, due);
+      if (outcome == Outcome.NO_ALLOTMENT || outcome == Outcome.NO_ROOM) {
+        due.nextJob();
+      }
+    }
+
     private Outcome attempt(PlacementRound round, ClassCursor cursor) {
       JobStatus job = cursor.job;
       if (!PlacementRound.isGang(job)) {
