--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/FairPlacer.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/FairPlacer.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +29,7 @@
   private static final int MAX_DEADLINE_JOBS = 256;
 
   private final boolean fairShare;
+  private final Map<String, List<JobStatus>> dueByTeam = new HashMap<>();
   private int attempts;
   private QueueKey deadlineCursor;
 
@@ -38,6 +40,7 @@
   /** Starts a new decision. */
   void begin() {
     attempts = 0;
+    dueByTeam.clear();
   }
 
   /** Places work of one urgency. */
@@ -64,6 +67,8 @@
   /**
    * Places work whose latest start has come, the one that is due first before the others. Work that
    * is past its deadline waits its turn like other work, so that it does not make more work late.
+   * Work of teams above their share waits for the turn of its team and goes first there: it would
+   * take room that the teams below their share then take back by preemption.
    */
   void placeNearDeadline(PlacementRound round) {
     long now = round.nowMillis();
@@ -77,7 +82,7 @@
       }
       JobStatus job = entry.getValue();
       if (now <= job.submittedAtMillis() + job.description().deadlineMillis()) {
-        placeTasks(round, job);
+        placeDue(round, job);
       }
       if (++count >= MAX_DEADLINE_JOBS) {
         deadlineCursor = entry.getKey();
@@ -86,12 +91,23 @@
     }
   }
 
-  private static void placeTasks(PlacementRound round, JobStatus job) {
+  private void placeDue(PlacementRound round, JobStatus job) {
+    if (!fairShare || round.isWithinShare(job)) {
+      placeTasks(round, job);
+    } else {
+      dueByTeam.computeIfAbsent(job.description().team(), team -> new ArrayList<>()).add(job);
+    }
+  }
+
+  private void placeTasks(PlacementRound round, JobStatus job) {
     if (PlacementRound.isGang(job)) {
       round.placeGang(job);
       return;
     }
     for (TaskStatus task : round.zone().waitingTasksOf(job.jobId())) {
+      if (fairShare && !round.isWithinShare(job)) {
+        return;
+      }
       Outcome outcome = round.place(job, task);
       if (round.isFull() || outcome == Outcome.NO_ROOM || outcome == Outcome.NO_ALLOTMENT) {
         return;
@@ -130,10 +146,17 @@
   private final class TeamTurn implements Comparable<TeamTurn> {
     private final String team;
     private final List<ClassCursor> cursors = new ArrayList<>();
+    private final ClassCursor due;
     private double key;
 
     private TeamTurn(PlacementRound round, String team, TeamQueues queues, Urgency urgency) {
       this.team = team;
+      this.due =
+          new ClassCursor(
+              round.zone(),
+              dueByTeam.getOrDefault(team, List.of()).stream()
+                  .filter(job -> job.description().urgency() == urgency)
+                  .iterator());
       queues
           .queues(urgency)
           .values()
@@ -164,6 +187,10 @@
 
     /** Tries the team's first job and returns whether the team has more to try. */
     private boolean step(PlacementRound round) {
+      if (due.hasTask()) {
+        stepDue(round);
+        return true;
+      }
       cursors.removeIf(cursor -> !cursor.hasTask());
       ClassCursor cursor = first();
       if (cursor == null) {
@@ -177,6 +204,14 @@
       return !cursors.isEmpty();
     }
 
+    private void stepDue(PlacementRound round) {
+      attempts++;
+      Outcome outcome = attempt(round, due);
+      if (outcome == Outcome.NO_ALLOTMENT || outcome == Outcome.NO_ROOM) {
+        due.nextJob();
+      }
+    }
+
     private Outcome attempt(PlacementRound round, ClassCursor cursor) {
       JobStatus job = cursor.job;
       if (!PlacementRound.isGang(job)) {
