Join the tests of the lease keeper with the team limits

Ruled out: a scheduler without limits for these tests, which would not be the class that runs. Change: the tests publish a team and apply the allotment changes; AllotmentChange makes its own record, which stood in three places. Checks are unchanged. Conclusion: limits belong to every test that places tasks.

--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/OwnerDecision.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/OwnerDecision.java
@@ -1,6 +1,9 @@
 package org.cicadaford.decision;
 
 import java.util.List;
+import org.cicadaford.model.ConfigRecord;
+import org.cicadaford.model.ConfigRecord.AllotmentReleased;
+import org.cicadaford.model.ConfigRecord.AllotmentTaken;
 import org.cicadaford.model.ZoneChange;
 
 /**
@@ -26,5 +29,13 @@
    * @param sequence number within the epoch that the record is to carry; a change that is not
    *     appended uses up its number
    */
-  public record AllotmentChange(String team, long millicores, long sequence) {}
+  public record AllotmentChange(String team, long millicores, long sequence) {
+
+    /** Returns the record by which the owner of {@code zone} in {@code epoch} makes the change. */
+    public ConfigRecord toRecord(String recordId, String zone, long epoch) {
+      return millicores >= 0
+          ? new AllotmentTaken(recordId, zone, epoch, sequence, team, millicores)
+          : new AllotmentReleased(recordId, zone, epoch, sequence, team, -millicores);
+    }
+  }
 }
--- a/cicadaford-decision/src/test/java/org/cicadaford/decision/AllotmentPlannerTest.java
+++ b/cicadaford-decision/src/test/java/org/cicadaford/decision/AllotmentPlannerTest.java
@@ -10,8 +10,6 @@
 import net.jqwik.api.Property;
 import org.cicadaford.decision.OwnerDecision.AllotmentChange;
 import org.cicadaford.model.ConfigRecord;
-import org.cicadaford.model.ConfigRecord.AllotmentReleased;
-import org.cicadaford.model.ConfigRecord.AllotmentTaken;
 import org.cicadaford.model.Resources;
 import org.cicadaford.model.TaskEnd;
 import org.cicadaford.model.TeamPolicy;
@@ -96,13 +94,7 @@
       OwnerInputs inputs = zone.inputs(now);
       unsentBatches.add(zone.batch(scheduler.decide(inputs, TaskSizes.DECLARED, now), now));
       for (AllotmentChange change : planner.decide(inputs, now)) {
-        long amount = change.millicores();
-        long epoch = zone.state.epoch();
-        unsentChanges.add(
-            amount >= 0
-                ? new AllotmentTaken("t", name, epoch, change.sequence(), change.team(), amount)
-                : new AllotmentReleased(
-                    "r", name, epoch, change.sequence(), change.team(), -amount));
+        unsentChanges.add(change.toRecord("a", name, zone.state.epoch()));
       }
     }
 
--- a/cicadaford-decision/src/test/java/org/cicadaford/decision/LeaseKeeperTest.java
+++ b/cicadaford-decision/src/test/java/org/cicadaford/decision/LeaseKeeperTest.java
@@ -17,6 +17,7 @@
 import org.cicadaford.model.TaskEnd;
 import org.cicadaford.model.TaskReport;
 import org.cicadaford.model.TaskReport.State;
+import org.cicadaford.model.TeamPolicy;
 import org.cicadaford.model.Urgency;
 import org.cicadaford.model.WorkerAnswer;
 import org.cicadaford.model.WorkerCommand;
@@ -45,7 +46,18 @@
   private long nowMillis = 1_000;
 
   LeaseKeeperTest() {
-    config.apply(0, new ConfigRecord.KeyGranted("k", "hash", "team"));
+    config.apply(
+        0,
+        new ConfigRecord.ConfigPublished(
+            "p",
+            ConfigState.NO_OFFSET,
+            List.of(),
+            List.of(new TeamPolicy("team", 1, 1_000_000_000)),
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of()));
+    config.apply(1, new ConfigRecord.AllotmentTaken("t", "z", 0, 0, "team", 1_000_000_000));
     zone.apply(0, new OwnerClaimed("c", "o", nowMillis));
   }
 
@@ -91,6 +103,9 @@
             requests.subList(from, requests.size()),
             requests.size());
     OwnerDecision decision = logic.decide(inputs, nowMillis);
+    decision
+        .allotmentChanges()
+        .forEach(change -> config.apply(config.version() + 1, change.toRecord("a", "z", 0)));
     changes = decision.changes();
     orders = decision.orders();
     zone.apply(
@@ -179,7 +194,8 @@
       round(100);
     }
     assertThat(zone.committedTaskCount()).isEqualTo(220);
-    config.apply(1, new ConfigRecord.ZoneTakenOut("o", "z", -1));
+    config.apply(config.version() + 1, new ConfigRecord.ZoneTakenOut("o", "z", -1));
+    long outVersion = config.zoneVersion("z");
     int stopped = 0;
     for (int i = 0; i < 10; i++) {
       round(100);
@@ -191,7 +207,7 @@
       round(100);
     }
     assertThat(zone.committedTaskCount()).isEqualTo(20);
-    config.apply(2, new ConfigRecord.ZoneBroughtIn("i", "z", 1));
+    config.apply(config.version() + 1, new ConfigRecord.ZoneBroughtIn("i", "z", outVersion));
     for (int i = 0; i < 10; i++) {
       round(10);
       assertThat(ordered(WorkerCommand.Start.class).size()).isLessThanOrEqualTo(200);
--- a/cicadaford-decision/src/test/java/org/cicadaford/decision/fake/FakeOwner.java
+++ b/cicadaford-decision/src/test/java/org/cicadaford/decision/fake/FakeOwner.java
@@ -13,8 +13,6 @@
 import org.cicadaford.decision.WorkerOrder;
 import org.cicadaford.decision.ZoneOwnerLogic;
 import org.cicadaford.decision.ZoneState;
-import org.cicadaford.model.ConfigRecord.AllotmentReleased;
-import org.cicadaford.model.ConfigRecord.AllotmentTaken;
 import org.cicadaford.model.RequestRecord;
 import org.cicadaford.model.WorkerAnswer;
 import org.cicadaford.model.ZoneRecord.OwnerBatch;
@@ -186,13 +184,7 @@
 
   private void appendAllotment(AllotmentChange change) {
     String recordId = id + "-allotment-" + batchNumber++;
-    long amount = change.millicores();
-    cell.configLog.append(
-        amount >= 0
-            ? new AllotmentTaken(
-                recordId, FakeCell.ZONE, ownEpoch, change.sequence(), change.team(), amount)
-            : new AllotmentReleased(
-                recordId, FakeCell.ZONE, ownEpoch, change.sequence(), change.team(), -amount));
+    cell.configLog.append(change.toRecord(recordId, FakeCell.ZONE, ownEpoch));
   }
 
   private void send() {
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/zone/AllotmentWriter.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/zone/AllotmentWriter.java
@@ -6,9 +6,6 @@
 import org.cicadaford.entry.config.ConfigHolder;
 import org.cicadaford.entry.metrics.EntryMetrics;
 import org.cicadaford.entry.stream.LogWriter;
-import org.cicadaford.model.ConfigRecord;
-import org.cicadaford.model.ConfigRecord.AllotmentReleased;
-import org.cicadaford.model.ConfigRecord.AllotmentTaken;
 
 /**
  * Appends changes of the zone's allotments to the configuration.
@@ -31,16 +28,9 @@
   /** Appends the changes in the order of their numbers. */
   void write(List<AllotmentChange> changes, long epoch) {
     for (AllotmentChange change : changes) {
-      writer.append(ConfigHolder.STREAM, toRecord(change, epoch));
+      String recordId = "allotment-" + UUID.randomUUID();
+      writer.append(ConfigHolder.STREAM, change.toRecord(recordId, zone, epoch));
       metrics.decision(change.millicores() >= 0 ? "allotment-taken" : "allotment-released");
     }
   }
-
-  private ConfigRecord toRecord(AllotmentChange change, long epoch) {
-    String recordId = "allotment-" + UUID.randomUUID();
-    long amount = change.millicores();
-    return amount >= 0
-        ? new AllotmentTaken(recordId, zone, epoch, change.sequence(), change.team(), amount)
-        : new AllotmentReleased(recordId, zone, epoch, change.sequence(), change.team(), -amount);
-  }
 }
