--- /dev/null
+++ b/cicadaford-daemon/src/main/java/org/cicadaford/daemon/http/CallController.java
@@ -0,0 +1,80 @@
+package org.cicadaford.daemon.http;
+
+import io.micronaut.core.annotation.Nullable;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.MediaType;
+import io.micronaut.http.MutableHttpResponse;
+import io.micronaut.http.annotation.Consumes;
+import io.micronaut.http.annotation.Controller;
+import io.micronaut.http.annotation.Header;
+import io.micronaut.http.annotation.PathVariable;
+import io.micronaut.http.annotation.Post;
+import java.util.concurrent.CompletableFuture;
+import org.cicadaford.daemon.DaemonSettings;
+import org.cicadaford.decision.call.CallResult.Answered;
+import org.cicadaford.entry.EntryServices;
+import org.cicadaford.entry.RequestIdIssuer;
+import org.cicadaford.entry.call.ServiceCalls.Incoming;
+
+/** Route for calls to services. */
+@Controller("/v1/services")
+final class CallController {
+
+  /** Time by which the server's own limit lies behind the deadline that the call service keeps. */
+  private static final long MARGIN_MILLIS = 1_000;
+
+  private final EntryServices services;
+  private final DaemonSettings settings;
+  private final RequestRunner runner;
+
+  CallController(EntryServices services, DaemonSettings settings, RequestRunner runner) {
+    this.services = services;
+    this.settings = settings;
+    this.runner = runner;
+  }
+
+  @Post("/{service}/call")
+  @Consumes(MediaType.ALL)
+  CompletableFuture<HttpResponse<byte[]>> call(
+      @PathVariable String service,
+      HttpRequest<byte[]> request,
+      @Header(Headers.KEY) @Nullable String key,
+      @Header(Headers.REQUEST_ID) @Nullable String givenRequestId,
+      @Header(Headers.DEADLINE) @Nullable String deadline,
+      @Header(Headers.REPEATABLE) @Nullable String repeatable) {
+    String requestId = Headers.requestId(givenRequestId);
+    byte[] body = request.getBody().orElse(new byte[0]);
+    String contentType =
+        request
+            .getContentType()
+            .map(MediaType::toString)
+            .orElse(MediaType.APPLICATION_OCTET_STREAM);
+    return runner.run(
+        "call",
+        requestId,
+        deadline,
+        MARGIN_MILLIS,
+        nowMillis ->
+            services
+                .calls()
+                .call(
+                    new Incoming(
+                        RequestIdIssuer.check(requestId, nowMillis),
+                        key,
+                        service,
+                        contentType,
+                        body,
+                        nowMillis
+                            + Headers.deadlineMillis(deadline, settings.defaultDeadlineMillis()),
+                        Headers.repeatable(repeatable)),
+                    nowMillis)
+                .thenApply(CallController::toResponse));
+  }
+
+  private static MutableHttpResponse<byte[]> toResponse(Answered answered) {
+    return HttpResponse.<byte[]>status(answered.statusCode(), "")
+        .body(answered.body())
+        .header("Content-Type", answered.contentType());
+  }
+}
--- a/cicadaford-daemon/src/main/java/org/cicadaford/daemon/http/RequestRunner.java
+++ b/cicadaford-daemon/src/main/java/org/cicadaford/daemon/http/RequestRunner.java
@@ -47,9 +47,19 @@
    */
   CompletableFuture<HttpResponse<byte[]>> run(
       String route, String requestId, String deadline, Work work) {
+    return run(route, requestId, deadline, 0, work);
+  }
+
+  /**
+   * Runs {@code work}, which keeps the deadline itself, and answers at the latest {@code
+   * marginMillis} behind it.
+   */
+  CompletableFuture<HttpResponse<byte[]>> run(
+      String route, String requestId, String deadline, long marginMillis, Work work) {
     long timeoutMillis;
     try {
-      timeoutMillis = Headers.deadlineMillis(deadline, settings.defaultDeadlineMillis());
+      timeoutMillis =
+          marginMillis + Headers.deadlineMillis(deadline, settings.defaultDeadlineMillis());
       services.gate().enter();
     } catch (RefusedException e) {
       return CompletableFuture.completedFuture(refuse(route, requestId, e));
--- a/cicadaford-daemon/src/test/java/org/cicadaford/daemon/EntryDaemonTest.java
+++ b/cicadaford-daemon/src/test/java/org/cicadaford/daemon/EntryDaemonTest.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import net.jqwik.api.lifecycle.BeforeTry;
@@ -33,10 +34,13 @@
 import org.cicadaford.model.QueuePolicy;
 import org.cicadaford.model.RecordCodec;
 import org.cicadaford.model.Resources;
+import org.cicadaford.model.TaskId;
 import org.cicadaford.model.TeamPolicy;
 import org.cicadaford.model.Urgency;
+import org.cicadaford.platform.MembershipUnavailableException;
 import org.cicadaford.platform.PlatformClients;
 import org.cicadaford.platform.PlatformSettings;
+import org.cicadaford.standin.EndpointStandin;
 import org.cicadaford.standin.Faults;
 import org.cicadaford.standin.LogStandin;
 import org.cicadaford.standin.WorkerStandin;
@@ -51,13 +55,16 @@
 
   private final HttpClient http = HttpClient.newHttpClient();
   private final LogStandin log = new LogStandin(LogStandin.Settings.DEFAULT);
-  private final Map<org.cicadaford.model.TaskId, Long> checkpoints = new ConcurrentHashMap<>();
+  private final Map<TaskId, Long> checkpoints = new ConcurrentHashMap<>();
   private final WorkerStandin worker =
       new WorkerStandin(
           new WorkerStandin.Settings(
               "worker-1", "a", "rack", new Resources(8_000, 8_192, 0), 0, 80, 10),
           checkpoints,
           System::currentTimeMillis);
+  private final EndpointStandin endpoint =
+      new EndpointStandin(
+          new EndpointStandin.Settings("endpoint-1", "counter", "a", "rack", 0, 8, 5));
   private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
   private final List<EntryDaemon> daemons = new ArrayList<>();
   private PlatformClients clients;
@@ -66,10 +73,11 @@
   void startPlatform() throws Exception {
     log.start();
     worker.start();
+    endpoint.start();
     clients = new PlatformClients(PlatformSettings.forLog("127.0.0.1", log.port()));
     clients.start();
     timer.scheduleAtFixedRate(worker::advance, 5, 5, TimeUnit.MILLISECONDS);
-    timer.scheduleAtFixedRate(this::announceWorker, 0, 500, TimeUnit.MILLISECONDS);
+    timer.scheduleAtFixedRate(this::announce, 0, 500, TimeUnit.MILLISECONDS);
     publish();
   }
 
@@ -81,6 +89,7 @@
     timer.shutdownNow();
     clients.stop();
     worker.stop();
+    endpoint.stop();
     log.stop();
   }
 
@@ -102,6 +111,39 @@
         .isEqualTo(accepted.body());
   }
 
+  @Example
+  void callRunsOnceAndItsRepetitionGetsTheSameAnswer() throws Exception {
+    EntryDaemon daemon = startReady();
+    String path = "/v1/services/counter/call";
+    Map<String, String> headers =
+        with(key(KEY), "Cicadaford-Request-Id", RequestIdIssuer.generate());
+    await(
+        () ->
+            daemon.services().membership().current().members().stream()
+                .anyMatch(member -> member.instanceId().equals("endpoint-1")));
+
+    HttpResponse<String> first = send(daemon, "POST", path, "balance", headers);
+    HttpResponse<String> second = send(daemon, "POST", path, "balance", headers);
+    while (second.statusCode() != 200) {
+      // The outcome is recorded after the answer was sent; until then it is unknown.
+      assertProblem(second, 409, "request-id-reused");
+      assertThat(JSON.readTree(second.body()).path("ran").asText()).isEqualTo("unknown");
+      second = send(daemon, "POST", path, "balance", headers);
+    }
+
+    assertThat(first.statusCode()).isEqualTo(200);
+    assertThat(second.body()).isEqualTo(first.body());
+    assertThat(endpoint.counts().executions().values()).containsExactly(1L);
+    assertProblem(send(daemon, "POST", path, "b", Map.of()), 401, "key-missing");
+    assertProblem(send(daemon, "POST", path, "b", key(OTHER_KEY)), 403, "wrong-team");
+    assertProblem(
+        send(daemon, "POST", path, "b", with(key(KEY), "Cicadaford-Repeatable", "perhaps")),
+        400,
+        "malformed-request");
+    assertProblem(
+        send(daemon, "POST", "/v1/services/none/call", "b", key(KEY)), 404, "unknown-service");
+  }
+
   @Example
   void cancelledServiceStops() throws Exception {
     EntryDaemon daemon = startReady();
@@ -270,14 +312,13 @@
         program);
   }
 
-  private void announceWorker() {
-    worker
-        .announcement()
+  private void announce() {
+    Stream.concat(worker.announcement().stream(), endpoint.announcement().stream())
         .forEach(
             member -> {
               try {
                 clients.membershipService().announce(member);
-              } catch (org.cicadaford.platform.MembershipUnavailableException e) {
+              } catch (MembershipUnavailableException e) {
                 // The next announcement follows in half a second.
                 return;
               }
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/EntryServices.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/EntryServices.java
@@ -2,8 +2,13 @@
 
 import java.time.InstantSource;
 import java.util.random.RandomGenerator;
+import org.apache.commons.rng.simple.RandomSource;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.cicadaford.entry.call.CallService;
+import org.cicadaford.entry.call.CallSettings;
+import org.cicadaford.entry.call.CallThread;
+import org.cicadaford.entry.call.ServiceCalls;
 import org.cicadaford.entry.config.ConfigHolder;
 import org.cicadaford.entry.job.JobReporter;
 import org.cicadaford.entry.job.JobService;
@@ -48,6 +53,9 @@
   private final WorkerLink workerLink;
   private final ZoneOwnerService zoneOwner;
   private final JobService jobs;
+  private final CallThread callThread = new CallThread();
+  private final CallService callService;
+  private final ServiceCalls calls;
   private final StreamFollower<ConfigRecord> configFollower;
   private final StreamFollower<RequestRecord> requestsFollower;
   private final StreamFollower<ZoneRecord> zoneFollower;
@@ -70,7 +78,16 @@
     this.ownerWriter = new LogWriter("owner", platform.log(), LogWriter.RING_SIZE, clock, metrics);
     this.config = new ConfigHolder(ownerWriter, settings.logRetentionMillis(), random, metrics);
     this.requests = new RequestLog(requestWriter, settings.readBackTimeoutMillis());
-    this.membership = new MembershipPoller(platform.membership(), clock, metrics);
+    this.callService =
+        new CallService(
+            CallSettings.forInstance(settings.instanceId(), settings.zone()),
+            callThread,
+            requests,
+            platform.endpoints(),
+            RandomSource.XO_RO_SHI_RO_128_PP.create());
+    this.calls = new ServiceCalls(config, callService, metrics);
+    this.membership =
+        new MembershipPoller(platform.membership(), callService::onMembers, clock, metrics);
     this.workerLink =
         new WorkerLink(
             platform.workers(), WorkerLink.RING_SIZE, WorkerLink.MAX_IN_FLIGHT, clock, metrics);
@@ -113,6 +130,7 @@
     requestWriter.start();
     ownerWriter.start();
     workerLink.start();
+    callService.start();
     membership.start(self);
     zoneOwner.start();
     configFollower.start();
@@ -131,6 +149,7 @@
       metrics.fault("stop-timeout");
       LOG.warn("{} requests did not finish in time", gate.inProgressCount());
     }
+    callService.stop();
     zoneOwner.stop();
     membership.announceLeaving();
     zoneFollower.stop();
@@ -138,6 +157,7 @@
     configFollower.stop();
     requestWriter.stop();
     ownerWriter.stop();
+    callThread.stop();
     workerLink.stop();
     membership.stop();
     LOG.info("stopped");
@@ -187,6 +207,11 @@
     return jobs;
   }
 
+  /** Returns the service for calls. */
+  public ServiceCalls calls() {
+    return calls;
+  }
+
   /** Returns the holder of the configuration. */
   public ConfigHolder config() {
     return config;
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/RefusalKind.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/RefusalKind.java
@@ -16,6 +16,8 @@
   WRONG_TEAM(403, "The team key belongs to another team"),
   /** No description of this name is published. */
   UNKNOWN_DESCRIPTION(404, "The description is not published"),
+  /** No service of this name is published. */
+  UNKNOWN_SERVICE(404, "The service is not published"),
   /** No job of this id is kept. */
   UNKNOWN_JOB(404, "The job is not known"),
   /** No such route. */
@@ -36,6 +38,12 @@
   REQUEST_ID_EXPIRED(409, "The request id is too old"),
   /** All allowed zones are out of service. */
   NO_ZONE(503, "No allowed zone is in service"),
+  /** No endpoint of the service can take calls. */
+  NO_ENDPOINT(503, "No endpoint takes calls now"),
+  /** Endpoints refused the call or did not answer it. */
+  ENDPOINT_FAILED(502, "The endpoint did not answer"),
+  /** The caller's deadline passed. */
+  DEADLINE_PASSED(504, "The deadline passed"),
   /** The configuration was not confirmed recently, so no key can be checked. */
   CONFIG_NOT_CONFIRMED(503, "Team keys cannot be checked now"),
   /** The log does not take records. */
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/job/JobService.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/job/JobService.java
@@ -8,10 +8,11 @@
 import org.cicadaford.entry.Refusal;
 import org.cicadaford.entry.RefusalKind;
 import org.cicadaford.entry.RefusedException;
+import org.cicadaford.entry.call.RequestAppendException;
+import org.cicadaford.entry.call.RequestAppender.ReadBack;
 import org.cicadaford.entry.config.ConfigHolder;
 import org.cicadaford.entry.config.ConfigView;
 import org.cicadaford.entry.membership.MembershipPoller;
-import org.cicadaford.entry.request.AppendedRequest;
 import org.cicadaford.entry.request.RequestLog;
 import org.cicadaford.entry.request.RequestNotAppendedException;
 import org.cicadaford.model.JobDescription;
@@ -101,7 +102,7 @@
     }
   }
 
-  private JobReceipt settle(JobSubmitted record, AppendedRequest appended) {
+  private JobReceipt settle(JobSubmitted record, ReadBack appended) {
     if (appended.verdict().isAccepted()) {
       return new JobReceipt(record.jobId(), record.requestId(), record.taskIndexesByZone());
     }
@@ -163,14 +164,15 @@
             });
   }
 
-  private CompletableFuture<AppendedRequest> append(RequestRecord record) {
+  private CompletableFuture<ReadBack> append(RequestRecord record) {
     return requests.append(record).exceptionallyCompose(this::refuse);
   }
 
-  private CompletableFuture<AppendedRequest> refuse(Throwable failure) {
+  private CompletableFuture<ReadBack> refuse(Throwable failure) {
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
     Refusal refusal =
-        cause instanceof RequestNotAppendedException refused
+        cause instanceof RequestAppendException
+                && cause.getCause() instanceof RequestNotAppendedException refused
             ? notAppended(refused)
             : outcomeUnknown();
     return CompletableFuture.failedFuture(new RefusedException(refusal));
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/membership/MembershipPoller.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/membership/MembershipPoller.java
@@ -3,6 +3,7 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.cicadaford.entry.metrics.EntryMetrics;
@@ -19,6 +20,7 @@
   private static final long POLL_MILLIS = 1_000;
 
   private final MembershipService service;
+  private final Consumer<List<Member>> listener;
   private final InstantSource clock;
   private final EntryMetrics metrics;
   private final Thread thread;
@@ -51,8 +53,17 @@
     }
   }
 
-  /** Creates a poller that is not started. */
-  public MembershipPoller(MembershipService service, InstantSource clock, EntryMetrics metrics) {
+  /**
+   * Creates a poller that is not started.
+   *
+   * @param listener receives each list that was read, on the poller's thread
+   */
+  public MembershipPoller(
+      MembershipService service,
+      Consumer<List<Member>> listener,
+      InstantSource clock,
+      EntryMetrics metrics) {
+    this.listener = listener;
     this.service = service;
     this.clock = clock;
     this.metrics = metrics;
@@ -115,6 +126,7 @@
     try {
       service.announce(self);
       current = new MemberList(service.list(), nowMillis);
+      listener.accept(current.members());
       markAnswering();
     } catch (MembershipUnavailableException e) {
       markSilent(e);
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/request/RequestLog.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/request/RequestLog.java
@@ -7,10 +7,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.cicadaford.decision.RequestLedger;
+import org.cicadaford.decision.RequestLedger.CallEntry;
 import org.cicadaford.decision.Verdict;
+import org.cicadaford.entry.call.RequestAppendException;
+import org.cicadaford.entry.call.RequestAppender;
 import org.cicadaford.entry.stream.AppendResult;
 import org.cicadaford.entry.stream.AppendResult.Appended;
 import org.cicadaford.entry.stream.AppendResult.NotAppended;
@@ -19,6 +23,7 @@
 import org.cicadaford.entry.stream.StreamListener;
 import org.cicadaford.entry.stream.StreamPosition;
 import org.cicadaford.model.RequestRecord;
+import org.cicadaford.model.RequestRecord.CallClaimed;
 import org.cicadaford.model.RequestRecord.JobCancelled;
 import org.cicadaford.model.RequestRecord.JobSubmitted;
 
@@ -27,7 +32,7 @@
  *
  * <p>Records are taken in on the follower's thread; other methods may be called from any thread.
  */
-public final class RequestLog implements StreamListener<RequestRecord> {
+public final class RequestLog implements StreamListener<RequestRecord>, RequestAppender {
 
   /** Name of the stream. */
   public static final String STREAM = "requests";
@@ -42,7 +47,7 @@
   private final Object lock = new Object();
   private final RequestLedger ledger = new RequestLedger();
   private final Deque<JobRequest> jobRequests = new ArrayDeque<>();
-  private final Map<String, CompletableFuture<AppendedRequest>> pending = new ConcurrentHashMap<>();
+  private final Map<String, CompletableFuture<ReadBack>> pending = new ConcurrentHashMap<>();
   private volatile StreamPosition position = new StreamPosition(0, false, 0);
   private volatile long confirmedAtMillis;
   private long expiredAtMillis;
@@ -67,22 +72,32 @@
     this.readBackTimeoutMillis = readBackTimeoutMillis;
   }
 
-  /**
-   * Appends a record and completes once it was read back, with its offset and verdict.
-   *
-   * <p>Completes exceptionally with {@link RequestNotAppendedException} if it was certainly not
-   * appended, and with {@link java.util.concurrent.TimeoutException} if that cannot be told yet.
-   */
-  public CompletableFuture<AppendedRequest> append(RequestRecord record) {
-    CompletableFuture<AppendedRequest> readBack = new CompletableFuture<>();
+  @Override
+  public CompletableFuture<ReadBack> append(RequestRecord record) {
+    if (record instanceof CallClaimed && !knowsAllClaims()) {
+      return CompletableFuture.failedFuture(
+          new RequestAppendException(
+              false,
+              "this instance began to read where claims have expired, and does not know yet which"
+                  + " ids are in use; send the call to another instance",
+              null));
+    }
+    CompletableFuture<ReadBack> readBack = new CompletableFuture<>();
     pending.put(record.recordId(), readBack);
     writer.append(STREAM, record).thenAccept(result -> onAppended(result, readBack));
     return readBack
         .orTimeout(readBackTimeoutMillis, TimeUnit.MILLISECONDS)
-        .whenComplete((appended, failure) -> pending.remove(record.recordId()));
+        .exceptionallyCompose(RequestLog::toAppendException)
+        .whenComplete((done, failure) -> pending.remove(record.recordId()));
+  }
+
+  private boolean knowsAllClaims() {
+    synchronized (lock) {
+      return ledger.isComplete() || position.atEnd() && position.nextOffset() == 0;
+    }
   }
 
-  private static void onAppended(AppendResult result, CompletableFuture<AppendedRequest> readBack) {
+  private static void onAppended(AppendResult result, CompletableFuture<ReadBack> readBack) {
     switch (result) {
       case NotAppended refused ->
           readBack.completeExceptionally(
@@ -92,18 +107,30 @@
     }
   }
 
+  private static CompletableFuture<ReadBack> toAppendException(Throwable failure) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    boolean mayTakeEffect = !(cause instanceof RequestNotAppendedException);
+    String message =
+        mayTakeEffect ? "the record was not read back in time; read it later" : cause.getMessage();
+    return CompletableFuture.failedFuture(
+        new RequestAppendException(mayTakeEffect, message, cause));
+  }
+
   @Override
   public void onRecord(long offset, RequestRecord record, long readAtMillis) {
     Verdict verdict;
+    Optional<CallEntry> current;
     synchronized (lock) {
       verdict = ledger.apply(offset, record, readAtMillis);
+      current =
+          record instanceof CallClaimed claim ? ledger.call(claim.requestId()) : Optional.empty();
       if (verdict.isAccepted() && (record instanceof JobSubmitted || isCancelled(record))) {
         jobRequests.add(new JobRequest(offset, record));
       }
     }
-    CompletableFuture<AppendedRequest> readBack = pending.remove(record.recordId());
+    CompletableFuture<ReadBack> readBack = pending.remove(record.recordId());
     if (readBack != null) {
-      readBack.complete(new AppendedRequest(offset, verdict));
+      readBack.complete(new ReadBack(offset, verdict, current));
     }
   }
 
@@ -209,8 +236,8 @@
     }
   }
 
-  /** Returns the claimed call of a request id. */
-  public Optional<RequestLedger.CallEntry> call(String requestId) {
+  @Override
+  public Optional<CallEntry> recordedCall(String requestId) {
     synchronized (lock) {
       return ledger.call(requestId);
     }
