--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/EntryServices.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/EntryServices.java
@@ -3,8 +3,13 @@
 import java.net.InetSocketAddress;
 import java.time.InstantSource;
 import java.util.random.RandomGenerator;
+import org.apache.commons.rng.simple.RandomSource;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.cicadaford.entry.call.CallService;
+import org.cicadaford.entry.call.CallSettings;
+import org.cicadaford.entry.call.CallThread;
+import org.cicadaford.entry.call.ServiceCalls;
 import org.cicadaford.entry.config.ConfigHolder;
 import org.cicadaford.entry.job.JobReporter;
 import org.cicadaford.entry.job.JobService;
@@ -53,6 +58,9 @@
   private final ZoneOwnerService zoneOwner;
   private final PeerCoordinator peers;
   private final JobService jobs;
+  private final CallThread callThread = new CallThread();
+  private final CallService callService;
+  private final ServiceCalls calls;
   private final StreamFollower<ConfigRecord> configFollower;
   private final StreamFollower<RequestRecord> requestsFollower;
   private final StreamFollower<ZoneRecord> zoneFollower;
@@ -79,24 +87,17 @@
     this.ownerWriter = new LogWriter("owner", platform.log(), LogWriter.RING_SIZE, clock, metrics);
     this.config = new ConfigHolder(ownerWriter, settings.logRetentionMillis(), random, metrics);
     this.requests = new RequestLog(requestWriter, settings.readBackTimeoutMillis());
-    this.membership = new MembershipPoller(platform.membership(), clock, metrics);
+    this.callService = newCallService();
+    this.calls = new ServiceCalls(config, callService, metrics);
+    this.membership =
+        new MembershipPoller(platform.membership(), callService::onMembers, clock, metrics);
     this.workerLink =
         new WorkerLink(
             platform.workers(), WorkerLink.RING_SIZE, WorkerLink.MAX_IN_FLIGHT, clock, metrics);
     ZoneOwnerSettings ownerSettings =
         ZoneOwnerSettings.of(
             settings.zone(), settings.instanceId(), settings.zoneSnapshotIntervalMillis());
-    this.zoneOwner =
-        new ZoneOwnerService(
-            ownerSettings,
-            ownerWriter,
-            config,
-            requests,
-            membership,
-            workerLink,
-            clock,
-            random,
-            metrics);
+    this.zoneOwner = newZoneOwner(ownerSettings);
     JobReporter ownJobs = new JobReporter(settings.zone(), requests, zoneOwner, ZoneParts.none());
     this.peers =
         new PeerCoordinator(
@@ -122,6 +123,28 @@
             Math.min(ZONE_POLL_MILLIS, settings.pollMillis()));
   }
 
+  private CallService newCallService() {
+    return new CallService(
+        CallSettings.forInstance(settings.instanceId(), settings.zone()),
+        callThread,
+        requests,
+        platform.endpoints(),
+        RandomSource.XO_RO_SHI_RO_128_PP.create());
+  }
+
+  private ZoneOwnerService newZoneOwner(ZoneOwnerSettings ownerSettings) {
+    return new ZoneOwnerService(
+        ownerSettings,
+        ownerWriter,
+        config,
+        requests,
+        membership,
+        workerLink,
+        clock,
+        random,
+        metrics);
+  }
+
   private <R extends LogRecord> StreamFollower<R> follower(
       String stream, Class<R> type, StreamListener<R> listener, long pollMillis) {
     return new StreamFollower<>(
@@ -138,6 +161,7 @@
     requestWriter.start();
     ownerWriter.start();
     workerLink.start();
+    callService.start();
     membership.start(self.withPeerPort(peers.port()));
     zoneOwner.start();
     configFollower.start();
@@ -156,6 +180,7 @@
       metrics.fault("stop-timeout");
       LOG.warn("{} requests did not finish in time", gate.inProgressCount());
     }
+    callService.stop();
     zoneOwner.stop();
     peers.stop();
     membership.announceLeaving();
@@ -164,6 +189,7 @@
     configFollower.stop();
     requestWriter.stop();
     ownerWriter.stop();
+    callThread.stop();
     workerLink.stop();
     membership.stop();
     LOG.info("stopped");
@@ -213,6 +239,11 @@
     return jobs;
   }
 
+  /** Returns the service for calls. */
+  public ServiceCalls calls() {
+    return calls;
+  }
+
   /** Returns the holder of the configuration. */
   public ConfigHolder config() {
     return config;
