Look only at workers that have something to be done

A worker whose tasks all run as recorded is now left alone until its next renewal, an answer, or a change of its records.

--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/LeaseKeeper.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/LeaseKeeper.java
@@ -60,7 +60,9 @@
   }
 
   void onUnreachable(String workerId) {
-    leases.contact(workerId).unreachable = true;
+    WorkerContact contact = leases.contact(workerId);
+    contact.unreachable = true;
+    contact.isNews = true;
   }
 
   void onHandOver(HandOver told) {
@@ -92,22 +94,45 @@
       changes.add(close(round, job));
     }
     for (WorkerStatus worker : round.zone().workers()) {
-      if (changes.size() >= MAX_CHANGES) {
-        break;
-      }
-      Collection<TaskStatus> tasks = round.zone().committedTasksOn(worker.workerId());
-      takeInReports(round, worker.workerId(), tasks);
-      tasks.forEach(task -> endDetector.decide(round, task).ifPresent(changes::add));
       WorkerContact contact = leases.contact(worker.workerId());
-      changes.addAll(evacuationPlanner.decide(round, contact, tasks));
-      quarantineKeeper.decide(worker, round.nowMillis()).ifPresent(changes::add);
+      contact.isLookedAt = changes.size() < MAX_CHANGES && isLookDue(round, worker, contact);
+      if (contact.isLookedAt) {
+        addChanges(round, worker, contact, changes);
+      }
     }
     return changes;
   }
 
+  /** Most workers have nothing to be done in most rounds; looking at each would cost too much. */
+  private static boolean isLookDue(KeeperRound round, WorkerStatus worker, WorkerContact contact) {
+    long revision = round.zone().workerRevision(worker.workerId());
+    boolean due =
+        contact.isNews
+            || contact.leaving
+            || round.zoneOut()
+            || contact.lookedRevision != revision
+            || round.nowMillis() >= contact.quietUntilMillis;
+    if (due) {
+      contact.isNews = false;
+      contact.lookedRevision = revision;
+      contact.quietUntilMillis = 0;
+    }
+    return due;
+  }
+
+  private void addChanges(
+      KeeperRound round, WorkerStatus worker, WorkerContact contact, List<ZoneChange> changes) {
+    int countBefore = changes.size();
+    Collection<TaskStatus> tasks = round.zone().committedTasksOn(worker.workerId());
+    takeInReports(round, contact, tasks);
+    tasks.forEach(task -> endDetector.decide(round, task).ifPresent(changes::add));
+    changes.addAll(evacuationPlanner.decide(round, contact, tasks));
+    quarantineKeeper.decide(worker, round.nowMillis()).ifPresent(changes::add);
+    contact.isNews = changes.size() > countBefore;
+  }
+
   private void takeInReports(
-      KeeperRound round, String workerId, Collection<TaskStatus> committedTasks) {
-    WorkerContact contact = leases.contact(workerId);
+      KeeperRound round, WorkerContact contact, Collection<TaskStatus> committedTasks) {
     for (TaskStatus task : committedTasks) {
       LeaseEntry entry = leases.entry(task);
       quarantineKeeper.observe(round, task, entry);
@@ -154,6 +179,9 @@
     for (WorkerStatus worker : round.zone().workers()) {
       String workerId = worker.workerId();
       WorkerContact contact = leases.contact(workerId);
+      if (!contact.isLookedAt) {
+        continue;
+      }
       Collection<TaskStatus> tasks = round.zone().committedTasksOn(workerId);
       orders.addAll(stopPlanner.decide(round, workerId, tasks));
       renewalPlanner.decide(round, workerId, tasks).ifPresent(orders::add);
@@ -168,6 +196,7 @@
         contact.hasNewReports = false;
         orders.addAll(throttlePlanner.decide(round, worker, tasks));
       }
+      contact.quietUntilMillis = renewalPlanner.quietUntilMillis(round, contact, tasks);
     }
     orders.addAll(startPlanner.decide(round, toStart));
     return orders;
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/RenewalPlanner.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/RenewalPlanner.java
@@ -100,6 +100,25 @@
     return isRenewable(round, task) && entry.grantedUntilMillis <= round.nowMillis() + EARLY_MILLIS;
   }
 
+  /**
+   * Returns the time until which a worker has nothing to be told, or 0 if that is not known: all
+   * its tasks run as recorded, and no lease is close to its end.
+   */
+  long quietUntilMillis(
+      KeeperRound round, WorkerContact contact, Collection<TaskStatus> committedTasks) {
+    long untilMillis = contact.dueAtMillis;
+    if (contact.entries.size() != committedTasks.size()) {
+      return 0;
+    }
+    for (TaskStatus task : committedTasks) {
+      if (!isRenewable(round, task)) {
+        return 0;
+      }
+      untilMillis = Math.min(untilMillis, leases.entry(task).grantedUntilMillis - EARLY_MILLIS);
+    }
+    return untilMillis;
+  }
+
   private boolean isRenewable(KeeperRound round, TaskStatus task) {
     LeaseEntry entry = leases.entry(task);
     boolean presumed = round.isAdopted(task) && entry.report == null && !entry.absent;
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerContact.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerContact.java
@@ -36,12 +36,25 @@
   /** Whether reports came in that the keeper has not looked at. */
   boolean hasNewReports;
 
+  /** Whether an answer came in, or none did, since the last look. */
+  boolean isNews = true;
+
+  /** Whether the keeper looks at the worker in this round. */
+  boolean isLookedAt;
+
+  /** Revision of the recorded worker at the last look. */
+  long lookedRevision;
+
+  /** Time until which nothing is to do unless something changes; 0 if there may be. */
+  long quietUntilMillis;
+
   LeaseEntry entry(Lease lease) {
     return entries.computeIfAbsent(lease, key -> new LeaseEntry());
   }
 
   void onAnswer(WorkerCommand command, WorkerAnswer answer, long sentAtMillis, long nowMillis) {
     unreachable = false;
+    isNews = true;
     boolean complete = command instanceof WorkerCommand.Renew;
     long rememberedSinceMillis = complete ? earliestStart(answer.reports()) : 0;
     for (TaskReport report : answer.reports()) {
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerListKeeper.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerListKeeper.java
@@ -35,7 +35,9 @@
     for (WorkerStatus worker : round.zone().workers()) {
       ListedWorker listed = listedById.get(worker.workerId());
       boolean leaving = listed == null || listed.leaving();
-      leases.contact(worker.workerId()).leaving = leaving;
+      WorkerContact contact = leases.contact(worker.workerId());
+      contact.isNews = contact.isNews || contact.leaving != leaving;
+      contact.leaving = leaving;
       if (leaving && worker.taskCount() == 0) {
         changes.add(new WorkerUnlisted(worker.workerId()));
       }
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerTable.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerTable.java
@@ -16,6 +16,7 @@
 
   private final Map<String, WorkerStatus> workersById = new TreeMap<>();
   private final Map<String, Map<TaskId, TaskStatus>> committedByWorker = new HashMap<>();
+  private final Map<String, Long> revisionByWorker = new HashMap<>();
   private int committedTaskCount;
 
   /**
@@ -33,6 +34,7 @@
                 listed.workerId(), listed.rack(), listed.capacity(), Resources.NONE, 0, 0, 0, 0)
             : worker.withCapacity(listed.rack(), atLeast(listed.capacity(), worker.committed()));
     workersById.put(listed.workerId(), updated);
+    touch(listed.workerId());
     return true;
   }
 
@@ -44,6 +46,15 @@
         Math.max(capacity.acceleratorCount(), committed.acceleratorCount()));
   }
 
+  /** Notes that the worker or a task on it changed. */
+  void touch(String workerId) {
+    revisionByWorker.merge(workerId, 1L, Long::sum);
+  }
+
+  long revision(String workerId) {
+    return revisionByWorker.getOrDefault(workerId, 0L);
+  }
+
   boolean unlist(WorkerUnlisted unlisted) {
     WorkerStatus worker = workersById.get(unlisted.workerId());
     if (worker == null || worker.taskCount() > 0) {
@@ -51,6 +62,7 @@
     }
     workersById.remove(unlisted.workerId());
     committedByWorker.remove(unlisted.workerId());
+    revisionByWorker.remove(unlisted.workerId());
     return true;
   }
 
@@ -60,6 +72,7 @@
       return false;
     }
     workersById.put(workerId, worker.withQuarantine(failureCount, untilMillis));
+    touch(workerId);
     return true;
   }
 
@@ -81,6 +94,7 @@
         worker.workerId(),
         worker.withCommitted(committed, worker.taskCount() - 1, Math.max(0, probes)));
     committedByWorker.get(task.workerId()).remove(task.taskId());
+    touch(task.workerId());
     committedTaskCount--;
   }
 
@@ -88,6 +102,7 @@
     committedByWorker
         .computeIfAbsent(task.workerId(), id -> new TreeMap<>())
         .put(task.taskId(), task);
+    touch(task.workerId());
   }
 
   void restore(List<WorkerStatus> workers) {
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneState.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneState.java
@@ -223,6 +223,13 @@
     return tables.committedTasksOn(workerId);
   }
 
+  /**
+   * Returns a number that changes whenever the worker, a task on it or the job of such a task does.
+   */
+  long workerRevision(String workerId) {
+    return tables.workerRevision(workerId);
+  }
+
   /** Returns the processors committed to the team's tasks in this zone, in millicores. */
   public long committedMillicores(String team) {
     return tables.committedMillicores(team);
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneTables.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneTables.java
@@ -155,6 +155,9 @@
       store(task.ended(Phase.ENDED, TaskEnd.CANCELLED, closed.reason(), closed.closedAtMillis()));
     }
     index(updated.jobId());
+    tasksOf(job.jobId()).stream()
+        .filter(TaskStatus::isCommitted)
+        .forEach(task -> workers.touch(task.workerId()));
     return true;
   }
 
@@ -274,6 +277,10 @@
     return workers.committedTasksOn(workerId);
   }
 
+  long workerRevision(String workerId) {
+    return workers.revision(workerId);
+  }
+
   long committedMillicores(String team) {
     return committedMillicoresByTeam.getOrDefault(team, 0L);
   }
