--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerTable.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerTable.java
@@ -17,6 +17,7 @@
   private final Map<String, WorkerStatus> workersById = new TreeMap<>();
   private final Map<String, Map<TaskId, TaskStatus>> committedByWorker = new HashMap<>();
   private final Map<String, Long> revisionByWorker = new HashMap<>();
+  private final WorkerJournal journal = new WorkerJournal();
   private int committedTaskCount;
 
   /**
@@ -33,7 +34,7 @@
             ? new WorkerStatus(
                 listed.workerId(), listed.rack(), listed.capacity(), Resources.NONE, 0, 0, 0, 0)
             : worker.withCapacity(listed.rack(), atLeast(listed.capacity(), worker.committed()));
-    workersById.put(listed.workerId(), updated);
+    put(updated);
     touch(listed.workerId());
     return true;
   }
@@ -61,6 +62,8 @@
       return false;
     }
     workersById.remove(unlisted.workerId());
+    journal.note(unlisted.workerId());
+    journal.prune(workersById.size(), workersById::containsKey);
     committedByWorker.remove(unlisted.workerId());
     revisionByWorker.remove(unlisted.workerId());
     return true;
@@ -71,7 +74,7 @@
     if (worker == null) {
       return false;
     }
-    workersById.put(workerId, worker.withQuarantine(failureCount, untilMillis));
+    put(worker.withQuarantine(failureCount, untilMillis));
     touch(workerId);
     return true;
   }
@@ -80,8 +83,7 @@
     WorkerStatus worker = workersById.get(task.workerId());
     Resources committed = worker.committed().plus(task.reserved());
     int probes = worker.probeCount() + (worker.isProbe(task.placedAtMillis()) ? 1 : 0);
-    workersById.put(
-        worker.workerId(), worker.withCommitted(committed, worker.taskCount() + 1, probes));
+    put(worker.withCommitted(committed, worker.taskCount() + 1, probes));
     replace(task);
     committedTaskCount++;
   }
@@ -90,14 +92,21 @@
     WorkerStatus worker = workersById.get(task.workerId());
     Resources committed = worker.committed().minus(task.reserved());
     int probes = worker.probeCount() - (worker.isProbe(task.placedAtMillis()) ? 1 : 0);
-    workersById.put(
-        worker.workerId(),
-        worker.withCommitted(committed, worker.taskCount() - 1, Math.max(0, probes)));
+    put(worker.withCommitted(committed, worker.taskCount() - 1, Math.max(0, probes)));
     committedByWorker.get(task.workerId()).remove(task.taskId());
     touch(task.workerId());
     committedTaskCount--;
   }
 
+  private void put(WorkerStatus worker) {
+    workersById.put(worker.workerId(), worker);
+    journal.note(worker.workerId());
+  }
+
+  WorkerJournal journal() {
+    return journal;
+  }
+
   void replace(TaskStatus task) {
     committedByWorker
         .computeIfAbsent(task.workerId(), id -> new TreeMap<>())
@@ -106,7 +115,7 @@
   }
 
   void restore(List<WorkerStatus> workers) {
-    workers.forEach(worker -> workersById.put(worker.workerId(), worker));
+    workers.forEach(this::put);
   }
 
   void restoreCommitted(TaskStatus task) {
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneTables.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneTables.java
@@ -44,7 +44,8 @@
   private final TreeSet<JobStatus> closedJobs =
       new TreeSet<>(
           Comparator.comparingLong(JobStatus::closedAtMillis).thenComparing(JobStatus::jobId));
-  private final Map<String, Long> committedMillicoresByTeam = new HashMap<>();
+  private final Map<String, Resources> committedByTeam = new HashMap<>();
+  private final WaitingIndex waitingIndex = new WaitingIndex();
   private long nextOrdinal;
 
   private static final class JobTasks {
@@ -164,20 +165,28 @@
   private void addCommitted(TaskStatus task, int sign) {
     tasksByJob.get(task.taskId().jobId()).committedCount += sign;
     String team = jobsById.get(task.taskId().jobId()).description().team();
-    long millicores = sign * task.reserved().processorsMillicores();
-    committedMillicoresByTeam.merge(team, millicores, Long::sum);
+    Resources sum =
+        committedByTeam.getOrDefault(team, Resources.NONE).plus(task.reserved().times(sign));
+    if (sum.equals(Resources.NONE)) {
+      committedByTeam.remove(team);
+    } else {
+      committedByTeam.put(team, sum);
+    }
   }
 
   private void store(TaskStatus task) {
     JobTasks tasks = tasksByJob.get(task.taskId().jobId());
     int index = task.taskId().index();
+    int waitingBefore = tasks.waiting.size();
     tasks.all.put(index, task);
     if (task.phase() == Phase.WAITING) {
       tasks.waiting.put(index, task);
     } else {
       tasks.waiting.remove(index);
     }
-    index(task.taskId().jobId());
+    JobStatus job = jobsById.get(task.taskId().jobId());
+    waitingIndex.update(job, waitingBefore, tasks.waiting.size());
+    index(job.jobId());
   }
 
   private void index(String jobId) {
@@ -281,8 +290,29 @@
     return workers.revision(workerId);
   }
 
+  int committedTaskCount(String jobId) {
+    JobTasks tasks = tasksByJob.get(jobId);
+    return tasks == null ? 0 : tasks.committedCount;
+  }
+
   long committedMillicores(String team) {
-    return committedMillicoresByTeam.getOrDefault(team, 0L);
+    return committed(team).processorsMillicores();
+  }
+
+  Resources committed(String team) {
+    return committedByTeam.getOrDefault(team, Resources.NONE);
+  }
+
+  Collection<String> teamsWithCommitted() {
+    return Collections.unmodifiableCollection(committedByTeam.keySet());
+  }
+
+  WaitingIndex waitingIndex() {
+    return waitingIndex;
+  }
+
+  WorkerJournal workerJournal() {
+    return workers.journal();
   }
 
   int committedTaskCount() {
--- a/cicadaford-decision/src/test/java/org/cicadaford/decision/fake/FakeCell.java
+++ b/cicadaford-decision/src/test/java/org/cicadaford/decision/fake/FakeCell.java
@@ -24,6 +24,7 @@
 import org.cicadaford.model.RequestRecord.JobSubmitted;
 import org.cicadaford.model.Resources;
 import org.cicadaford.model.TaskId;
+import org.cicadaford.model.TeamPolicy;
 import org.cicadaford.model.Urgency;
 import org.cicadaford.model.WorkerAnswer;
 import org.cicadaford.model.WorkerCommand;
@@ -72,7 +73,16 @@
     configLog = new FakeLog<>(agenda, random, this::onConfigRecord);
     // Without a first record the configuration would not be complete and nothing would start.
     configLog.faulty = false;
-    configLog.append(new ConfigRecord.KeyGranted("first", "hash", "team"));
+    configLog.append(
+        new ConfigRecord.ConfigPublished(
+            "first",
+            ConfigState.NO_OFFSET,
+            List.of(),
+            List.of(new TeamPolicy("team", 1, 4 * CAPACITY.processorsMillicores())),
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of()));
     configLog.faulty = true;
     for (int i = 0; i < 3; i++) {
       owners.add(new FakeOwner("owner-" + i, this, clockOffset()));
--- a/cicadaford-decision/src/test/java/org/cicadaford/decision/fake/FakeOwner.java
+++ b/cicadaford-decision/src/test/java/org/cicadaford/decision/fake/FakeOwner.java
@@ -8,6 +8,7 @@
 import org.cicadaford.decision.HandOver;
 import org.cicadaford.decision.LifeCycleSettings;
 import org.cicadaford.decision.OwnerDecision;
+import org.cicadaford.decision.OwnerDecision.AllotmentChange;
 import org.cicadaford.decision.OwnerInputs;
 import org.cicadaford.decision.WorkerOrder;
 import org.cicadaford.decision.ZoneOwnerLogic;
@@ -39,6 +40,7 @@
   private long configConfirmedAtMillis;
   private long batchNumber;
   private long batchWrittenAtMillis;
+  private long batchNumberWritten;
   long pausedUntilMillis;
   long cutOffUntilMillis;
 
@@ -158,6 +160,9 @@
     }
     OwnerDecision decision = logic.decide(inputs(), clockMillis());
     outbox.addAll(decision.orders());
+    if (!isCutOff()) {
+      decision.allotmentChanges().forEach(this::appendAllotment);
+    }
     boolean open =
         batchWrittenAtMillis > 0
             && clockMillis() < batchWrittenAtMillis + BATCH_TIMEOUT_MILLIS
@@ -177,7 +182,10 @@
     }
   }
 
-  private long batchNumberWritten;
+  private void appendAllotment(AllotmentChange change) {
+    String recordId = id + "-allotment-" + batchNumber++;
+    cell.configLog.append(change.toRecord(recordId, FakeCell.ZONE, ownEpoch));
+  }
 
   private void send() {
     int count = 1 + cell.random(8);
--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/zone/AllotmentWriter.java
@@ -0,0 +1,36 @@
+package org.cicadaford.entry.zone;
+
+import java.util.List;
+import java.util.UUID;
+import org.cicadaford.decision.OwnerDecision.AllotmentChange;
+import org.cicadaford.entry.config.ConfigHolder;
+import org.cicadaford.entry.metrics.EntryMetrics;
+import org.cicadaford.entry.stream.LogWriter;
+
+/**
+ * Appends changes of the zone's allotments to the configuration.
+ *
+ * <p>The changes are numbered when they are decided, so one that is lost or arrives late needs no
+ * care here: a later number that is seen in the configuration tells that it can have no effect.
+ */
+final class AllotmentWriter {
+
+  private final String zone;
+  private final LogWriter writer;
+  private final EntryMetrics metrics;
+
+  AllotmentWriter(String zone, LogWriter writer, EntryMetrics metrics) {
+    this.zone = zone;
+    this.writer = writer;
+    this.metrics = metrics;
+  }
+
+  /** Appends the changes in the order of their numbers. */
+  void write(List<AllotmentChange> changes, long epoch) {
+    for (AllotmentChange change : changes) {
+      String recordId = "allotment-" + UUID.randomUUID();
+      writer.append(ConfigHolder.STREAM, change.toRecord(recordId, zone, epoch));
+      metrics.decision(change.millicores() >= 0 ? "allotment-taken" : "allotment-released");
+    }
+  }
+}
--- /dev/null
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/zone/OwnershipClaimer.java
@@ -0,0 +1,119 @@
+package org.cicadaford.entry.zone;
+
+import java.util.List;
+import java.util.UUID;
+import org.cicadaford.decision.ConfigState;
+import org.cicadaford.decision.HandOver;
+import org.cicadaford.decision.OwnershipPolicy;
+import org.cicadaford.decision.OwnershipPolicy.Action;
+import org.cicadaford.decision.OwnershipSettings;
+import org.cicadaford.decision.OwnershipView;
+import org.cicadaford.decision.ZoneState;
+import org.cicadaford.entry.stream.LogWriter;
+import org.cicadaford.entry.stream.StreamPosition;
+import org.cicadaford.model.ZoneRecord.OwnerClaimed;
+import org.cicadaford.platform.Member;
+import org.cicadaford.platform.Member.State;
+
+/** Gathers what {@link OwnershipPolicy} decides from, and writes claims. */
+final class OwnershipClaimer {
+
+  private final ZoneOwnerSettings settings;
+  private final LogWriter writer;
+  private final OwnershipPolicy policy = new OwnershipPolicy(OwnershipSettings.DEFAULT);
+  private long followingSinceMillis;
+  private long lastBatchReadAtMillis;
+  private long lastHeartbeatAtMillis;
+  private long peerEpoch = ConfigState.NO_OFFSET;
+  private long handOverEpoch = ConfigState.NO_OFFSET;
+  private long handOverAtMillis;
+  private long claimedAtMillis;
+  private boolean stopping;
+
+  OwnershipClaimer(ZoneOwnerSettings settings, LogWriter writer) {
+    this.settings = settings;
+    this.writer = writer;
+  }
+
+  /** Takes in that a claim or batch in force was read. */
+  void onOwnerRecord(long readAtMillis) {
+    lastBatchReadAtMillis = readAtMillis;
+  }
+
+  /** Takes in that the end of the stream was read. */
+  void onEndRead(long requestedAtMillis) {
+    if (followingSinceMillis == 0) {
+      followingSinceMillis = requestedAtMillis;
+    }
+  }
+
+  void onPeerHeartbeat(long epoch, long receivedAtMillis) {
+    peerEpoch = Math.max(peerEpoch, epoch);
+    lastHeartbeatAtMillis = receivedAtMillis;
+  }
+
+  void onHandOver(HandOver told, long receivedAtMillis) {
+    if (told.epoch() >= handOverEpoch) {
+      handOverEpoch = told.epoch();
+      handOverAtMillis = receivedAtMillis;
+    }
+  }
+
+  /** Gives up ownership for good. */
+  void stop() {
+    stopping = true;
+  }
+
+  /**
+   * Forgets the claim. An owner that lost its memory of leases must not go on in the same epoch,
+   * since it would not wait for the leases that it granted itself.
+   */
+  void forgetClaim() {
+    claimedAtMillis = 0;
+    followingSinceMillis = 0;
+  }
+
+  /** Returns what to do, after writing a claim if one is due. */
+  Action decide(
+      ZoneState state,
+      long ownEpoch,
+      StreamPosition lastEnd,
+      List<Member> entries,
+      long nowMillis) {
+    if (isLeaving(state.ownerInstanceId(), entries) && handOverEpoch < state.epoch()) {
+      // An instance announces that it leaves only after it stopped acting as owner.
+      handOverEpoch = state.epoch();
+      handOverAtMillis = nowMillis;
+    }
+    boolean usable = state.isComplete() || lastEnd.atEnd() && lastEnd.nextOffset() == 0;
+    OwnershipView view =
+        new OwnershipView(
+            settings.instanceId(),
+            usable && followingSinceMillis > 0,
+            state.epoch(),
+            state.ownerInstanceId(),
+            ownEpoch,
+            peerEpoch,
+            followingSinceMillis,
+            lastHeartbeatAtMillis,
+            lastBatchReadAtMillis,
+            lastEnd.atEnd() ? lastEnd.requestedAtMillis() : 0,
+            handOverEpoch,
+            handOverAtMillis,
+            claimedAtMillis,
+            stopping);
+    Action action = policy.decide(view, nowMillis);
+    if (action == Action.CLAIM) {
+      claimedAtMillis = nowMillis;
+      String recordId = "claim-" + UUID.randomUUID();
+      writer.append(
+          settings.stream(), new OwnerClaimed(recordId, settings.instanceId(), nowMillis));
+    }
+    return action;
+  }
+
+  private static boolean isLeaving(String ownerInstanceId, List<Member> entries) {
+    return entries.stream()
+        .anyMatch(m -> m.instanceId().equals(ownerInstanceId) && m.state() == State.LEAVING);
+  }
+}
