--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/EntryServices.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/EntryServices.java
@@ -1,15 +1,22 @@
 package org.cicadaford.entry;
 
+import java.net.InetSocketAddress;
 import java.time.InstantSource;
 import java.util.random.RandomGenerator;
+import org.apache.commons.rng.simple.RandomSource;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.cicadaford.entry.call.CallService;
+import org.cicadaford.entry.call.CallSettings;
+import org.cicadaford.entry.call.CallThread;
+import org.cicadaford.entry.call.ServiceCalls;
 import org.cicadaford.entry.config.ConfigHolder;
 import org.cicadaford.entry.job.JobReporter;
 import org.cicadaford.entry.job.JobService;
 import org.cicadaford.entry.job.ZoneParts;
 import org.cicadaford.entry.membership.MembershipPoller;
 import org.cicadaford.entry.metrics.EntryMetrics;
+import org.cicadaford.entry.peer.PeerCoordinator;
 import org.cicadaford.entry.request.RequestLog;
 import org.cicadaford.entry.stream.LogWriter;
 import org.cicadaford.entry.stream.StreamFollower;
@@ -22,6 +29,8 @@
 import org.cicadaford.model.RequestRecord;
 import org.cicadaford.model.ZoneRecord;
 import org.cicadaford.platform.Member;
+import org.cicadaford.wire.PeerException;
+import org.cicadaford.wire.PeerMessage;
 
 /** All services of an entry instance, joined together. */
 public final class EntryServices {
@@ -47,17 +56,25 @@
   private final MembershipPoller membership;
   private final WorkerLink workerLink;
   private final ZoneOwnerService zoneOwner;
+  private final PeerCoordinator peers;
   private final JobService jobs;
+  private final CallThread callThread = new CallThread();
+  private final CallService callService;
+  private final ServiceCalls calls;
   private final StreamFollower<ConfigRecord> configFollower;
   private final StreamFollower<RequestRecord> requestsFollower;
   private final StreamFollower<ZoneRecord> zoneFollower;
   private volatile boolean wasReady;
 
-  /** Creates services that are not started. */
+  /**
+   * Creates services that are not started.
+   *
+   * @param peerAddress address that peers connect to; port 0 lets the system choose
+   */
   public EntryServices(
       EntrySettings settings,
       Platform platform,
-      ZoneParts otherZones,
+      InetSocketAddress peerAddress,
       InstantSource clock,
       RandomGenerator random) {
     this.settings = settings;
@@ -70,25 +87,29 @@
     this.ownerWriter = new LogWriter("owner", platform.log(), LogWriter.RING_SIZE, clock, metrics);
     this.config = new ConfigHolder(ownerWriter, settings.logRetentionMillis(), random, metrics);
     this.requests = new RequestLog(requestWriter, settings.readBackTimeoutMillis());
-    this.membership = new MembershipPoller(platform.membership(), clock, metrics);
+    this.callService = newCallService();
+    this.calls = new ServiceCalls(config, callService, metrics);
+    this.membership =
+        new MembershipPoller(platform.membership(), callService::onMembers, clock, metrics);
     this.workerLink =
         new WorkerLink(
             platform.workers(), WorkerLink.RING_SIZE, WorkerLink.MAX_IN_FLIGHT, clock, metrics);
     ZoneOwnerSettings ownerSettings =
         ZoneOwnerSettings.of(
             settings.zone(), settings.instanceId(), settings.zoneSnapshotIntervalMillis());
-    this.zoneOwner =
-        new ZoneOwnerService(
-            ownerSettings,
-            ownerWriter,
+    this.zoneOwner = newZoneOwner(ownerSettings);
+    JobReporter ownJobs = new JobReporter(settings.zone(), requests, zoneOwner, ZoneParts.none());
+    this.peers =
+        new PeerCoordinator(
+            peerAddress,
+            new PeerMessage.Hello(settings.instanceId(), settings.zone()),
             config,
-            requests,
+            zoneOwner,
+            ownJobs,
             membership,
-            workerLink,
             clock,
-            random,
             metrics);
-    JobReporter reporter = new JobReporter(settings.zone(), requests, zoneOwner, otherZones);
+    JobReporter reporter = new JobReporter(settings.zone(), requests, zoneOwner, peers);
     this.jobs = new JobService(config, requests, membership, reporter);
     this.configFollower =
         follower(ConfigHolder.STREAM, ConfigRecord.class, config, settings.pollMillis());
@@ -102,18 +123,46 @@
             Math.min(ZONE_POLL_MILLIS, settings.pollMillis()));
   }
 
+  private CallService newCallService() {
+    return new CallService(
+        CallSettings.forInstance(settings.instanceId(), settings.zone()),
+        callThread,
+        requests,
+        platform.endpoints(),
+        RandomSource.XO_RO_SHI_RO_128_PP.create());
+  }
+
+  private ZoneOwnerService newZoneOwner(ZoneOwnerSettings ownerSettings) {
+    return new ZoneOwnerService(
+        ownerSettings,
+        ownerWriter,
+        config,
+        requests,
+        membership,
+        workerLink,
+        clock,
+        random,
+        metrics);
+  }
+
   private <R extends LogRecord> StreamFollower<R> follower(
       String stream, Class<R> type, StreamListener<R> listener, long pollMillis) {
     return new StreamFollower<>(
         stream, type, platform.log(), listener, pollMillis, clock, random, metrics);
   }
 
-  /** Starts all threads; the platform is told of this instance as {@code self}. */
-  public void start(Member self) {
+  /**
+   * Starts all threads; the platform is told of this instance as {@code self} with its peer port.
+   *
+   * @throws PeerException if the address for peers cannot be bound
+   */
+  public void start(Member self) throws PeerException {
+    peers.start();
     requestWriter.start();
     ownerWriter.start();
     workerLink.start();
-    membership.start(self);
+    callService.start();
+    membership.start(self.withPeerPort(peers.port()));
     zoneOwner.start();
     configFollower.start();
     requestsFollower.start();
@@ -131,13 +180,16 @@
       metrics.fault("stop-timeout");
       LOG.warn("{} requests did not finish in time", gate.inProgressCount());
     }
+    callService.stop();
     zoneOwner.stop();
+    peers.stop();
     membership.announceLeaving();
     zoneFollower.stop();
     requestsFollower.stop();
     configFollower.stop();
     requestWriter.stop();
     ownerWriter.stop();
+    callThread.stop();
     workerLink.stop();
     membership.stop();
     LOG.info("stopped");
@@ -187,6 +239,11 @@
     return jobs;
   }
 
+  /** Returns the service for calls. */
+  public ServiceCalls calls() {
+    return calls;
+  }
+
   /** Returns the holder of the configuration. */
   public ConfigHolder config() {
     return config;
@@ -202,6 +259,11 @@
     return membership;
   }
 
+  /** Returns the links to peers. */
+  public PeerCoordinator peers() {
+    return peers;
+  }
+
   /** Returns the zone owner. */
   public ZoneOwnerService zoneOwner() {
     return zoneOwner;
