--- a/cicadaford-bench/src/main/java/org/cicadaford/bench/LoadedZone.java
+++ b/cicadaford-bench/src/main/java/org/cicadaford/bench/LoadedZone.java
@@ -79,11 +79,18 @@
         List.of(new JobAdmitted("job" + jobCount++, description, indexes, NOW_MILLIS)), NOW_MILLIS);
   }
 
-  /** Admits jobs of single tasks larger than what is free anywhere, of many sizes. */
+  /**
+   * Admits jobs of single large tasks and places those that still fit, so that at least {@code
+   * count} of them are blocked.
+   */
   public void admitBlocked(int count) {
-    for (int i = 0; i < count; i++) {
+    int workers = zone.state().workers().size();
+    for (int i = 0; i < count + (count == 0 ? 0 : workers); i++) {
       admit(new Resources(40_000 + random.nextInt(20_000), 90_000, 0), 1);
     }
+    while (!decideAndRecord().isEmpty()) {
+      continue;
+    }
   }
 
   /** Returns the next decision without recording it; the next call makes the same one. */
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/FairPlacer.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/FairPlacer.java
@@ -6,9 +6,11 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.PriorityQueue;
 import org.cicadaford.decision.PlacementRound.Outcome;
 import org.cicadaford.decision.WaitingIndex.QueueKey;
+import org.cicadaford.decision.WaitingIndex.SizeClass;
 import org.cicadaford.decision.WaitingIndex.TeamQueues;
 import org.cicadaford.model.Urgency;
 
@@ -18,18 +20,25 @@
  * turns.
  *
  * <p>A size class of a team whose first job finds no room is left out for the rest of the decision,
- * so that the work per decision does not grow with the backlog.
+ * so that the work per decision does not grow with the backlog. Size classes larger than the most
+ * free processors or memory are not tried at all.
  */
 final class FairPlacer {
 
   /** Attempts after which a decision ends, whether they placed something or not. */
   private static final int MAX_ATTEMPTS = 4_000;
 
+  /** Jobs of untried size classes that one decision looks at for preemption. */
+  private static final int MAX_UNTRIED_NOTED = 64;
+
   /** Jobs near their deadline that one decision looks at; the next one goes on behind them. */
   private static final int MAX_DEADLINE_JOBS = 256;
 
   private final boolean fairShare;
   private final Map<String, List<JobStatus>> dueByTeam = new HashMap<>();
+  private SizeClass mostFree;
+  private SizeClass mostFreeForAccelerated;
+  private int untriedNoted;
   private int attempts;
   private QueueKey deadlineCursor;
 
@@ -38,21 +47,26 @@
   }
 
   /** Starts a new decision. */
-  void begin() {
+  void begin(PlacementRound round) {
+    untriedNoted = 0;
     attempts = 0;
     dueByTeam.clear();
   }
 
   /** Places work of one urgency. */
   void place(PlacementRound round, Urgency urgency) {
+    mostFree = round.index().mostFree(urgency == Urgency.URGENT, false);
+    mostFreeForAccelerated = round.index().mostFree(urgency == Urgency.URGENT, true);
     PriorityQueue<TeamTurn> turns = new PriorityQueue<>();
     for (Map.Entry<String, TeamQueues> entry : round.zone().waitingIndex().byTeam().entrySet()) {
       TeamQueues queues = entry.getValue();
       String team = entry.getKey();
       if (!queues.queues(urgency).isEmpty() && round.availableMillicores(team) > 0) {
         TeamTurn turn = new TeamTurn(round, team, queues, urgency);
-        turn.refreshKey(round);
-        turns.add(turn);
+        if (!turn.cursors.isEmpty()) {
+          turn.refreshKey(round);
+          turns.add(turn);
+        }
       }
     }
     while (!turns.isEmpty() && !round.isFull() && attempts < MAX_ATTEMPTS) {
@@ -151,16 +165,38 @@
 
     private TeamTurn(PlacementRound round, String team, TeamQueues queues, Urgency urgency) {
       this.team = team;
-      this.due =
-          new ClassCursor(
-              round.zone(),
-              dueByTeam.getOrDefault(team, List.of()).stream()
-                  .filter(job -> job.description().urgency() == urgency)
-                  .iterator());
-      queues
-          .queues(urgency)
-          .values()
-          .forEach(q -> cursors.add(new ClassCursor(round.zone(), q.values().iterator())));
+      List<JobStatus> dueJobs = new ArrayList<>();
+      for (JobStatus job : dueByTeam.getOrDefault(team, List.of())) {
+        if (job.description().urgency() == urgency) {
+          dueJobs.add(job);
+        }
+      }
+      this.due = new ClassCursor(round.zone(), dueJobs.iterator());
+      for (Map.Entry<SizeClass, NavigableMap<QueueKey, JobStatus>> entry :
+          queues.queues(urgency).entrySet()) {
+        NavigableMap<QueueKey, JobStatus> queue = entry.getValue();
+        if (mayFit(entry.getKey())) {
+          cursors.add(new ClassCursor(round.zone(), queue.values().iterator()));
+        } else if (mayMatter(round, urgency, entry.getKey())) {
+          untriedNoted++;
+          round.noteBlocked(queue.firstEntry().getValue());
+        }
+      }
+    }
+
+    private boolean mayFit(SizeClass sizeClass) {
+      SizeClass room = sizeClass.accelerators() > 0 ? mostFreeForAccelerated : mostFree;
+      return sizeClass.gangTasks() > 0 || sizeClass.mayFitIn(room);
+    }
+
+    /** Returns whether room may be made for a job that is not tried, without looking at the job. */
+    private boolean mayMatter(PlacementRound round, Urgency urgency, SizeClass sizeClass) {
+      if (urgency == Urgency.URGENT || sizeClass.gangTasks() > 0) {
+        return true;
+      }
+      return urgency == Urgency.NORMAL
+          && untriedNoted < MAX_UNTRIED_NOTED
+          && !round.isOverShare(team);
     }
 
     private void refreshKey(PlacementRound round) {
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/FreeCapacityTree.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/FreeCapacityTree.java
@@ -122,6 +122,20 @@
     return top;
   }
 
+  /** Returns the most free processors of any worker, in millicores; 0 without workers. */
+  long mostMillicores() {
+    Node node = root;
+    while (node != null && node.right != null) {
+      node = node.right;
+    }
+    return node == null ? 0 : node.millicores;
+  }
+
+  /** Returns the most free memory of any worker, in mebibytes; 0 without workers. */
+  long mostMebibytes() {
+    return root == null ? 0 : root.mostMebibytes;
+  }
+
   /** Returns the allowed worker with the least free processors that has room, or null. */
   WorkerSlot smallest(long millicores, long mebibytes, Predicate<WorkerSlot> allowed) {
     return smallest(root, millicores, mebibytes, allowed);
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/PlacementRound.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/PlacementRound.java
@@ -268,7 +268,8 @@
     return activeWeight;
   }
 
-  private void noteBlocked(JobStatus job) {
+  /** Remembers a job that found no room, for preemption and reservations. */
+  void noteBlocked(JobStatus job) {
     boolean isGang = isGang(job);
     Set<JobStatus> blocked = isGang ? blockedGangs : blockedJobs;
     if (blocked.size() < MAX_BLOCKED_JOBS && (isGang || Preemptor.mayPreempt(this, job))) {
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/WaitingIndex.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/WaitingIndex.java
@@ -57,6 +57,11 @@
           gangTasks);
     }
 
+    /** Returns whether some size of this class may fit into some size of {@code room}'s class. */
+    boolean mayFitIn(SizeClass room) {
+      return processors <= room.processors && memory <= room.memory;
+    }
+
     private static int quarterOctave(long amount) {
       if (amount < 4) {
         return (int) Math.max(0, amount);
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerIndex.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerIndex.java
@@ -263,6 +263,33 @@
     return null;
   }
 
+  /**
+   * Returns the most free processors and the most free memory, not of one worker together, among
+   * the workers that a kind of work may use. Workers in quarantine count, as they may be due a
+   * probe.
+   */
+  SizeClass mostFree(boolean urgent, boolean accelerated) {
+    boolean all = !(policy instanceof PlacementPolicy.BestFit);
+    List<FreeCapacityTree> trees = new ArrayList<>(List.of(plainTree, spareTree));
+    if (accelerated || all) {
+      trees.addAll(acceleratorTrees.values());
+    }
+    if (urgent) {
+      trees.addAll(List.of(headroomTree, reservedTree));
+    }
+    long millicores = 0;
+    long mebibytes = 0;
+    for (FreeCapacityTree tree : trees) {
+      millicores = Math.max(millicores, tree.mostMillicores());
+      mebibytes = Math.max(mebibytes, tree.mostMebibytes());
+    }
+    for (WorkerSlot slot : quarantinedById.values()) {
+      millicores = Math.max(millicores, slot.free().processorsMillicores());
+      mebibytes = Math.max(mebibytes, slot.free().memoryMebibytes());
+    }
+    return SizeClass.of(new Resources(millicores, mebibytes, 0), 0);
+  }
+
   /** Returns whether a task of at most this size found no room since capacity was last freed. */
   boolean isKnownWithoutRoom(Resources size) {
     Resources failed = withoutRoom.get(SizeClass.of(size, 0));
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneScheduler.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneScheduler.java
@@ -68,7 +68,7 @@
   }
 
   private void placeAll(PlacementRound round) {
-    fairPlacer.begin();
+    fairPlacer.begin(round);
     fairPlacer.place(round, Urgency.URGENT);
     if (settings.deadlineOrder()) {
       fairPlacer.placeNearDeadline(round);
