--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerSlot.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerSlot.java
@@ -86,10 +86,8 @@
 
   /** Returns whether the worker's quarantine allows one probe task now. */
   boolean isProbeDue(long nowMillis) {
-    return listed
-        && status.isQuarantined()
-        && taskCount == 0
-        && nowMillis >= status.quarantineUntilMillis();
+    boolean proposedNone = taskCount == status.taskCount();
+    return listed && status.isQuarantined() && status.admitsTask(nowMillis) && proposedNone;
   }
 
   boolean isQuarantined() {
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneScheduler.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneScheduler.java
@@ -43,10 +43,6 @@
     this(zone, SchedulerSettings.DEFAULT, limits);
   }
 
-  List<ZoneChange> decide(OwnerInputs inputs, LeaseKeeper leaseKeeper, long nowMillis) {
-    return decide(inputs, TaskSizes.DECLARED, nowMillis);
-  }
-
   /** Returns what to record: placements, stops and jobs that can never run. */
   public List<ZoneChange> decide(OwnerInputs inputs, TaskSizes sizes, long nowMillis) {
     index.sync(inputs, nowMillis);
--- a/cicadaford-decision/src/test/java/org/cicadaford/decision/TestZone.java
+++ b/cicadaford-decision/src/test/java/org/cicadaford/decision/TestZone.java
@@ -99,7 +99,7 @@
 
   /** Claims the zone for a new owner. */
   void claim(long nowMillis) {
-    state.apply(++offset, new OwnerClaimed("claim", "other", nowMillis));
+    state.apply(++offset, new OwnerClaimed("claim-" + offset, "other", nowMillis));
   }
 
   OwnerInputs inputs(long nowMillis) {
