Keep the samples of the burn report small

Cause: a sample a minute from each daemon made the samples file grow without bound in the 30 days, and the report walked all events again for each team. Ruled out: rates in place of counters, which lose events where a sample is left out. Change: samples that no window can tell apart are left out, which loses no event because counters are sums; events are grouped by team; plots show the seven teams with the least budget left. Before: the file kept all samples.

--- a/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/burn/BurnCalculator.java
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/burn/BurnCalculator.java
@@ -1,8 +1,8 @@
 package org.cicadaford.cli.internal.burn;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
-import java.util.function.Predicate;
 import org.cicadaford.cli.internal.burn.BurnReport.Alert;
 import org.cicadaford.cli.internal.burn.BurnReport.Line;
 import org.cicadaford.cli.internal.burn.BurnReport.ObjectiveBurn;
@@ -23,6 +23,7 @@
   static final double TICKET_RATE = 1;
 
   private static final int MAX_HISTORY_POINTS = 200;
+  private static final int MAX_PLOTTED_TEAMS = 7;
 
   private BurnCalculator() {}
 
@@ -42,31 +43,42 @@
     EventHistory history = EventHistory.of(objective.name(), samples);
     RowMaker rows = new RowMaker(objective, history, firstMillis, nowMillis);
     List<Row> all = new ArrayList<>();
-    all.add(rows.make(ALL, ALL, entry -> true));
-    List<Line> lines = new ArrayList<>();
-    lines.add(line(ALL, objective, history, samples, nowMillis, entry -> true));
+    all.add(rows.make(ALL, ALL));
     for (String team : history.teams()) {
-      Predicate<EventHistory.Entry> ofTeam = entry -> entry.team().equals(team);
-      all.add(rows.make(team, ALL, ofTeam));
-      lines.add(line(team, objective, history, samples, nowMillis, ofTeam));
-      for (String zone : history.zonesOf(team)) {
-        all.add(rows.make(team, zone, ofTeam.and(entry -> entry.zone().equals(zone))));
-      }
+      all.add(rows.make(team, ALL));
+      history.zonesOf(team).forEach(zone -> all.add(rows.make(team, zone)));
+    }
+    List<Long> times = plotTimes(samples, nowMillis);
+    List<Line> lines = new ArrayList<>();
+    lines.add(line(ALL, objective, history, times));
+    for (String team : worstTeams(all)) {
+      lines.add(line(team, objective, history, times));
     }
     return new ObjectiveBurn(objective.name(), objective.meaning(), objective.target(), all, lines);
   }
 
+  /** A plot with a line for each of hundreds of teams could not be read. */
+  private static List<String> worstTeams(List<Row> rows) {
+    return rows.stream()
+        .filter(row -> !row.team().equals(ALL) && row.zone().equals(ALL))
+        .sorted(Comparator.comparingDouble(Row::budgetLeft).thenComparing(Row::team))
+        .limit(MAX_PLOTTED_TEAMS)
+        .map(Row::team)
+        .toList();
+  }
+
   private record RowMaker(
       Objective objective, EventHistory history, long firstMillis, long nowMillis) {
 
-    Row make(String team, String zone, Predicate<EventHistory.Entry> filter) {
-      List<WindowBurn> windows = BurnWindow.ALL.stream().map(w -> window(w, filter)).toList();
-      double budgetLeft = 1 - window(BurnWindow.PERIOD, filter).burnRate();
+    Row make(String team, String zone) {
+      List<WindowBurn> windows =
+          BurnWindow.ALL.stream().map(window -> burnIn(window, team, zone)).toList();
+      double budgetLeft = 1 - burnIn(BurnWindow.PERIOD, team, zone).burnRate();
       return new Row(team, zone, windows, budgetLeft, alert(windows));
     }
 
-    private WindowBurn window(BurnWindow window, Predicate<EventHistory.Entry> filter) {
-      EventCount events = history.count(nowMillis - window.millis(), nowMillis, filter);
+    private WindowBurn burnIn(BurnWindow window, String team, String zone) {
+      EventCount events = history.count(team, zone, nowMillis - window.millis(), nowMillis);
       long covered = Math.min(window.millis(), firstMillis == 0 ? 0 : nowMillis - firstMillis);
       return new WindowBurn(
           window.name(), covered, events.bad(), events.total(), rate(events, objective.target()));
@@ -97,13 +109,7 @@
         .orElse(0);
   }
 
-  private static Line line(
-      String team,
-      Objective objective,
-      EventHistory history,
-      List<Sample> samples,
-      long nowMillis,
-      Predicate<EventHistory.Entry> filter) {
+  private static List<Long> plotTimes(List<Sample> samples, long nowMillis) {
     List<Long> times =
         samples.stream()
             .map(Sample::atMillis)
@@ -112,11 +118,19 @@
             .sorted()
             .toList();
     int step = Math.max(1, Math.ceilDiv(times.size(), MAX_HISTORY_POINTS));
-    List<Point> points = new ArrayList<>();
+    List<Long> chosen = new ArrayList<>();
     for (int i = times.size() - 1; i >= 0; i -= step) {
-      long at = times.get(i);
-      EventCount events = history.count(at - BurnWindow.HOUR_1.millis(), at, filter);
-      points.addFirst(new Point(at, rate(events, objective.target())));
+      chosen.addFirst(times.get(i));
+    }
+    return chosen;
+  }
+
+  private static Line line(
+      String team, Objective objective, EventHistory history, List<Long> times) {
+    List<Point> points = new ArrayList<>();
+    for (long at : times) {
+      EventCount events = history.count(team, ALL, at - BurnWindow.HOUR_1.millis(), at);
+      points.add(new Point(at, rate(events, objective.target())));
     }
     return new Line(team, points);
   }
--- a/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/burn/BurnReport.java
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/burn/BurnReport.java
@@ -27,7 +27,8 @@
    * Results of one objective.
    *
    * @param rows one row for all, and one for each team and zone
-   * @param history burn rate of the last hour at earlier times, for all and for each team
+   * @param history burn rate of the last hour at earlier times, for all and for the teams with the
+   *     least budget left
    */
   public record ObjectiveBurn(
       String name, String meaning, double target, List<Row> rows, List<Line> history) {}
--- a/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/burn/EventCount.java
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/burn/EventCount.java
@@ -1,11 +1,14 @@
 package org.cicadaford.cli.internal.burn;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
+
 /**
  * Events of one objective and one team.
  *
  * @param bad events that miss the objective
  * @param total all events
  */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record EventCount(double bad, double total) {
 
   static final EventCount NONE = new EventCount(0, 0);
--- a/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/burn/EventHistory.java
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/burn/EventHistory.java
@@ -5,8 +5,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.TreeSet;
-import java.util.function.Predicate;
 
 /**
  * Turns counters that only grow, and begin again at each start of a daemon, into events at times.
@@ -17,52 +17,66 @@
 final class EventHistory {
 
   /** Events between two samples of one daemon. */
-  record Entry(long atMillis, String zone, String team, EventCount events) {}
+  private record Entry(long atMillis, String zone, EventCount events) {}
 
-  private final List<Entry> entries;
+  private final Map<String, List<Entry>> entriesByTeam = new TreeMap<>();
 
-  private EventHistory(List<Entry> entries) {
-    this.entries = entries;
-  }
+  private EventHistory() {}
 
   static EventHistory of(String objective, List<Sample> samples) {
+    EventHistory history = new EventHistory();
     Map<String, Sample> lastByInstance = new HashMap<>();
-    List<Entry> entries = new ArrayList<>();
     List<Sample> sorted =
         samples.stream().sorted(Comparator.comparingLong(Sample::atMillis)).toList();
     for (Sample sample : sorted) {
       Sample last = lastByInstance.put(sample.instanceId(), sample);
-      if (last == null) {
-        continue;
+      if (last != null) {
+        history.add(objective, last, sample);
       }
-      for (String team : sample.counts().getOrDefault(objective, Map.of()).keySet()) {
-        EventCount events = sample.count(objective, team).since(last.count(objective, team));
-        entries.add(new Entry(sample.atMillis(), sample.zone(), team, events));
+    }
+    return history;
+  }
+
+  private void add(String objective, Sample last, Sample sample) {
+    for (String team : sample.counts().getOrDefault(objective, Map.of()).keySet()) {
+      EventCount events = sample.count(objective, team).since(last.count(objective, team));
+      List<Entry> entries = entriesByTeam.computeIfAbsent(team, name -> new ArrayList<>());
+      // A bad event can be scraped before the total that holds it.
+      if (events.total() > 0 || events.bad() > 0) {
+        entries.add(new Entry(sample.atMillis(), sample.zone(), events));
       }
     }
-    return new EventHistory(entries);
   }
 
-  /** Returns the events after {@code fromMillis} up to and including {@code toMillis}. */
-  EventCount count(long fromMillis, long toMillis, Predicate<Entry> filter) {
+  /**
+   * Returns the events after {@code fromMillis} up to and including {@code toMillis}.
+   *
+   * @param team team, or {@link BurnCalculator#ALL}
+   * @param zone availability zone, or {@link BurnCalculator#ALL}
+   */
+  EventCount count(String team, String zone, long fromMillis, long toMillis) {
     EventCount sum = EventCount.NONE;
-    for (Entry entry : entries) {
-      if (entry.atMillis() > fromMillis && entry.atMillis() <= toMillis && filter.test(entry)) {
-        sum = sum.plus(entry.events());
+    for (Map.Entry<String, List<Entry>> ofTeam : entriesByTeam.entrySet()) {
+      if (!team.equals(BurnCalculator.ALL) && !team.equals(ofTeam.getKey())) {
+        continue;
+      }
+      for (Entry entry : ofTeam.getValue()) {
+        boolean inTime = entry.atMillis() > fromMillis && entry.atMillis() <= toMillis;
+        if (inTime && (zone.equals(BurnCalculator.ALL) || zone.equals(entry.zone()))) {
+          sum = sum.plus(entry.events());
+        }
       }
     }
     return sum;
   }
 
   List<String> teams() {
-    TreeSet<String> teams = new TreeSet<>();
-    entries.forEach(entry -> teams.add(entry.team()));
-    return List.copyOf(teams);
+    return List.copyOf(entriesByTeam.keySet());
   }
 
   List<String> zonesOf(String team) {
     TreeSet<String> zones = new TreeSet<>();
-    entries.stream().filter(e -> e.team().equals(team)).forEach(e -> zones.add(e.zone()));
+    entriesByTeam.getOrDefault(team, List.of()).forEach(entry -> zones.add(entry.zone()));
     return List.copyOf(zones);
   }
 }
--- a/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/ReportBurnCommand.java
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/ReportBurnCommand.java
@@ -78,7 +78,7 @@
       if (!noScrape) {
         file.append(scrape(objectives, nowMillis));
       }
-      List<Sample> samples = file.read(nowMillis - BurnWindow.PERIOD.millis());
+      List<Sample> samples = file.read(BurnWindow.PERIOD.millis(), nowMillis);
       BurnReport report = BurnCalculator.report(objectives, samples, nowMillis);
       if (htmlFile != null) {
         Files.writeString(htmlFile, BurnHtmlRenderer.render(report));
--- a/cicadaford-cli/src/test/java/org/cicadaford/cli/CommandRunner.java
+++ b/cicadaford-cli/src/test/java/org/cicadaford/cli/CommandRunner.java
@@ -25,9 +25,12 @@
 /** Runs commands in this process against a log in memory. */
 public final class CommandRunner {
 
-  /** Time that commands see. */
+  /** First time that commands see. */
   public static final long NOW_MILLIS = 1_800_000_000_000L;
 
+  /** Time that the next command sees. */
+  public long nowMillis = NOW_MILLIS;
+
   /** The log that commands use. */
   public final FakeLog log = new FakeLog();
 
@@ -58,7 +61,7 @@
             (host, port) -> new OpenLog(log, membership(), () -> {}),
             (daemon, request) -> entryConnector.send(daemon, request),
             new SecureRandom(),
-            () -> NOW_MILLIS,
+            () -> nowMillis,
             millis -> {},
             new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)));
     CommandLine line = CicadafordMain.commandLine(environment);
--- a/cicadaford-cli/src/test/java/org/cicadaford/cli/internal/burn/BurnCalculatorTest.java
+++ b/cicadaford-cli/src/test/java/org/cicadaford/cli/internal/burn/BurnCalculatorTest.java
@@ -83,9 +83,9 @@
     long to = START + 61 * MINUTE;
 
     EventCount sum =
-        history.count(from, middle, e -> true).plus(history.count(middle, to, e -> true));
+        history.count("*", "*", from, middle).plus(history.count("*", "*", middle, to));
 
-    assertThat(sum).isEqualTo(history.count(from, to, e -> true));
+    assertThat(sum).isEqualTo(history.count("*", "*", from, to));
   }
 
   @Property(seed = "3", tries = 200)
@@ -96,12 +96,29 @@
       samples.add(sample(START + i * MINUTE, "a", "A", totals.get(i) / 2, totals.get(i)));
     }
 
-    EventCount all = EventHistory.of("o", samples).count(START, START + 60 * MINUTE, entry -> true);
+    EventCount all = EventHistory.of("o", samples).count("*", "*", START, START + 60 * MINUTE);
 
     assertThat(all.total()).isNotNegative();
     assertThat(all.bad()).isBetween(0.0, all.total() + totals.size());
   }
 
+  @Property(seed = "4", tries = 100)
+  void thinnedSamplesCountTheSameEvents(
+      @ForAll @Size(min = 2, max = 300) List<@IntRange(max = 9) Integer> bad,
+      @ForAll @IntRange(max = 100_000) int laterMinutes) {
+    List<Sample> samples = history("a", "A", bad, 9);
+    long now = START + (bad.size() + (long) laterMinutes) * MINUTE;
+
+    List<Sample> thinned = SampleThinner.thin(samples, now);
+
+    EventHistory whole = EventHistory.of("o", samples);
+    EventHistory thin = EventHistory.of("o", thinned);
+    assertThat(thin.count("*", "*", 0, now)).isEqualTo(whole.count("*", "*", 0, now));
+    long hourAgo = now - 60 * MINUTE;
+    assertThat(thin.count("*", "*", hourAgo, now)).isEqualTo(whole.count("*", "*", hourAgo, now));
+    assertThat(SampleThinner.thin(thinned, now)).isEqualTo(thinned);
+  }
+
   @Example
   void counterThatBeginsAgainCountsFromZero() {
     List<Sample> samples =
@@ -110,7 +127,7 @@
             sample(START + MINUTE, "a", "A", 7, 70),
             sample(START + 2 * MINUTE, "a", "A", 1, 4));
 
-    EventCount all = EventHistory.of("o", samples).count(START, START + 5 * MINUTE, e -> true);
+    EventCount all = EventHistory.of("o", samples).count("*", "*", START, START + 5 * MINUTE);
 
     assertThat(all).isEqualTo(new EventCount(3, 24));
   }
--- a/cicadaford-cli/src/test/java/org/cicadaford/cli/internal/burn/SampleMakerTest.java
+++ b/cicadaford-cli/src/test/java/org/cicadaford/cli/internal/burn/SampleMakerTest.java
@@ -55,9 +55,10 @@
     Sample sample = new Sample(10, "i", "A", Map.of("o", Map.of("t", new EventCount(1, 2))));
     file.append(List.of(old, sample));
     Files.writeString(path, "{\"atMillis\":11,", StandardOpenOption.APPEND);
-    assertThat(file.read(6)).containsExactly(sample);
-    file.append(List.of(sample));
-    assertThat(file.read(0)).containsExactly(sample, sample);
+    assertThat(file.read(4, 10)).containsExactly(sample);
+    Sample next = new Sample(12, "i", "A", Map.of());
+    file.append(List.of(next));
+    assertThat(file.read(20, 12)).containsExactly(old, sample, next);
     Files.delete(path);
   }
 
--- a/cicadaford-cli/src/test/java/org/cicadaford/cli/internal/command/ReportBurnCommandTest.java
+++ b/cicadaford-cli/src/test/java/org/cicadaford/cli/internal/command/ReportBurnCommandTest.java
@@ -41,6 +41,7 @@
     Path html = directory.resolve("burn.html");
 
     Outcome first = runner.run("report", "burn", samples);
+    runner.nowMillis += 60_000;
     Outcome second = runner.run("report", "burn", samples, "--output=json", "--html=" + html);
 
     assertThat(first.exitCode()).isZero();
