--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/ListedWorker.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ListedWorker.java
@@ -10,4 +10,9 @@
  * @param capacity what it offers
  * @param leaving whether it is about to leave
  */
-public record ListedWorker(String workerId, String rack, Resources capacity, boolean leaving) {}
+public record ListedWorker(String workerId, String rack, Resources capacity, boolean leaving) {
+
+  ListedWorker asLeaving() {
+    return new ListedWorker(workerId, rack, capacity, true);
+  }
+}
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerTable.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerTable.java
@@ -16,6 +16,7 @@
 
   private final Map<String, WorkerStatus> workersById = new TreeMap<>();
   private final Map<String, Map<TaskId, TaskStatus>> committedByWorker = new HashMap<>();
+  private final WorkerJournal journal = new WorkerJournal();
   private int committedTaskCount;
 
   /**
@@ -32,7 +33,7 @@
             ? new WorkerStatus(
                 listed.workerId(), listed.rack(), listed.capacity(), Resources.NONE, 0, 0, 0, 0)
             : worker.withCapacity(listed.rack(), atLeast(listed.capacity(), worker.committed()));
-    workersById.put(listed.workerId(), updated);
+    put(updated);
     return true;
   }
 
@@ -50,6 +51,8 @@
       return false;
     }
     workersById.remove(unlisted.workerId());
+    journal.note(unlisted.workerId());
+    journal.prune(workersById.size(), workersById::containsKey);
     committedByWorker.remove(unlisted.workerId());
     return true;
   }
@@ -59,7 +62,7 @@
     if (worker == null) {
       return false;
     }
-    workersById.put(workerId, worker.withQuarantine(failureCount, untilMillis));
+    put(worker.withQuarantine(failureCount, untilMillis));
     return true;
   }
 
@@ -67,8 +70,7 @@
     WorkerStatus worker = workersById.get(task.workerId());
     Resources committed = worker.committed().plus(task.reserved());
     int probes = worker.probeCount() + (worker.isProbe(task.placedAtMillis()) ? 1 : 0);
-    workersById.put(
-        worker.workerId(), worker.withCommitted(committed, worker.taskCount() + 1, probes));
+    put(worker.withCommitted(committed, worker.taskCount() + 1, probes));
     replace(task);
     committedTaskCount++;
   }
@@ -77,13 +79,20 @@
     WorkerStatus worker = workersById.get(task.workerId());
     Resources committed = worker.committed().minus(task.reserved());
     int probes = worker.probeCount() - (worker.isProbe(task.placedAtMillis()) ? 1 : 0);
-    workersById.put(
-        worker.workerId(),
-        worker.withCommitted(committed, worker.taskCount() - 1, Math.max(0, probes)));
+    put(worker.withCommitted(committed, worker.taskCount() - 1, Math.max(0, probes)));
     committedByWorker.get(task.workerId()).remove(task.taskId());
     committedTaskCount--;
   }
 
+  private void put(WorkerStatus worker) {
+    workersById.put(worker.workerId(), worker);
+    journal.note(worker.workerId());
+  }
+
+  WorkerJournal journal() {
+    return journal;
+  }
+
   void replace(TaskStatus task) {
     committedByWorker
         .computeIfAbsent(task.workerId(), id -> new TreeMap<>())
@@ -91,7 +100,7 @@
   }
 
   void restore(List<WorkerStatus> workers) {
-    workers.forEach(worker -> workersById.put(worker.workerId(), worker));
+    workers.forEach(this::put);
   }
 
   void restoreCommitted(TaskStatus task) {
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/zone/ZoneOwner.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/zone/ZoneOwner.java
@@ -88,7 +88,7 @@
     this.metrics = metrics;
     this.claimer = new OwnershipClaimer(settings, writer);
     this.snapshots = new SnapshotWriter(settings, writer, metrics);
-    this.allotments = new AllotmentWriter(settings, writer, metrics);
+    this.allotments = new AllotmentWriter(settings.zone(), writer, metrics);
     this.backoff = new Backoff(settings.minBatchIntervalMillis(), 2_000, random);
   }
 
@@ -184,7 +184,6 @@
       logic.onHandOver(toldHandOver);
     }
     batch.clear();
-    allotments.reset();
     snapshots.reset(nowMillis);
     nextBatchAtMillis = 0;
     batchStartedAtMillis = 0;
@@ -282,7 +281,7 @@
     OwnerDecision decision = logic.decide(inputs, nowMillis);
     decision.orders().forEach(order -> workerLink.send(order, answers));
     ConfigView view = new ConfigView(inputs.config(), inputs.configConfirmedAtMillis());
-    allotments.write(decision.allotmentChanges(), ownEpoch, view, nowMillis);
+    allotments.write(decision.allotmentChanges(), ownEpoch);
     snapshots.step(nowMillis);
     if (batch.isWaiting() || snapshots.isWriting()) {
       return;
