--- a/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/burn/DefaultObjectives.java
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/burn/DefaultObjectives.java
@@ -11,6 +11,8 @@
       List.of(
           "no-zone",
           "no-endpoint",
+          "endpoint-failed",
+          "deadline-passed",
           "config-not-confirmed",
           "log-unavailable",
           "overloaded",
