Bound the time for reading back, and repeat reads without an answer

Cause: with a log slowed to 3.5 s an append of unknown outcome was reported only after 55 s, and a single lost answer to a read ended a command with exit code 3. Ruled out: repeating appends, which could take effect twice. Change: reading back ends after 10 s; a read is tried three times before anything is appended.

--- a/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/ConfigRecordCommand.java
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/ConfigRecordCommand.java
@@ -5,7 +5,6 @@
 import org.cicadaford.cli.ExitCode;
 import org.cicadaford.cli.internal.command.LogConnector.OpenLog;
 import org.cicadaford.cli.internal.config.CommandException;
-import org.cicadaford.cli.internal.config.ConfigStream;
 import org.cicadaford.cli.internal.config.RecordFate;
 import org.cicadaford.decision.Verdict;
 import picocli.CommandLine.Command;
@@ -30,8 +29,7 @@
   @Override
   CommandResult execute() throws CommandException {
     try (OpenLog open = session().openLog()) {
-      Optional<RecordFate> fate =
-          new ConfigStream(open.log(), session().environment().pause()).find(recordId);
+      Optional<RecordFate> fate = configStream(open).find(recordId);
       if (fate.isEmpty()) {
         throw new CommandException(
             ExitCode.OUTCOME_UNKNOWN,
--- a/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/ConfigShowCommand.java
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/ConfigShowCommand.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import org.cicadaford.cli.internal.command.LogConnector.OpenLog;
 import org.cicadaford.cli.internal.config.CommandException;
-import org.cicadaford.cli.internal.config.ConfigStream;
 import org.cicadaford.decision.ConfigState;
 import org.cicadaford.model.ConfigRecord.ConfigSnapshot;
 import org.cicadaford.model.JobDescription;
@@ -25,7 +24,7 @@
   @Override
   CommandResult execute() throws CommandException {
     try (OpenLog open = session().openLog()) {
-      ConfigState state = new ConfigStream(open.log(), session().environment().pause()).readToEnd();
+      ConfigState state = configStream(open).readToEnd();
       ConfigSnapshot all = state.snapshot("show");
       return CommandResult.ok(
           lines(all),
--- a/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/KeyGrantCommand.java
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/KeyGrantCommand.java
@@ -30,7 +30,7 @@
   @Override
   CommandResult execute() throws CommandException {
     try (OpenLog open = session().openLog()) {
-      ConfigStream stream = new ConfigStream(open.log(), session().environment().pause());
+      ConfigStream stream = configStream(open);
       if (stream.readToEnd().team(team).isEmpty()) {
         throw new CommandException(
             ExitCode.REFUSED,
--- a/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/KeyWithdrawCommand.java
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/KeyWithdrawCommand.java
@@ -51,7 +51,7 @@
   CommandResult execute() throws CommandException {
     String hash = hash();
     try (OpenLog open = session().openLog()) {
-      ConfigStream stream = new ConfigStream(open.log(), session().environment().pause());
+      ConfigStream stream = configStream(open);
       Optional<String> team = stream.readToEnd().teamOfKeyHash(hash);
       if (team.isEmpty() && !evenIfUnknown) {
         throw new CommandException(
--- a/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/PublishCommand.java
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/PublishCommand.java
@@ -51,7 +51,7 @@
   CommandResult execute() throws CommandException {
     DescriptionSet wanted = files.collect();
     try (OpenLog open = session().openLog()) {
-      ConfigStream stream = new ConfigStream(open.log(), session().environment().pause());
+      ConfigStream stream = configStream(open);
       ConfigState state = stream.readToEnd();
       checkBase(state);
       ConfigDifference difference = ConfigDifference.between(state, wanted);
--- a/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/SessionCommand.java
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/SessionCommand.java
@@ -9,7 +9,9 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import org.cicadaford.cli.ExitCode;
+import org.cicadaford.cli.internal.command.LogConnector.OpenLog;
 import org.cicadaford.cli.internal.config.CommandException;
+import org.cicadaford.cli.internal.config.ConfigStream;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Spec;
 
@@ -33,6 +35,11 @@
     return session;
   }
 
+  final ConfigStream configStream(OpenLog open) {
+    Environment environment = session.environment();
+    return new ConfigStream(open.log(), environment.pause(), environment.clock());
+  }
+
   /** Tells the caller about something that is neither the result nor an error. */
   final void warn(String message) {
     PrintWriter err = spec.commandLine().getErr();
--- a/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/ZoneChangeCommand.java
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/command/ZoneChangeCommand.java
@@ -71,7 +71,7 @@
     // Some terminals send an accent as a code point of its own, which no zone's name has.
     zone = Normalizer.normalize(zone, Normalizer.Form.NFC);
     try (OpenLog open = session().openLog()) {
-      ConfigStream stream = new ConfigStream(open.log(), session().environment().pause());
+      ConfigStream stream = configStream(open);
       ConfigState state = stream.readToEnd();
       long version = state.zoneVersion(zone);
       if (baseVersion != null && baseVersion != version) {
--- a/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/config/ConfigStream.java
+++ b/cicadaford-cli/src/main/java/org/cicadaford/cli/internal/config/ConfigStream.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.cicadaford.cli.ExitCode;
@@ -30,20 +31,22 @@
   public static final String NAME = "config";
 
   private static final int MAX_PAGE_BYTES = 1 << 20;
+  private static final int MAX_READ_ATTEMPTS = 3;
 
   /** Reads that find their offset expired in a row, after which the log is held to be faulty. */
   private static final int MAX_EXPIRED_READS = 10;
 
-  /**
-   * Reads made to find a record whose answer was lost. With the wait of each read, the command
-   * looks for about 10 s, well beyond the time for which a log keeps a request it was sent.
-   */
+  /** Reads made to find a record whose answer was lost, each of which waits for half a second. */
   private static final int SETTLE_READS = 20;
 
+  /** Time for these reads where the log is slow, so that the operator is told within seconds. */
+  private static final long SETTLE_MILLIS = 10_000;
+
   private static final long SETTLE_WAIT_MILLIS = 500;
 
   private final LogService log;
   private final Pause pause;
+  private final LongSupplier clock;
   private ConfigState state = new ConfigState();
   private long nextOffset;
   private long endOffset;
@@ -51,9 +54,10 @@
   private RecordFate watchedFate;
 
   /** Creates a reader that has read nothing yet. */
-  public ConfigStream(LogService log, Pause pause) {
+  public ConfigStream(LogService log, Pause pause, LongSupplier clock) {
     this.log = log;
     this.pause = pause;
+    this.clock = clock;
   }
 
   /**
@@ -62,22 +66,15 @@
    * @throws CommandException if the log does not answer, or keeps no snapshot to start from
    */
   public ConfigState readToEnd() throws CommandException {
-    try {
-      int expiredReads = 0;
-      do {
-        expiredReads = readPage(0) ? 0 : expiredReads + 1;
-        if (expiredReads > MAX_EXPIRED_READS) {
-          throw new CommandException(
-              ExitCode.UNREACHABLE,
-              "the log names no offset that it keeps; check the log and run the command again");
-        }
-      } while (expiredReads > 0 || nextOffset < endOffset);
-    } catch (LogUnavailableException e) {
-      throw new CommandException(
-          ExitCode.UNREACHABLE,
-          "the configuration could not be read: " + e.getMessage() + "; nothing was changed",
-          e);
-    }
+    int expiredReads = 0;
+    do {
+      expiredReads = readPageWithRetries() ? 0 : expiredReads + 1;
+      if (expiredReads > MAX_EXPIRED_READS) {
+        throw new CommandException(
+            ExitCode.UNREACHABLE,
+            "the log names no offset that it keeps; check the log and run the command again");
+      }
+    } while (expiredReads > 0 || nextOffset < endOffset);
     if (endOffset > 0 && !state.isComplete()) {
       throw new CommandException(
           ExitCode.REFUSED,
@@ -87,6 +84,33 @@
     return state;
   }
 
+  /** A read changes nothing, so one that gets no answer is repeated. */
+  private boolean readPageWithRetries() throws CommandException {
+    for (int attempt = 1; ; attempt++) {
+      try {
+        return readPage(0);
+      } catch (LogUnavailableException e) {
+        if (attempt == MAX_READ_ATTEMPTS) {
+          throw new CommandException(
+              ExitCode.UNREACHABLE,
+              "the configuration could not be read: " + e.getMessage() + "; nothing was changed",
+              e);
+        }
+      }
+      pauseBeforeRead();
+    }
+  }
+
+  private void pauseBeforeRead() throws CommandException {
+    try {
+      pause.sleep(SETTLE_WAIT_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new CommandException(
+          ExitCode.UNREACHABLE, "interrupted while reading; nothing was changed", e);
+    }
+  }
+
   /** Reads one page and returns true, or moves to the first kept offset and returns false. */
   private boolean readPage(long waitMillis) throws LogUnavailableException {
     try {
@@ -160,7 +184,11 @@
   }
 
   private RecordFate readBack() throws CommandException {
+    long untilMillis = clock.getAsLong() + SETTLE_MILLIS;
     for (int attempt = 0; attempt < SETTLE_READS && watchedFate == null; attempt++) {
+      if (clock.getAsLong() > untilMillis) {
+        throw outcomeUnknown();
+      }
       try {
         readPage(SETTLE_WAIT_MILLIS);
       } catch (LogUnavailableException e) {
--- a/cicadaford-cli/src/test/java/org/cicadaford/cli/FakeLog.java
+++ b/cicadaford-cli/src/test/java/org/cicadaford/cli/FakeLog.java
@@ -42,7 +42,8 @@
   /** Number of reads that fail from the next append on. */
   public int failedReadsAfterAppend;
 
-  private int failedReads;
+  /** Number of next reads that fail. */
+  public int failedReads;
 
   /** Appends a record without any fault and returns its offset. */
   public long add(ConfigRecord record) {
--- a/cicadaford-cli/src/test/java/org/cicadaford/cli/internal/config/ConfigStreamTest.java
+++ b/cicadaford-cli/src/test/java/org/cicadaford/cli/internal/config/ConfigStreamTest.java
@@ -17,7 +17,7 @@
 class ConfigStreamTest {
 
   private final FakeLog log = new FakeLog();
-  private final ConfigStream stream = new ConfigStream(log, millis -> {});
+  private final ConfigStream stream = new ConfigStream(log, millis -> {}, () -> 0);
 
   private void publish(String queue, long baseVersion) {
     log.add(
@@ -33,7 +33,7 @@
   }
 
   private void snapshot() throws CommandException {
-    log.add(new ConfigStream(log, millis -> {}).readToEnd().snapshot("s"));
+    log.add(new ConfigStream(log, millis -> {}, () -> 0).readToEnd().snapshot("s"));
   }
 
   @Example
@@ -77,6 +77,18 @@
     assertThat(stream.readToEnd().queue("b")).isPresent();
   }
 
+  @Example
+  void readWithoutAnAnswerIsRepeatedButNotForever() throws CommandException {
+    publish("a", -1);
+    log.failedReads = 2;
+    assertThat(stream.readToEnd().queue("a")).isPresent();
+
+    log.failedReads = 3;
+    assertThatThrownBy(stream::readToEnd)
+        .isInstanceOf(CommandException.class)
+        .hasMessageContaining("nothing was changed");
+  }
+
   @Example
   void malformedRecordHasNoEffect() throws CommandException {
     publish("a", -1);
