--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/call/CallClaimer.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/call/CallClaimer.java
@@ -54,10 +54,6 @@
    */
   void claim(CallInProgress call, Consumer<Outcome> next) {
     CallRequest request = call.request();
-    if (!appender.isLedgerComplete()) {
-      next.accept(new Outcome.Lost(notRead(call)));
-      return;
-    }
     CallClaimed claim =
         new CallClaimed(
             newRecordId(),
@@ -108,14 +104,6 @@
     }
   }
 
-  private static CallResult notRead(CallInProgress call) {
-    return call.plan()
-        .refused(
-            RefusalKind.LOG_UNAVAILABLE,
-            LOG_RETRY_AFTER_MILLIS,
-            "earlier requests were not read from the log yet; try another entry instance");
-  }
-
   private CallResult lostTo(CallInProgress call, ReadBack readBack) {
     return readBack
         .current()
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/call/CallService.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/call/CallService.java
@@ -36,7 +36,7 @@
  */
 public final class CallService {
 
-  private static final long STOPPING_RETRY_AFTER_MILLIS = 100;
+  private static final long SHORT_RETRY_AFTER_MILLIS = 100;
 
   private final CallSettings settings;
   private final CallLoop loop;
@@ -78,8 +78,8 @@
   }
 
   /**
-   * Refuses new calls from now on and returns a future that completes once the calls in progress
-   * have their results.
+   * Refuses new calls from now on and returns a future that completes once the calls that came in
+   * before have their results.
    */
   public CompletableFuture<Void> stop() {
     stopping = true;
@@ -132,30 +132,32 @@
 
   /** Calls a service and returns how the call ended; never completes exceptionally. */
   public CompletableFuture<CallResult> call(CallRequest request) {
-    CompletableFuture<CallResult> result = new CompletableFuture<>();
-    if (inProgressCount.incrementAndGet() > settings.maxCallsInProgress()) {
-      inProgressCount.decrementAndGet();
-      result.complete(
-          new Refused(
-              RefusalKind.OVERLOADED,
-              RunOutcome.NOT_RUN,
-              STOPPING_RETRY_AFTER_MILLIS,
-              "this entry instance has too many calls in progress; try again"));
-      return result;
+    // The call is counted before the check, so that stop() waits for each call that passes it.
+    int count = inProgressCount.incrementAndGet();
+    if (stopping) {
+      return refusedUncounted(RefusalKind.STOPPING, "this instance is stopping; try another one");
+    }
+    if (count > settings.maxCallsInProgress()) {
+      return refusedUncounted(
+          RefusalKind.OVERLOADED, "this entry instance has too many calls in progress; try again");
     }
+    CompletableFuture<CallResult> result = new CompletableFuture<>();
     loop.execute(() -> begin(request, result));
     return result.copy();
   }
 
+  private CompletableFuture<CallResult> refusedUncounted(RefusalKind kind, String detail) {
+    inProgressCount.decrementAndGet();
+    loop.execute(this::completeIfDrained);
+    return CompletableFuture.completedFuture(
+        new Refused(kind, RunOutcome.NOT_RUN, SHORT_RETRY_AFTER_MILLIS, detail));
+  }
+
   private void begin(CallRequest request, CompletableFuture<CallResult> result) {
     CallPlan plan =
         new CallPlan(request.repeatable(), request.deadlineAtMillis(), retryBudget, backoff);
     CallInProgress call = new CallInProgress(request, plan, result);
     long nowMillis = loop.nowMillis();
-    if (stopping) {
-      refuse(call, RefusalKind.STOPPING, STOPPING_RETRY_AFTER_MILLIS, "this instance stops");
-      return;
-    }
     if (!plan.maySend(nowMillis)) {
       refuse(call, RefusalKind.DEADLINE_PASSED, 0, "the deadline has passed; allow more time");
       return;
@@ -190,7 +192,7 @@
       refuse(
           call,
           RefusalKind.NO_ENDPOINT,
-          STOPPING_RETRY_AFTER_MILLIS,
+          SHORT_RETRY_AFTER_MILLIS,
           "no endpoint of service " + call.request().service() + " is listed; check the name");
       return;
     }
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/call/RequestAppender.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/call/RequestAppender.java
@@ -16,16 +16,11 @@
   /**
    * Appends a record and completes once it was read back, or exceptionally with {@link
    * RequestAppendException}. After a lost answer the implementation looks for the record by its id
-   * and never appends it a second time.
+   * and never appends it a second time. A claim is not appended while the ledger may lack an
+   * earlier claim of an id that is still accepted.
    */
   CompletableFuture<ReadBack> append(RequestRecord record);
 
-  /**
-   * Returns whether every claim that could still be repeated was read; for any thread. While it was
-   * not, an accepted claim may not be the first one of its id.
-   */
-  boolean isLedgerComplete();
-
   /** Returns the claimed call of a request id as far as the stream was read; for any thread. */
   Optional<CallEntry> recordedCall(String requestId);
 
--- a/cicadaford-entry/src/test/java/org/cicadaford/entry/call/CallClaimerTest.java
+++ b/cicadaford-entry/src/test/java/org/cicadaford/entry/call/CallClaimerTest.java
@@ -37,7 +37,6 @@
     private final List<RequestRecord> records = new ArrayList<>();
     private final CompletableFuture<ReadBack> readBack = new CompletableFuture<>();
     private CallEntry recorded;
-    private boolean complete = true;
 
     @Override
     public CompletableFuture<ReadBack> append(RequestRecord record) {
@@ -45,11 +44,6 @@
       return readBack;
     }
 
-    @Override
-    public boolean isLedgerComplete() {
-      return complete;
-    }
-
     @Override
     public Optional<CallEntry> recordedCall(String requestId) {
       return Optional.ofNullable(recorded);
@@ -122,17 +116,6 @@
     assertThat(refused.retryAfterMillis()).isPositive();
   }
 
-  @Example
-  void nothingIsClaimedBeforeEarlierClaimsAreRead() {
-    listEndpoints();
-    appender.complete = false;
-    CompletableFuture<CallResult> result = call(60_000);
-    cell.run();
-
-    assertThat(((Refused) result.join()).ran()).isEqualTo(RunOutcome.NOT_RUN);
-    assertThat(appender.records).isEmpty();
-  }
-
   @Example
   void failedAppendOfAnIdThatAnotherInstanceClaimedIsNotCalledNotRun() {
     listEndpoints();
--- a/cicadaford-entry/src/test/java/org/cicadaford/entry/call/CallThreadTest.java
+++ b/cicadaford-entry/src/test/java/org/cicadaford/entry/call/CallThreadTest.java
@@ -17,6 +17,7 @@
 import org.cicadaford.decision.call.CallResult;
 import org.cicadaford.decision.call.CallResult.Answered;
 import org.cicadaford.decision.call.CallResult.Refused;
+import org.cicadaford.decision.call.RefusalKind;
 import org.cicadaford.entry.RequestIdIssuer;
 import org.cicadaford.model.RequestRecord;
 import org.cicadaford.model.RequestRecord.CallClaimed;
@@ -55,11 +56,6 @@
       return CompletableFuture.completedFuture(new ReadBack(offset, verdict, current));
     }
 
-    @Override
-    public boolean isLedgerComplete() {
-      return true;
-    }
-
     @Override
     public synchronized Optional<CallEntry> recordedCall(String requestId) {
       return ledger.call(requestId);
@@ -136,7 +132,11 @@
     for (int index = 0; index < CALL_COUNT; index++) {
       String id = idsByIndex.get(index);
       long count = executions.getOrDefault(id, 0L);
-      switch (results.get(index).join()) {
+      CallResult result = results.get(index).join();
+      assertThat(result instanceof Refused refused && refused.kind() == RefusalKind.STOPPING)
+          .as("R11: refusal of a call that came in before the stop")
+          .isFalse();
+      switch (result) {
         case Answered answered -> {
           assertThat(new String(answered.body())).isEqualTo(id);
           assertThat(count).isPositive();
--- a/cicadaford-entry/src/test/java/org/cicadaford/entry/call/SimulatedCell.java
+++ b/cicadaford-entry/src/test/java/org/cicadaford/entry/call/SimulatedCell.java
@@ -167,11 +167,6 @@
       };
     }
 
-    @Override
-    public boolean isLedgerComplete() {
-      return true;
-    }
-
     @Override
     public Optional<CallEntry> recordedCall(String requestId) {
       return ledger.call(requestId);
