Drop steps of the call service that come after its thread was stopped

An answer that arrives after CallThread.stop(), or a call refused then, made the executor throw RejectedExecutionException at its caller. Such steps are now dropped.

--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/call/CallThread.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/call/CallThread.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -23,6 +24,8 @@
         new ScheduledThreadPoolExecutor(
             1, Thread.ofPlatform().daemon().name("call-service").factory());
     executor.setRemoveOnCancelPolicy(true);
+    // Answers of endpoints that come after the stop are dropped like the steps that wait.
+    executor.setRejectedExecutionHandler(new ThreadPoolExecutor.DiscardPolicy());
     executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
   }
 
--- a/cicadaford-entry/src/test/java/org/cicadaford/entry/call/CallThreadTest.java
+++ b/cicadaford-entry/src/test/java/org/cicadaford/entry/call/CallThreadTest.java
@@ -169,5 +169,7 @@
     assertThat(endpoints).allMatch(endpoint -> endpoint.counts().startedWhileLeaving() == 0);
     service.stop().join();
     assertThat(((Refused) call(2).join()).ran()).isEqualTo(RunOutcome.NOT_RUN);
+    thread.stop();
+    assertThat(((Refused) call(3).join()).ran()).isEqualTo(RunOutcome.NOT_RUN);
   }
 }
