End the stop of a daemon whose peer links are updated meanwhile

Cause: PeerService.stop held its monitor while it waited for the event loop, on which updatePeers waited for the same monitor; one of four daemons of a trial never ended (seen in its thread dump). Change: the server is stopped outside the monitor, and links are not opened again after the stop. There is no automatic test of the deadlock yet.

--- a/cicadaford-daemon/src/main/java/org/cicadaford/daemon/EntryDaemon.java
+++ b/cicadaford-daemon/src/main/java/org/cicadaford/daemon/EntryDaemon.java
@@ -34,6 +34,9 @@
   /** Time in which the log must be reached with {@code --require-log-at-start}. */
   private static final long REQUIRED_LOG_MILLIS = 5_000;
 
+  /** Time that the stop may take beyond the requests in progress. */
+  private static final long STOP_MARGIN_MILLIS = 20_000;
+
   private final DaemonSettings settings;
   private final PlatformClients clients;
   private final EntryServices services;
@@ -179,6 +182,7 @@
   }
 
   private void stopAndHalt() {
+    Thread.ofPlatform().daemon().name("stop-limit").start(this::haltIfStopHangs);
     try {
       stop();
     } catch (InterruptedException e) {
@@ -189,6 +193,18 @@
     Runtime.getRuntime().halt(exitCode);
   }
 
+  /** Ends the process if a fault keeps the graceful stop from ending. */
+  private void haltIfStopHangs() {
+    try {
+      Thread.sleep(settings.entry().stopTimeoutMillis() + STOP_MARGIN_MILLIS);
+    } catch (InterruptedException e) {
+      return;
+    }
+    LOG.error("the stop did not end in time; report this as a defect");
+    LogManager.shutdown();
+    Runtime.getRuntime().halt(DaemonCommand.EXIT_FAILED);
+  }
+
   /** Stops without cutting off a request. */
   public void stop() throws InterruptedException {
     if (!stopped.compareAndSet(false, true)) {
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/peer/PeerService.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/peer/PeerService.java
@@ -42,6 +42,7 @@
   private final LongSupplier clockMillis;
   private final PeerServer server;
   private final Map<String, Link> linksByInstance = new HashMap<>();
+  private boolean stopped;
 
   private record Link(Member member, PeerLink link) {}
 
@@ -76,9 +77,13 @@
   }
 
   /** Closes all links. */
-  public synchronized void stop() {
-    linksByInstance.values().forEach(link -> link.link().stop());
-    linksByInstance.clear();
+  public void stop() {
+    synchronized (this) {
+      stopped = true;
+      linksByInstance.values().forEach(link -> link.link().stop());
+      linksByInstance.clear();
+    }
+    // Waits for the event loop, on which updatePeers may wait for the monitor.
     server.stop();
   }
 
@@ -89,6 +94,9 @@
 
   /** Opens and closes links so that they match the platform's list. */
   public synchronized void updatePeers(List<Member> members) {
+    if (stopped) {
+      return;
+    }
     Map<String, Member> wanted = new HashMap<>();
     PeerSelector.select(members, self.instanceId(), self.zone())
         .forEach(peer -> wanted.put(peer.instanceId(), peer));
