--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/FairPlacer.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/FairPlacer.java
@@ -2,12 +2,15 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.PriorityQueue;
 import org.cicadaford.decision.PlacementRound.Outcome;
 import org.cicadaford.decision.WaitingIndex.QueueKey;
+import org.cicadaford.decision.WaitingIndex.SizeClass;
 import org.cicadaford.decision.WaitingIndex.TeamQueues;
 import org.cicadaford.model.Urgency;
 
@@ -17,17 +20,25 @@
  * turns.
  *
  * <p>A size class of a team whose first job finds no room is left out for the rest of the decision,
- * so that the work per decision does not grow with the backlog.
+ * so that the work per decision does not grow with the backlog. Size classes larger than the most
+ * free processors or memory are not tried at all.
  */
 final class FairPlacer {
 
   /** Attempts after which a decision ends, whether they placed something or not. */
   private static final int MAX_ATTEMPTS = 4_000;
 
+  /** Jobs of untried size classes that one decision looks at for preemption. */
+  private static final int MAX_UNTRIED_NOTED = 64;
+
   /** Jobs near their deadline that one decision looks at; the next one goes on behind them. */
   private static final int MAX_DEADLINE_JOBS = 256;
 
   private final boolean fairShare;
+  private final Map<String, List<JobStatus>> dueByTeam = new HashMap<>();
+  private SizeClass mostFree;
+  private SizeClass mostFreeForAccelerated;
+  private int untriedNoted;
   private int attempts;
   private QueueKey deadlineCursor;
 
@@ -36,20 +47,26 @@
   }
 
   /** Starts a new decision. */
-  void begin() {
+  void begin(PlacementRound round) {
+    untriedNoted = 0;
     attempts = 0;
+    dueByTeam.clear();
   }
 
   /** Places work of one urgency. */
   void place(PlacementRound round, Urgency urgency) {
+    mostFree = round.index().mostFree(urgency == Urgency.URGENT, false);
+    mostFreeForAccelerated = round.index().mostFree(urgency == Urgency.URGENT, true);
     PriorityQueue<TeamTurn> turns = new PriorityQueue<>();
     for (Map.Entry<String, TeamQueues> entry : round.zone().waitingIndex().byTeam().entrySet()) {
       TeamQueues queues = entry.getValue();
       String team = entry.getKey();
       if (!queues.queues(urgency).isEmpty() && round.availableMillicores(team) > 0) {
         TeamTurn turn = new TeamTurn(round, team, queues, urgency);
-        turn.refreshKey(round);
-        turns.add(turn);
+        if (!turn.cursors.isEmpty()) {
+          turn.refreshKey(round);
+          turns.add(turn);
+        }
       }
     }
     while (!turns.isEmpty() && !round.isFull() && attempts < MAX_ATTEMPTS) {
@@ -64,6 +81,8 @@
   /**
    * Places work whose latest start has come, the one that is due first before the others. Work that
    * is past its deadline waits its turn like other work, so that it does not make more work late.
+   * Work of teams above their share waits for the turn of its team and goes first there: it would
+   * take room that the teams below their share then take back by preemption.
    */
   void placeNearDeadline(PlacementRound round) {
     long now = round.nowMillis();
@@ -77,7 +96,7 @@
       }
       JobStatus job = entry.getValue();
       if (now <= job.submittedAtMillis() + job.description().deadlineMillis()) {
-        placeTasks(round, job);
+        placeDue(round, job);
       }
       if (++count >= MAX_DEADLINE_JOBS) {
         deadlineCursor = entry.getKey();
@@ -86,12 +105,23 @@
     }
   }
 
-  private static void placeTasks(PlacementRound round, JobStatus job) {
+  private void placeDue(PlacementRound round, JobStatus job) {
+    if (!fairShare || round.isWithinShare(job)) {
+      placeTasks(round, job);
+    } else {
+      dueByTeam.computeIfAbsent(job.description().team(), team -> new ArrayList<>()).add(job);
+    }
+  }
+
+  private void placeTasks(PlacementRound round, JobStatus job) {
     if (PlacementRound.isGang(job)) {
       round.placeGang(job);
       return;
     }
     for (TaskStatus task : round.zone().waitingTasksOf(job.jobId())) {
+      if (fairShare && !round.isWithinShare(job)) {
+        return;
+      }
       Outcome outcome = round.place(job, task);
       if (round.isFull() || outcome == Outcome.NO_ROOM || outcome == Outcome.NO_ALLOTMENT) {
         return;
@@ -130,14 +160,43 @@
   private final class TeamTurn implements Comparable<TeamTurn> {
     private final String team;
     private final List<ClassCursor> cursors = new ArrayList<>();
+    private final ClassCursor due;
     private double key;
 
     private TeamTurn(PlacementRound round, String team, TeamQueues queues, Urgency urgency) {
       this.team = team;
-      queues
-          .queues(urgency)
-          .values()
-          .forEach(q -> cursors.add(new ClassCursor(round.zone(), q.values().iterator())));
+      List<JobStatus> dueJobs = new ArrayList<>();
+      for (JobStatus job : dueByTeam.getOrDefault(team, List.of())) {
+        if (job.description().urgency() == urgency) {
+          dueJobs.add(job);
+        }
+      }
+      this.due = new ClassCursor(round.zone(), dueJobs.iterator());
+      for (Map.Entry<SizeClass, NavigableMap<QueueKey, JobStatus>> entry :
+          queues.queues(urgency).entrySet()) {
+        NavigableMap<QueueKey, JobStatus> queue = entry.getValue();
+        if (mayFit(entry.getKey())) {
+          cursors.add(new ClassCursor(round.zone(), queue.values().iterator()));
+        } else if (mayMatter(round, urgency, entry.getKey())) {
+          untriedNoted++;
+          round.noteBlocked(queue.firstEntry().getValue());
+        }
+      }
+    }
+
+    private boolean mayFit(SizeClass sizeClass) {
+      SizeClass room = sizeClass.accelerators() > 0 ? mostFreeForAccelerated : mostFree;
+      return sizeClass.gangTasks() > 0 || sizeClass.mayFitIn(room);
+    }
+
+    /** Returns whether room may be made for a job that is not tried, without looking at the job. */
+    private boolean mayMatter(PlacementRound round, Urgency urgency, SizeClass sizeClass) {
+      if (urgency == Urgency.URGENT || sizeClass.gangTasks() > 0) {
+        return true;
+      }
+      return urgency == Urgency.NORMAL
+          && untriedNoted < MAX_UNTRIED_NOTED
+          && !round.isOverShare(team);
     }
 
     private void refreshKey(PlacementRound round) {
@@ -164,6 +223,10 @@
 
     /** Tries the team's first job and returns whether the team has more to try. */
     private boolean step(PlacementRound round) {
+      if (due.hasTask()) {
+        stepDue(round);
+        return true;
+      }
       cursors.removeIf(cursor -> !cursor.hasTask());
       ClassCursor cursor = first();
       if (cursor == null) {
@@ -177,6 +240,14 @@
       return !cursors.isEmpty();
     }
 
+    private void stepDue(PlacementRound round) {
+      attempts++;
+      Outcome outcome = attempt(round, due);
+      if (outcome == Outcome.NO_ALLOTMENT || outcome == Outcome.NO_ROOM) {
+        due.nextJob();
+      }
+    }
+
     private Outcome attempt(PlacementRound round, ClassCursor cursor) {
       JobStatus job = cursor.job;
       if (!PlacementRound.isGang(job)) {
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/PlacementRound.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/PlacementRound.java
@@ -268,7 +268,8 @@
     return activeWeight;
   }
 
-  private void noteBlocked(JobStatus job) {
+  /** Remembers a job that found no room, for preemption and reservations. */
+  void noteBlocked(JobStatus job) {
     boolean isGang = isGang(job);
     Set<JobStatus> blocked = isGang ? blockedGangs : blockedJobs;
     if (blocked.size() < MAX_BLOCKED_JOBS && (isGang || Preemptor.mayPreempt(this, job))) {
@@ -286,6 +287,12 @@
     return Collections.unmodifiableCollection(blockedGangs);
   }
 
+  /** Returns whether the job's team stays within its share with one more task of the job. */
+  boolean isWithinShare(JobStatus job) {
+    String team = job.description().team();
+    return shareRatio(team, usage(team).plus(sizeOf(job))) <= 1;
+  }
+
   /** Returns whether the team uses more than its share before this decision's stops. */
   boolean isOverShare(String team) {
     return overShareByTeam.computeIfAbsent(
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneState.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneState.java
@@ -224,6 +224,13 @@
     return tables.committedTasksOn(workerId);
   }
 
+  /**
+   * Returns a number that changes whenever the worker, a task on it or the job of such a task does.
+   */
+  long workerRevision(String workerId) {
+    return tables.workerRevision(workerId);
+  }
+
   /** Returns the number of tasks of a job that capacity is committed to. */
   int committedTaskCount(String jobId) {
     return tables.committedTaskCount(jobId);
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneTables.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ZoneTables.java
@@ -156,6 +156,9 @@
       store(task.ended(Phase.ENDED, TaskEnd.CANCELLED, closed.reason(), closed.closedAtMillis()));
     }
     index(updated.jobId());
+    tasksOf(job.jobId()).stream()
+        .filter(TaskStatus::isCommitted)
+        .forEach(task -> workers.touch(task.workerId()));
     return true;
   }
 
@@ -283,6 +286,10 @@
     return workers.committedTasksOn(workerId);
   }
 
+  long workerRevision(String workerId) {
+    return workers.revision(workerId);
+  }
+
   int committedTaskCount(String jobId) {
     JobTasks tasks = tasksByJob.get(jobId);
     return tasks == null ? 0 : tasks.committedCount;
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/call/CallClaimer.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/call/CallClaimer.java
@@ -108,7 +108,7 @@
     return readBack
         .current()
         .map(entry -> resultOfRepeat(call.request(), entry))
-        .orElseGet(CallClaimer::unknownRepeat);
+        .orElseGet(() -> outsideWindow(call.request()));
   }
 
   /** Returns a refusal of a call whose claim was not read back, so that it is never sent. */
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/call/RequestAppender.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/call/RequestAppender.java
@@ -16,7 +16,8 @@
   /**
    * Appends a record and completes once it was read back, or exceptionally with {@link
    * RequestAppendException}. After a lost answer the implementation looks for the record by its id
-   * and never appends it a second time.
+   * and never appends it a second time. A claim is not appended while the ledger may lack an
+   * earlier claim of an id that is still accepted.
    */
   CompletableFuture<ReadBack> append(RequestRecord record);
 
