Count unreachable workers when jobs are judged impossible

The owner shows workers that do not answer as leaving. The finder left leaving workers out, so that after a partition of 30 s it would have ended every waiting job as impossible. They now count. The list of workers is compared as a list first, as the owner passes a new one to each decision.

--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/ImpossibleJobFinder.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/ImpossibleJobFinder.java
@@ -12,9 +12,10 @@
  * Ends jobs that the workers of the zone can never run, so that their callers get an answer at
  * once.
  *
- * <p>Judges by the capacity of all workers on the list, not by what is free, and only once the list
- * has been the same for a while: after a start or a rack failure it may be incomplete. A job of
- * which tasks run is never ended.
+ * <p>Judges by the capacity of all workers on the list, not by what is free. Workers shown as
+ * leaving count, because the owner shows workers so that it cannot reach: a partition must not end
+ * every job. Judges only once the list has been the same for a while: after a start or a rack
+ * failure it may be incomplete. A job of which tasks run is never ended.
  */
 final class ImpossibleJobFinder {
 
@@ -59,11 +60,9 @@
     capacitiesAsOfMillis = index.listChangedAtMillis();
     capacitiesByRack.clear();
     for (ListedWorker worker : index.listedWorkers()) {
-      if (!worker.leaving()) {
-        capacitiesByRack
-            .computeIfAbsent(worker.rack(), rack -> new ArrayList<>())
-            .add(worker.capacity());
-      }
+      capacitiesByRack
+          .computeIfAbsent(worker.rack(), rack -> new ArrayList<>())
+          .add(worker.capacity());
     }
   }
 
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerIndex.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerIndex.java
@@ -66,7 +66,7 @@
   }
 
   private boolean followList(List<ListedWorker> listed, long nowMillis) {
-    if (listed == lastList) {
+    if (listed == lastList || listed.equals(lastList)) {
       return false;
     }
     boolean same = new HashSet<>(listed).equals(new HashSet<>(lastList));
--- a/cicadaford-decision/src/test/java/org/cicadaford/decision/ZoneSchedulerTest.java
+++ b/cicadaford-decision/src/test/java/org/cicadaford/decision/ZoneSchedulerTest.java
@@ -220,6 +220,20 @@
     assertThat(zone.state.job("fits").orElseThrow().state()).isEqualTo(JobState.ACTIVE);
   }
 
+  /** Guards against the end of all jobs while a partition makes every worker look as leaving. */
+  @Example
+  void unreachableWorkersDoNotMakeJobsImpossible() {
+    TestZone zone = TestZone.withTeams(1);
+    zone.addWorkers(2, 1, WORKER);
+    zone.listed = zone.listed.stream().map(ZoneSchedulerTest::leaving).toList();
+    zone.admit("j", new TestJob("a", HALF, 1), 0);
+    ZoneScheduler scheduler = zone.scheduler();
+    zone.step(scheduler, 0);
+    zone.step(scheduler, 2 * ImpossibleJobFinder.STABLE_LIST_MILLIS);
+
+    assertThat(zone.state.job("j").orElseThrow().state()).isEqualTo(JobState.ACTIVE);
+  }
+
   /** Guards against work on workers that are leaving or in quarantine, or in a zone that is out. */
   @Example
   void unfitWorkersGetNothingButOneProbe() {
