--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/RefusalKind.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/RefusalKind.java
@@ -33,7 +33,7 @@
   /** No instance of the allowed zones can run the job. */
   IMPOSSIBLE_SIZE(422, "No instance can run the job"),
   /** The request id belongs to another request. */
-  REQUEST_ID_REUSED(409, "The request id was used for another request"),
+  REQUEST_ID_REUSED(409, "The request id was used before"),
   /** The request id is older than the retained window. */
   REQUEST_ID_EXPIRED(409, "The request id is too old"),
   /** All allowed zones are out of service. */
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/job/ZoneChooser.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/job/ZoneChooser.java
@@ -93,7 +93,7 @@
 
   private static RefusedException noZone(JobDescription job, boolean noneListed) {
     String zones = job.zones().isEmpty() ? "the cell" : "zones " + String.join(", ", job.zones());
-    String cause = noneListed ? " has no listed worker" : " is out of service";
+    String cause = noneListed ? ": no worker is listed" : ": out of service";
     return new RefusedException(
         Refusal.later(
             RefusalKind.NO_ZONE,
