Remove the peer directory and two accessors that nothing reads

Cause: PeerService stored each heartbeat in a PeerDirectory, but the ownership policy takes heartbeats through PeerKnowledge.hear. Ruled out: reading ownership from the directory, which would bypass the ring of the zone owner. The tests keep their assertions; PeerServiceTest no longer passes the two arguments.

--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerSlot.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerSlot.java
@@ -94,10 +94,6 @@
     return status.isQuarantined();
   }
 
-  boolean isListed() {
-    return listed;
-  }
-
   void setListed(boolean newListed) {
     listed = newListed;
   }
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/peer/PeerCoordinator.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/peer/PeerCoordinator.java
@@ -80,9 +80,7 @@
             self,
             OwnerSettings.DEFAULT.clockDriftMillis(),
             this,
-            new PeerDirectory(),
-            eventLoops,
-            clock::millis);
+            eventLoops);
   }
 
   /**
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/peer/PeerService.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/peer/PeerService.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.LongSupplier;
 import org.cicadaford.platform.Member;
 import org.cicadaford.wire.PeerException;
 import org.cicadaford.wire.PeerHandler;
@@ -43,9 +42,7 @@
   private final PeerMessage.Hello self;
   private final long clockDriftMillis;
   private final PeerKnowledge knowledge;
-  private final PeerDirectory directory;
   private final EventLoopGroup eventLoops;
-  private final LongSupplier clockMillis;
   private final PeerServer server;
   private final Map<String, Link> linksByInstance = new HashMap<>();
   private boolean stopped;
@@ -59,16 +56,12 @@
       PeerMessage.Hello self,
       long clockDriftMillis,
       PeerKnowledge knowledge,
-      PeerDirectory directory,
-      EventLoopGroup eventLoops,
-      LongSupplier clockMillis) {
+      EventLoopGroup eventLoops) {
     this.settings = settings;
     this.self = self;
     this.clockDriftMillis = clockDriftMillis;
     this.knowledge = knowledge;
-    this.directory = directory;
     this.eventLoops = eventLoops;
-    this.clockMillis = clockMillis;
     PeerHandler handler = (peer, message) -> answer(message);
     this.server = new PeerServer(bindAddress, settings, self, handler, eventLoops);
   }
@@ -119,7 +112,6 @@
       Member peer = wanted.get(entry.getKey());
       if (peer == null || !sameAddress(peer, entry.getValue().member())) {
         entry.getValue().link().stop();
-        directory.forget(entry.getKey());
         links.remove();
       }
     }
@@ -144,7 +136,6 @@
   }
 
   private void heard(String instanceId, Heartbeat heartbeat) {
-    directory.heard(heartbeat, clockMillis.getAsLong());
     knowledge.hear(heartbeat);
     long ownVersion = knowledge.heartbeat().configVersion();
     if (heartbeat.configVersion() > ownVersion) {
@@ -171,7 +162,6 @@
               .jobStatus(request.jobId())
               .thenApply(content -> new JobStatusAnswer(request.jobId(), content));
       case Heartbeat heartbeat -> {
-        directory.heard(heartbeat, clockMillis.getAsLong());
         knowledge.hear(heartbeat);
         yield CompletableFuture.completedFuture(knowledge.heartbeat());
       }
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/worker/WorkerLink.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/worker/WorkerLink.java
@@ -82,11 +82,6 @@
     members.forEach(member -> addresses.put(member.instanceId(), member));
   }
 
-  /** Returns the number of commands that wait or are unanswered. */
-  public int inFlightCount() {
-    return inFlight.size();
-  }
-
   /** Hands in a command and returns whether it will be sent. */
   public boolean send(WorkerOrder order, AnswerListener listener) {
     String kind = kindOf(order.command());
--- a/cicadaford-entry/src/test/java/org/cicadaford/entry/peer/PeerServiceTest.java
+++ b/cicadaford-entry/src/test/java/org/cicadaford/entry/peer/PeerServiceTest.java
@@ -85,9 +85,7 @@
         new PeerMessage.Hello(id, "zone"),
         DRIFT_MILLIS,
         knowledge,
-        new PeerDirectory(),
-        EVENT_LOOPS,
-        () -> 10_000);
+        EVENT_LOOPS);
   }
 
   private static Member member(String id, int peerPort) {
