--- /dev/null
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Action.java
@@ -0,0 +1,64 @@
+package org.cicadaford.cell;
+
+import java.util.List;
+
+/** What the coordinator wants to have done. */
+public sealed interface Action {
+
+  /**
+   * Orders a worker to start a task.
+   *
+   * @param address address of the worker
+   * @param ticket ticket to carry, or an empty string
+   * @param deadlineMillis time on the worker's clock after which the order is void
+   */
+  record StartTask(
+      String workerId,
+      String address,
+      String task,
+      int run,
+      String payload,
+      String checkpoint,
+      String ticket,
+      long deadlineMillis)
+      implements Action {}
+
+  /** Orders a worker to stop a run; also keeps a run that is not there yet from starting. */
+  record StopTask(String workerId, String address, String task, int run) implements Action {}
+
+  /**
+   * Asks which workers may run a step.
+   *
+   * @param callId id by which the answer is matched
+   * @param agent instance that makes the call
+   * @param step name of the step
+   * @param timeoutMillis time after which the call is given up
+   */
+  record AskAdvice(
+      long callId, String agent, String step, List<String> workerIds, long timeoutMillis)
+      implements Action {}
+
+  /**
+   * Renews the lease of a worker and asks for its report.
+   *
+   * @param acknowledgedEnd number of the last end that the worker may forget
+   * @param deadlineMillis end of the lease on the worker's clock, or 0 if its clock is unknown
+   * @param waitMillis time for which the worker may wait for an end
+   * @param timeoutMillis time after which the answer is given up
+   */
+  record Renew(
+      String workerId,
+      long incarnation,
+      String address,
+      long acknowledgedEnd,
+      long deadlineMillis,
+      long waitMillis,
+      long timeoutMillis)
+      implements Action {}
+
+  /** Answers a submission: the job is stored. */
+  record ConfirmSubmission(String jobId) implements Action {}
+
+  /** Answers a cancellation: it is stored. */
+  record ConfirmCancellation(String jobId) implements Action {}
+}
--- /dev/null
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Batch.java
@@ -0,0 +1,17 @@
+package org.cicadaford.cell;
+
+import java.util.List;
+
+/**
+ * Changes that are stored together, and what may be done once they are stored.
+ *
+ * @param writes records to store, all or none
+ * @param afterwards actions that rely on the records
+ */
+public record Batch(List<RecordWrite> writes, List<Action> afterwards) {
+
+  /** Returns whether there is nothing to do. */
+  public boolean isEmpty() {
+    return writes.isEmpty() && afterwards.isEmpty();
+  }
+}
--- /dev/null
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CellConfig.java
@@ -0,0 +1,71 @@
+package org.cicadaford.cell;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** One version of the cell's configuration. */
+public final class CellConfig {
+
+  /** Configuration before the first version: no queue, no team. */
+  public static final CellConfig EMPTY = new CellConfig(-1, List.of(), List.of(), 0);
+
+  private final long version;
+  private final Map<String, Queue> queuesByName = new HashMap<>();
+  private final Map<String, List<Queue>> queuesByHost = new HashMap<>();
+  private final Map<String, TeamShare> teamsByName = new HashMap<>();
+  private final Map<String, TeamShare> teamsByKey = new HashMap<>();
+  private final int maxBodyBytes;
+
+  /** Creates a version from its queues and teams. */
+  public CellConfig(long version, List<Queue> queues, List<TeamShare> teams, int maxBodyBytes) {
+    this.version = version;
+    this.maxBodyBytes = maxBodyBytes;
+    for (Queue queue : queues) {
+      queuesByName.put(queue.name(), queue);
+      queuesByHost.computeIfAbsent(queue.host(), host -> new java.util.ArrayList<>()).add(queue);
+    }
+    for (TeamShare team : teams) {
+      teamsByName.put(team.name(), team);
+      team.keys().forEach(key -> teamsByKey.put(key, team));
+    }
+  }
+
+  /** Returns the version number; later versions have higher numbers. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns the largest body of a call in bytes, or 0 if none is stated. */
+  public int maxBodyBytes() {
+    return maxBodyBytes;
+  }
+
+  /** Returns the queue of that name. */
+  public Optional<Queue> queue(String name) {
+    return Optional.ofNullable(queuesByName.get(name));
+  }
+
+  /** Returns the queue of {@code host} with the longest prefix that {@code path} begins with. */
+  public Optional<Queue> queueFor(String host, String path) {
+    Queue best = null;
+    for (Queue queue : queuesByHost.getOrDefault(host, List.of())) {
+      boolean longer = best == null || queue.pathPrefix().length() > best.pathPrefix().length();
+      if (longer && path.startsWith(queue.pathPrefix())) {
+        best = queue;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  /** Returns the team of that name. */
+  public Optional<TeamShare> team(String name) {
+    return Optional.ofNullable(teamsByName.get(name));
+  }
+
+  /** Returns the team that holds {@code key}. */
+  public Optional<TeamShare> teamOfKey(String key) {
+    return Optional.ofNullable(teamsByKey.get(key));
+  }
+}
--- /dev/null
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -0,0 +1,377 @@
+package org.cicadaford.cell;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Decides for a whole cell: takes jobs, places their tasks, follows workers and records results.
+ *
+ * <p>It does no input or output and is used by one thread. Events come in with the present time;
+ * {@link #takeBatch} returns changes to store, and what relies on them is returned by {@link
+ * #takeActions} only after {@link #stored}.
+ */
+public final class Coordinator {
+
+  /** Time between two rounds of upkeep, in milliseconds. */
+  private static final long UPKEEP_MILLIS = 50;
+
+  /** Ends of a worker up to a number, whose effects are part of the batch being stored. */
+  private record RecordedEnds(Worker worker, long incarnation, long number) {
+
+    void apply() {
+      if (worker.incarnation() == incarnation) {
+        worker.recordedEnd(number);
+      }
+    }
+  }
+
+  private final CellState state;
+  private final RunEndHandler ends;
+  private final WorkerMonitor monitor;
+  private final AdviceDesk advice;
+  private final PlacementPlanner planner;
+  private final AdmissionPolicy admission = new AdmissionPolicy();
+  private final List<Job> storing = new ArrayList<>();
+  private final List<JobPhase> storingPhases = new ArrayList<>();
+  private final List<Placement> storingStarts = new ArrayList<>();
+  private final List<Action> storingActions = new ArrayList<>();
+  private final List<RecordedEnds> storingEnds = new ArrayList<>();
+  private boolean batchOpen;
+  private long nextUpkeepMillis = Long.MIN_VALUE;
+
+  /** Creates a coordinator that knows nothing yet. */
+  public Coordinator(CoordinatorSettings settings) {
+    state = new CellState(settings);
+    ends = new RunEndHandler(state);
+    monitor = new WorkerMonitor(state, ends);
+    advice = new AdviceDesk(state);
+    planner = new PlacementPlanner(state, advice, monitor);
+  }
+
+  /** Rebuilds the state from stored records; returns the keys of those that are unreadable. */
+  public List<String> restore(List<RecordWrite> records, Moment now) {
+    List<String> unreadable = new JobRestorer(state, monitor).restore(records, now);
+    state.planWanted(true);
+    return unreadable;
+  }
+
+  /** Takes a configuration; older versions than the present one are ignored. */
+  public void configure(CellConfig config, Set<String> zonesOut) {
+    if (config.version() >= state.config().version()) {
+      state.config(config);
+    }
+    state.zonesOut(zonesOut);
+  }
+
+  /** Takes the platform's list of workers. */
+  public void workersListed(List<ListedWorker> workers, Moment now) {
+    monitor.listed(workers, now);
+  }
+
+  /** Takes the instances that can ask for advice. */
+  public void agentsChanged(Set<String> instanceIds) {
+    advice.agents(instanceIds);
+    state.planWanted(true);
+  }
+
+  /** Takes a submission. */
+  public AdmissionDecision submit(
+      String jobId, Queue queue, String team, JobSpec spec, Moment now) {
+    Job known = state.jobs().get(jobId);
+    if (known != null) {
+      if (known.stored()) {
+        return new AdmissionDecision.AlreadyStored();
+      }
+      state.afterwards().add(new Action.ConfirmSubmission(jobId));
+      return new AdmissionDecision.Storing();
+    }
+    if (pendingCount(null) >= AdmissionPolicy.MAX_PENDING_JOBS) {
+      return new AdmissionDecision.Refused(
+          "too many jobs are waiting", AdmissionPolicy.RETRY_AFTER_MILLIS);
+    }
+    double rate = state.config().team(team).map(TeamShare::weight).orElse(0.0);
+    boolean excess = admission.isExcess(team, rate, now.steadyMillis());
+    Job job = new Job(new JobDefinition(jobId, queue, team, now.unixMillis(), excess, spec));
+    state.jobs().put(jobId, job);
+    state.change(job);
+    state.afterwards().add(new Action.ConfirmSubmission(jobId));
+    beginDue(job, now);
+    state.planWanted(true);
+    return new AdmissionDecision.Storing();
+  }
+
+  /** Takes a cancellation; returns whether the job is known, so that a confirmation follows. */
+  public boolean cancel(String jobId, Moment now) {
+    Job job = state.jobs().get(jobId);
+    if (job == null) {
+      return false;
+    }
+    if (!job.phase().over()) {
+      ends.end(job, JobPhase.CANCELLED, now);
+      for (Placement placement : job.placements()) {
+        placement.wantStop();
+      }
+    }
+    state.change(job);
+    state.afterwards().add(new Action.ConfirmCancellation(jobId));
+    return true;
+  }
+
+  /** Returns a job that is stored. */
+  public Optional<JobView> job(String jobId) {
+    Job job = state.jobs().get(jobId);
+    if (job == null || !job.stored()) {
+      return Optional.empty();
+    }
+    return Optional.of(new JobView(job.team(), job.queue().name(), job.storedPhase()));
+  }
+
+  /** Returns the number of accepted jobs of a queue without a start; null means of all queues. */
+  public int pendingCount(String queueName) {
+    int count = 0;
+    for (Job job : state.jobs().values()) {
+      boolean counted = queueName == null || job.queue().name().equals(queueName);
+      if (counted && job.stored() && job.storedPhase() == JobPhase.PENDING) {
+        count++;
+      }
+    }
+    return count;
+  }
+
+  /** Takes the answer to an order to start a task. */
+  public void startAnswered(
+      String workerId, String task, int run, StartOutcome outcome, long clockMillis, Moment now) {
+    Placement placement = placement(workerId, task, run);
+    if (placement == null || placement.stage() != Placement.Stage.STARTING) {
+      return;
+    }
+    long nowMillis = now.steadyMillis();
+    if (clockMillis > 0) {
+      placement.worker().clock(clockMillis, nowMillis);
+    }
+    switch (outcome) {
+      case STARTED -> {
+        placement.confirmed(nowMillis);
+        if (placement.stopWanted()) {
+          state.sendStop(placement, nowMillis);
+        }
+      }
+      case BAD_TICKET -> {
+        placement.task().step().tickets().remove(workerId);
+        ends.lost(placement, now);
+      }
+      case NO_ROOM, NOT_STARTED -> ends.lost(placement, now);
+      case FENCED, UNKNOWN -> {
+        placement.uncertain(nowMillis);
+        placement.worker().nextRenewalAtMillis(nowMillis);
+      }
+      default -> throw new IllegalStateException("unknown outcome " + outcome);
+    }
+  }
+
+  /** Takes a worker's confirmation that a run is stopped or will never start. */
+  public void stopConfirmed(String workerId, String task, int run, Moment now) {
+    Placement placement = placement(workerId, task, run);
+    if (placement != null) {
+      placement.stopConfirmed(now.steadyMillis());
+      if (placement.stage() == Placement.Stage.STARTING) {
+        placement.uncertain(now.steadyMillis());
+      }
+    }
+  }
+
+  private Placement placement(String workerId, String task, int run) {
+    Worker worker = state.workers().get(workerId);
+    Placement placement = worker == null ? null : worker.placements().get(task);
+    return placement != null && placement.run() == run ? placement : null;
+  }
+
+  /** Takes a worker's report. */
+  public void reported(WorkerReport report, Moment now) {
+    monitor.report(report, now);
+  }
+
+  /** Takes the failure of a renewal; {@code gone} says that another instance has the address. */
+  public void renewalFailed(String workerId, boolean gone, Moment now) {
+    monitor.renewalFailed(workerId, gone, now);
+  }
+
+  /** Takes the tickets that a call for advice has returned, by worker. */
+  public void adviceAnswered(
+      long callId, Map<String, String> tickets, long validMillis, Moment now) {
+    advice.answered(callId, tickets, validMillis, now.steadyMillis());
+  }
+
+  /** Takes the failure of a call for advice. */
+  public void adviceFailed(long callId, Moment now) {
+    advice.failed(callId, now.steadyMillis());
+  }
+
+  /** Does what is due at this time and plans, if anything has changed. */
+  public void advance(Moment now) {
+    if (now.steadyMillis() >= nextUpkeepMillis) {
+      nextUpkeepMillis = now.steadyMillis() + UPKEEP_MILLIS;
+      monitor.tick(now);
+      for (Job job : List.copyOf(state.jobs().values())) {
+        upkeep(job, now);
+      }
+      state.planWanted(true);
+    }
+    if (state.planWanted()) {
+      planner.plan(now);
+    }
+    state.actions().addAll(monitor.dueRenewals(now));
+  }
+
+  private void upkeep(Job job, Moment now) {
+    if (!job.phase().over()) {
+      if (job.spec().timed() || job.occurrences().isEmpty()) {
+        beginDue(job, now);
+      }
+      return;
+    }
+    boolean expired = now.unixMillis() - job.endedAtMillis() > state.settings().keepEndedMillis();
+    if (expired && job.stored() && job.placements().isEmpty()) {
+      state.jobs().remove(job.id());
+      state.changed().remove(job);
+      state.deletions().addAll(JobRecords.deletion(job.id()));
+    }
+  }
+
+  private void beginDue(Job job, Moment now) {
+    int occurrence = job.nextOccurrence();
+    while (occurrence < job.spec().runCount()
+        && job.spec().dueMillis(occurrence) <= now.unixMillis()) {
+      job.begin(occurrence).forEach(state::consider);
+      state.change(job);
+      occurrence = job.nextOccurrence();
+    }
+  }
+
+  /** Returns changes to store, if there are any and none are being stored. */
+  public Optional<Batch> takeBatch() {
+    boolean nothing =
+        state.changed().isEmpty() && state.deletions().isEmpty() && state.afterwards().isEmpty();
+    if (batchOpen || (nothing && !endsToRecord())) {
+      return Optional.empty();
+    }
+    List<RecordWrite> writes = new ArrayList<>(state.deletions());
+    for (Job job : state.changed()) {
+      if (!job.stored()) {
+        writes.add(JobRecords.definition(job));
+      }
+      writes.add(JobRecords.progress(job));
+      storing.add(job);
+      storingPhases.add(job.phase());
+    }
+    storingActions.addAll(state.afterwards());
+    storingStarts.addAll(state.startsAfterwards());
+    for (Worker worker : state.workers().values()) {
+      if (worker.recordedEnd() < worker.processedEnd()) {
+        storingEnds.add(new RecordedEnds(worker, worker.incarnation(), worker.processedEnd()));
+      }
+    }
+    state.changed().clear();
+    state.deletions().clear();
+    state.afterwards().clear();
+    state.startsAfterwards().clear();
+    batchOpen = true;
+    return Optional.of(new Batch(writes, List.copyOf(storingActions)));
+  }
+
+  private boolean endsToRecord() {
+    for (Worker worker : state.workers().values()) {
+      if (worker.recordedEnd() < worker.processedEnd()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Takes the confirmation that the last batch is stored. */
+  public void stored(Moment now) {
+    batchOpen = false;
+    for (int index = 0; index < storing.size(); index++) {
+      storing.get(index).markStored();
+      storing.get(index).storedPhase(storingPhases.get(index));
+    }
+    for (Job job : storing) {
+      if (job.phase() == JobPhase.CANCELLED && job.storedPhase() == JobPhase.CANCELLED) {
+        job.placements().forEach(placement -> stopOnce(placement, now));
+      }
+    }
+    storingEnds.forEach(RecordedEnds::apply);
+    storingStarts.forEach(placement -> start(placement, now));
+    state.actions().addAll(storingActions);
+    storing.clear();
+    storingPhases.clear();
+    storingEnds.clear();
+    storingStarts.clear();
+    storingActions.clear();
+  }
+
+  private void stopOnce(Placement placement, Moment now) {
+    if (placement.stopSentAtMillis() == Long.MIN_VALUE) {
+      state.stop(placement, now.steadyMillis());
+    }
+  }
+
+  private void start(Placement placement, Moment now) {
+    Task task = placement.task();
+    Worker worker = placement.worker();
+    StepRun step = task.step();
+    if (task.placement() != placement) {
+      return;
+    }
+    long nowMillis = now.steadyMillis();
+    String ticket = "";
+    boolean permitted = true;
+    if (state.queueOf(step.job()).advice().needed()) {
+      Ticket held = step.ticketFor(worker, nowMillis);
+      permitted = held != null;
+      ticket = held == null ? "" : held.value();
+    }
+    boolean sameLife = worker.incarnation() == placement.incarnation();
+    boolean open = worker.listing() != null && !state.zonesOut().contains(worker.listing().zone());
+    boolean usable = worker.listed() && !worker.listing().draining();
+    if (placement.stopWanted() || !permitted || !sameLife || !open || !usable) {
+      ends.lost(placement, now);
+      return;
+    }
+    long deadlineMillis = worker.clockAt(nowMillis) + state.settings().startValidMillis();
+    worker.deadlineSent(deadlineMillis, state.settings().maxClockSlowdown());
+    placement.orderSent(nowMillis);
+    state
+        .actions()
+        .add(
+            new Action.StartTask(
+                worker.id(),
+                worker.listing().address(),
+                task.name(),
+                placement.run(),
+                step.job().spec().payload(),
+                task.checkpoint(),
+                ticket,
+                deadlineMillis));
+  }
+
+  /** Returns the actions that may be carried out now. */
+  public List<Action> takeActions() {
+    List<Action> taken = List.copyOf(state.actions());
+    state.actions().clear();
+    return taken;
+  }
+
+  /** Returns counts for the status page and the metrics, by name. */
+  public Map<String, Long> counts() {
+    Map<String, Long> counts = new HashMap<>();
+    counts.put("jobs", (long) state.jobs().size());
+    counts.put("ready_steps", (long) state.ready().size());
+    counts.put("workers", (long) state.workers().size());
+    return counts;
+  }
+}
--- /dev/null
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/EndRow.java
@@ -0,0 +1,12 @@
+package org.cicadaford.cell;
+
+/**
+ * A run that a worker reports as ended.
+ *
+ * @param number position in the worker's list of ends, from 1 in each incarnation
+ * @param task name of the task
+ * @param run number of the run
+ * @param kind how it ended
+ * @param checkpoint newest checkpoint, or an empty string
+ */
+public record EndRow(long number, String task, int run, EndKind kind, String checkpoint) {}
--- /dev/null
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobDefinition.java
@@ -0,0 +1,14 @@
+package org.cicadaford.cell;
+
+/**
+ * The part of a job that never changes.
+ *
+ * @param jobId id chosen by the submitter, which makes repeated submissions one job
+ * @param queue its queue as of the acceptance; a later configuration may remove it
+ * @param team name of the team that it counts for, or an empty string on an open queue
+ * @param acceptedAtMillis Unix time of its acceptance in milliseconds
+ * @param excess whether it came beyond the rate that its team is owed
+ * @param spec what to run
+ */
+public record JobDefinition(
+    String jobId, Queue queue, String team, long acceptedAtMillis, boolean excess, JobSpec spec) {}
--- /dev/null
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobProgress.java
@@ -0,0 +1,40 @@
+package org.cicadaford.cell;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import java.util.List;
+
+/**
+ * The part of a job that changes, as it is stored.
+ *
+ * @param phase state of the job
+ * @param endedAtMillis Unix time of its end in milliseconds, or 0
+ * @param workers workers that its placements name
+ * @param doneOccurrences occurrences that are done
+ * @param occurrences occurrences that have begun and are not done
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+record JobProgress(
+    JobPhase phase,
+    long endedAtMillis,
+    List<WorkerKey> workers,
+    List<Integer> doneOccurrences,
+    List<OccurrenceProgress> occurrences) {
+
+  /** A worker in one of its incarnations. */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record WorkerKey(String id, long incarnation) {}
+
+  /** Tasks of all steps of an occurrence, in their order. */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record OccurrenceProgress(int occurrence, List<TaskProgress> tasks) {}
+
+  /**
+   * State of a task.
+   *
+   * @param workerIndex position of its worker in {@link JobProgress#workers}, or -1 if it is not
+   *     placed
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record TaskProgress(
+      boolean done, int lastRun, int failedCount, int workerIndex, String checkpoint) {}
+}
--- /dev/null
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRecords.java
@@ -0,0 +1,69 @@
+package org.cicadaford.cell;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.cicadaford.cell.JobProgress.OccurrenceProgress;
+import org.cicadaford.cell.JobProgress.TaskProgress;
+import org.cicadaford.cell.JobProgress.WorkerKey;
+import org.cicadaford.model.RecordCodec;
+
+/** Makes the stored records of a job, and names their keys. */
+final class JobRecords {
+
+  /** Beginning of the keys under which {@link JobDefinition}s are stored. */
+  static final String DEFINITION_PREFIX = "d/";
+
+  /** Beginning of the keys under which {@link JobProgress} is stored. */
+  static final String PROGRESS_PREFIX = "p/";
+
+  private static final byte[] DELETED = new byte[0];
+
+  private JobRecords() {}
+
+  static RecordWrite definition(Job job) {
+    return new RecordWrite(DEFINITION_PREFIX + job.id(), RecordCodec.encode(job.definition()));
+  }
+
+  static RecordWrite progress(Job job) {
+    return new RecordWrite(PROGRESS_PREFIX + job.id(), RecordCodec.encode(progressOf(job)));
+  }
+
+  static List<RecordWrite> deletion(String jobId) {
+    return List.of(
+        new RecordWrite(PROGRESS_PREFIX + jobId, DELETED),
+        new RecordWrite(DEFINITION_PREFIX + jobId, DELETED));
+  }
+
+  private static JobProgress progressOf(Job job) {
+    List<WorkerKey> workers = new ArrayList<>();
+    List<OccurrenceProgress> occurrences = new ArrayList<>();
+    if (!job.phase().over() || !job.placements().isEmpty()) {
+      job.occurrences()
+          .forEach(
+              (occurrence, steps) -> {
+                List<TaskProgress> tasks = new ArrayList<>();
+                for (StepRun step : steps) {
+                  step.tasks().forEach(task -> tasks.add(progressOf(task, workers)));
+                }
+                occurrences.add(new OccurrenceProgress(occurrence, tasks));
+              });
+    }
+    return new JobProgress(
+        job.phase(), job.endedAtMillis(), workers, List.copyOf(job.doneOccurrences()), occurrences);
+  }
+
+  private static TaskProgress progressOf(Task task, List<WorkerKey> workers) {
+    int workerIndex = -1;
+    Placement placement = task.placement();
+    if (placement != null) {
+      WorkerKey key = new WorkerKey(placement.worker().id(), placement.incarnation());
+      workerIndex = workers.indexOf(key);
+      if (workerIndex < 0) {
+        workerIndex = workers.size();
+        workers.add(key);
+      }
+    }
+    return new TaskProgress(
+        task.done(), task.lastRun(), task.failedCount(), workerIndex, task.checkpoint());
+  }
+}
--- /dev/null
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
@@ -0,0 +1,93 @@
+package org.cicadaford.cell;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.cicadaford.cell.JobProgress.OccurrenceProgress;
+import org.cicadaford.cell.JobProgress.TaskProgress;
+import org.cicadaford.model.MalformedRecordException;
+import org.cicadaford.model.RecordCodec;
+
+/** Rebuilds the state of a cell from its stored records. */
+final class JobRestorer {
+
+  private final CellState state;
+  private final WorkerMonitor monitor;
+
+  JobRestorer(CellState state, WorkerMonitor monitor) {
+    this.state = state;
+    this.monitor = monitor;
+  }
+
+  /** Restores all jobs; returns the keys of records that could not be read. */
+  List<String> restore(List<RecordWrite> records, Moment now) {
+    List<String> unreadable = new ArrayList<>();
+    Map<String, JobProgress> progressById = new HashMap<>();
+    for (RecordWrite write : records) {
+      try {
+        read(write, progressById);
+      } catch (MalformedRecordException e) {
+        unreadable.add(write.key());
+      }
+    }
+    for (Job job : state.jobs().values()) {
+      job.markStored();
+      JobProgress progress = progressById.get(job.id());
+      if (progress != null) {
+        apply(job, progress, now);
+      }
+      job.storedPhase(job.phase());
+      if (!job.phase().over()) {
+        job.occurrences().values().forEach(steps -> steps.forEach(state::consider));
+      }
+    }
+    return unreadable;
+  }
+
+  private void read(RecordWrite write, Map<String, JobProgress> progressById)
+      throws MalformedRecordException {
+    if (write.key().startsWith(JobRecords.DEFINITION_PREFIX)) {
+      JobDefinition definition = RecordCodec.decode(write.value(), JobDefinition.class);
+      state.jobs().put(definition.jobId(), new Job(definition));
+    } else if (write.key().startsWith(JobRecords.PROGRESS_PREFIX)) {
+      String jobId = write.key().substring(JobRecords.PROGRESS_PREFIX.length());
+      progressById.put(jobId, RecordCodec.decode(write.value(), JobProgress.class));
+    }
+  }
+
+  private void apply(Job job, JobProgress progress, Moment now) {
+    job.phase(progress.phase());
+    job.endedAtMillis(progress.endedAtMillis());
+    job.doneOccurrences().addAll(progress.doneOccurrences());
+    for (OccurrenceProgress stored : progress.occurrences()) {
+      List<Task> tasks = new ArrayList<>();
+      job.begin(stored.occurrence()).forEach(step -> tasks.addAll(step.tasks()));
+      for (int index = 0; index < Math.min(tasks.size(), stored.tasks().size()); index++) {
+        apply(tasks.get(index), stored.tasks().get(index), progress, now);
+      }
+    }
+  }
+
+  private void apply(Task task, TaskProgress stored, JobProgress progress, Moment now) {
+    task.lastRun(stored.lastRun());
+    task.failedCount(stored.failedCount());
+    task.checkpoint(stored.checkpoint());
+    if (stored.done()) {
+      task.markDone();
+    }
+    if (stored.workerIndex() < 0) {
+      return;
+    }
+    JobProgress.WorkerKey key = progress.workers().get(stored.workerIndex());
+    long nowMillis = now.steadyMillis();
+    Worker worker = monitor.recovered(key.id(), key.incarnation(), nowMillis);
+    Placement placement =
+        new Placement(task, stored.lastRun(), worker, key.incarnation(), nowMillis);
+    placement.restored(nowMillis);
+    state.place(placement);
+    if (task.step().job().phase().over()) {
+      placement.wantStop();
+    }
+  }
+}
--- /dev/null
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/RunEndHandler.java
@@ -0,0 +1,112 @@
+package org.cicadaford.cell;
+
+import java.util.List;
+
+/** Applies the end of a run to its task, its step and its job. */
+final class RunEndHandler {
+
+  private final CellState state;
+
+  RunEndHandler(CellState state) {
+    this.state = state;
+  }
+
+  /** Applies an end that the worker reported. */
+  void ended(Placement placement, EndKind kind, String checkpoint, Moment now) {
+    Task task = placement.task();
+    task.checkpoint(placement.checkpoint());
+    task.checkpoint(checkpoint);
+    state.release(placement);
+    if (task.step().job().phase().over()) {
+      return;
+    }
+    switch (kind) {
+      case DONE -> done(placement, now);
+      case FAILED -> failed(placement, now);
+      case STOPPED, LAPSED, BROKEN, ALONE -> again(placement, now);
+      default -> throw new IllegalStateException("unknown kind of end " + kind);
+    }
+  }
+
+  /** Applies the certainty that a run is not present any more, without knowing how it ended. */
+  void lost(Placement placement, Moment now) {
+    placement.task().checkpoint(placement.checkpoint());
+    state.release(placement);
+    if (!placement.task().step().job().phase().over()) {
+      again(placement, now);
+    }
+  }
+
+  private void done(Placement placement, Moment now) {
+    placement.worker().succeeded();
+    StepRun step = placement.task().step();
+    if (step.spec().longRunning()) {
+      again(placement, now);
+      return;
+    }
+    placement.task().markDone();
+    if (step.spec().gang()) {
+      // The members of a gang end together, so one member's end stands for all of them.
+      step.tasks().forEach(Task::markDone);
+    }
+    if (step.done()) {
+      stepDone(step, now);
+    }
+  }
+
+  private void stepDone(StepRun step, Moment now) {
+    Job job = step.job();
+    List<StepRun> steps = job.occurrences().get(step.occurrence());
+    steps.forEach(state::consider);
+    if (steps.stream().allMatch(StepRun::done)) {
+      finish(job, step.occurrence(), now);
+    }
+  }
+
+  private void finish(Job job, int occurrence, Moment now) {
+    if (job.finish(occurrence) && job.allDone()) {
+      end(job, JobPhase.COMPLETED, now);
+    }
+  }
+
+  private void failed(Placement placement, Moment now) {
+    Task task = placement.task();
+    StepRun step = task.step();
+    placement.worker().failed(step.job().id(), now.steadyMillis());
+    task.failedOn().add(placement.worker().id());
+    if (step.spec().gang()) {
+      if (step.countFailureOf(placement.run())) {
+        int count = task.failedCount() + 1;
+        step.tasks().forEach(member -> member.failedCount(count));
+      }
+    } else {
+      task.failedCount(task.failedCount() + 1);
+    }
+    boolean exhausted = task.failedCount() >= state.queueOf(step.job()).maxAttempts();
+    if (exhausted && !step.spec().longRunning()) {
+      end(step.job(), JobPhase.FAILED, now);
+      step.job().placements().forEach(other -> state.stop(other, now.steadyMillis()));
+      return;
+    }
+    again(placement, now);
+  }
+
+  private void again(Placement placement, Moment now) {
+    StepRun step = placement.task().step();
+    if (step.spec().gang() && !step.done()) {
+      for (Task member : step.tasks()) {
+        if (member.placement() != null && !member.placement().stopWanted()) {
+          state.stop(member.placement(), now.steadyMillis());
+        }
+      }
+    }
+    state.consider(step);
+  }
+
+  /** Ends a job; what still runs of it is stopped by the caller. */
+  void end(Job job, JobPhase phase, Moment now) {
+    job.phase(phase);
+    job.endedAtMillis(now.unixMillis());
+    state.change(job);
+  }
+}
--- /dev/null
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/RunRow.java
@@ -0,0 +1,12 @@
+package org.cicadaford.cell;
+
+/**
+ * A run that a worker reports as present.
+ *
+ * @param task name of the task
+ * @param run number of the run
+ * @param checkpoint newest checkpoint, or an empty string
+ * @param progressPercent progress in percent
+ * @param load tail latency in milliseconds of a serving task, otherwise millicores in use
+ */
+public record RunRow(String task, int run, String checkpoint, int progressPercent, long load) {}
--- /dev/null
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Task.java
@@ -0,0 +1,89 @@
+package org.cicadaford.cell;
+
+import java.util.HashSet;
+import java.util.Set;
+
+/** One task of a step in one occurrence of a job. */
+final class Task {
+
+  private final StepRun step;
+  private final int index;
+  private final String name;
+  private boolean done;
+  private int lastRun;
+  private int failedCount;
+  private String checkpoint = "";
+  private Placement placement;
+  private final Set<String> failedOn = new HashSet<>();
+
+  Task(StepRun step, int index) {
+    this.step = step;
+    this.index = index;
+    this.name = step.name() + "." + index;
+  }
+
+  StepRun step() {
+    return step;
+  }
+
+  int index() {
+    return index;
+  }
+
+  /** Returns {@code JOB.OCCURRENCE.STEP.INDEX}. */
+  String name() {
+    return name;
+  }
+
+  boolean done() {
+    return done;
+  }
+
+  void markDone() {
+    done = true;
+  }
+
+  int lastRun() {
+    return lastRun;
+  }
+
+  void lastRun(int run) {
+    lastRun = run;
+  }
+
+  int failedCount() {
+    return failedCount;
+  }
+
+  void failedCount(int count) {
+    failedCount = count;
+  }
+
+  String checkpoint() {
+    return checkpoint;
+  }
+
+  void checkpoint(String newCheckpoint) {
+    if (!newCheckpoint.isEmpty()) {
+      checkpoint = newCheckpoint;
+    }
+  }
+
+  Placement placement() {
+    return placement;
+  }
+
+  void place(Placement newPlacement) {
+    placement = newPlacement;
+  }
+
+  /** Returns whether the task needs a run and has none. */
+  boolean waiting() {
+    return !done && placement == null;
+  }
+
+  /** Returns the workers on which a run of the task has failed. */
+  Set<String> failedOn() {
+    return failedOn;
+  }
+}
--- /dev/null
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -0,0 +1,298 @@
+package org.cicadaford.cell;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Follows workers by the platform's list and by their reports, and decides which runs are over. */
+final class WorkerMonitor {
+
+  /** Time after which an unanswered stop is sent again, in milliseconds. */
+  private static final long STOP_AGAIN_MILLIS = 700;
+
+  /** Time between attempts to reach a worker that does not answer, in milliseconds. */
+  private static final long UNREACHABLE_RETRY_MILLIS = 300;
+
+  /** Slack on the end of leases for scheduling delays, in milliseconds. */
+  private static final long LEASE_SLACK_MILLIS = 150;
+
+  private final CellState state;
+  private final RunEndHandler ends;
+
+  WorkerMonitor(CellState state, RunEndHandler ends) {
+    this.state = state;
+    this.ends = ends;
+  }
+
+  /** Takes the platform's list of workers. */
+  void listed(List<ListedWorker> listings, Moment now) {
+    Set<String> present = new HashSet<>();
+    for (ListedWorker listing : listings) {
+      Worker worker =
+          state
+              .workers()
+              .computeIfAbsent(listing.id(), id -> new Worker(id, listing.incarnation()));
+      present.add(listing.id());
+      if (listing.incarnation() < worker.incarnation()) {
+        continue;
+      }
+      if (listing.incarnation() > worker.incarnation()) {
+        reincarnated(worker, listing.incarnation(), now);
+      }
+      worker.list(listing);
+    }
+    for (Worker worker : state.workers().values()) {
+      if (!present.contains(worker.id())) {
+        worker.unlist();
+      }
+    }
+    state.planWanted(true);
+  }
+
+  /** Returns the worker that a stored placement names, which may not be listed any more. */
+  Worker recovered(String id, long incarnation, long nowMillis) {
+    Worker worker = state.workers().computeIfAbsent(id, key -> new Worker(key, incarnation));
+    CoordinatorSettings settings = state.settings();
+    worker.leaseOverAt(
+        nowMillis
+            + (long) Math.ceil(settings.maxLeaseMillis() / (1 - settings.maxClockSlowdown()))
+            + LEASE_SLACK_MILLIS);
+    return worker;
+  }
+
+  private void reincarnated(Worker worker, long incarnation, Moment now) {
+    List<Placement> placements = new ArrayList<>(worker.placements().values());
+    worker.reincarnate(incarnation);
+    for (Placement placement : placements) {
+      if (placement.stage() == Placement.Stage.RUNNING) {
+        ends.lost(placement, now);
+      } else if (placement.orderSent()) {
+        // The order may still be carried out by the new incarnation, so it is stopped there first.
+        placement.uncertain(now.steadyMillis());
+        state.stop(placement, now.steadyMillis());
+      }
+    }
+  }
+
+  /** Takes a worker's answer to a renewal. */
+  void report(WorkerReport report, Moment now) {
+    Worker worker = state.workers().get(report.workerId());
+    if (worker == null) {
+      return;
+    }
+    worker.renewalInFlight(false);
+    if (report.incarnation() < worker.incarnation()) {
+      return;
+    }
+    if (report.incarnation() > worker.incarnation()) {
+      reincarnated(worker, report.incarnation(), now);
+    }
+    boolean wasUnreachable = !reachable(worker, now.steadyMillis());
+    worker.answered(now.steadyMillis());
+    worker.clock(report.clockMillis(), now.steadyMillis());
+    worker.nextRenewalAtMillis(now.steadyMillis());
+    applyEnds(worker, report, now);
+    applyRunning(worker, report, now);
+    if (wasUnreachable) {
+      state.planWanted(true);
+    }
+  }
+
+  boolean reachable(Worker worker, long nowMillis) {
+    return worker.clockKnown()
+        && nowMillis - worker.lastAnswerAtMillis() <= state.settings().unreachableMillis();
+  }
+
+  private void applyEnds(Worker worker, WorkerReport report, Moment now) {
+    for (EndRow end : report.ended()) {
+      if (end.number() <= worker.processedEnd()) {
+        continue;
+      }
+      worker.processedEnd(end.number());
+      Placement placement = worker.placements().get(end.task());
+      if (placement != null && placement.run() == end.run()) {
+        ends.ended(placement, end.kind(), end.checkpoint(), now);
+      }
+    }
+  }
+
+  private void applyRunning(Worker worker, WorkerReport report, Moment now) {
+    Map<String, RunRow> rows = new HashMap<>();
+    for (RunRow row : report.running()) {
+      rows.put(row.task(), row);
+      Placement placement = worker.placements().get(row.task());
+      if (placement == null || placement.run() != row.run()) {
+        stopUnknown(worker, row);
+        continue;
+      }
+      placement.confirmed(now.steadyMillis());
+      placement.progress(row.progressPercent(), row.checkpoint(), now.steadyMillis());
+    }
+    if (!report.complete()) {
+      return;
+    }
+    for (Placement placement : List.copyOf(worker.placements().values())) {
+      RunRow row = rows.get(placement.task().name());
+      boolean present = row != null && row.run() == placement.run();
+      if (!present) {
+        absent(placement, report, now);
+      }
+    }
+  }
+
+  private void stopUnknown(Worker worker, RunRow row) {
+    if (worker.listing() != null) {
+      state
+          .actions()
+          .add(new Action.StopTask(worker.id(), worker.listing().address(), row.task(), row.run()));
+    }
+  }
+
+  /** Decides on a run that a complete report neither shows as present nor as ended. */
+  private void absent(Placement placement, WorkerReport report, Moment now) {
+    switch (placement.stage()) {
+      case RUNNING -> {
+        if (placement.confirmedAtMillis() < report.sentAtMillis()) {
+          ends.lost(placement, now);
+        }
+      }
+      case UNCERTAIN -> {
+        if (placement.stopConfirmedAtMillis() < report.sentAtMillis()) {
+          ends.lost(placement, now);
+        } else if (placement.uncertainSinceMillis() < report.sentAtMillis()
+            && !placement.stopWanted()) {
+          state.stop(placement, now.steadyMillis());
+        }
+      }
+      case STARTING -> {
+        // The answer to the start decides.
+      }
+      default -> throw new IllegalStateException("unknown stage " + placement.stage());
+    }
+  }
+
+  /** Takes the failure of a renewal; {@code gone} says that another instance has the address. */
+  void renewalFailed(String workerId, boolean gone, Moment now) {
+    Worker worker = state.workers().get(workerId);
+    if (worker == null) {
+      return;
+    }
+    worker.renewalInFlight(false);
+    worker.renewalFailed();
+    worker.nextRenewalAtMillis(
+        worker.failedRenewals() > 1
+            ? now.steadyMillis() + UNREACHABLE_RETRY_MILLIS
+            : now.steadyMillis());
+    if (gone) {
+      for (Placement placement : List.copyOf(worker.placements().values())) {
+        if (placement.orderSent()) {
+          ends.lost(placement, now);
+        }
+      }
+    }
+  }
+
+  /** Does what is due: renewals, stops that were not answered, runs whose lease is over. */
+  void tick(Moment now) {
+    List<Worker> forgotten = new ArrayList<>();
+    for (Worker worker : state.workers().values()) {
+      expire(worker, now);
+      for (Placement placement : List.copyOf(worker.placements().values())) {
+        watch(placement, now);
+      }
+      if (!worker.listed() && worker.placements().isEmpty() && !worker.renewalInFlight()) {
+        forgotten.add(worker);
+      }
+    }
+    forgotten.forEach(worker -> state.workers().remove(worker.id()));
+  }
+
+  private void expire(Worker worker, Moment now) {
+    long nowMillis = now.steadyMillis();
+    boolean silent = nowMillis - worker.lastAnswerAtMillis() > state.settings().unreachableMillis();
+    if (!silent || nowMillis <= worker.leaseOverAtMillis() + LEASE_SLACK_MILLIS) {
+      return;
+    }
+    for (Placement placement : List.copyOf(worker.placements().values())) {
+      boolean lateOrderPossible =
+          placement.stage() != Placement.Stage.RUNNING
+              && nowMillis - placement.orderedAtMillis() < state.settings().lateOrderMillis();
+      if (placement.orderSent() && !lateOrderPossible) {
+        ends.lost(placement, now);
+      }
+    }
+  }
+
+  private void watch(Placement placement, Moment now) {
+    long nowMillis = now.steadyMillis();
+    if (placement.stopWanted()) {
+      boolean answered = placement.stopConfirmedAtMillis() != Long.MAX_VALUE;
+      boolean due = nowMillis - placement.stopSentAtMillis() > STOP_AGAIN_MILLIS;
+      if (placement.orderSent() && !answered && due) {
+        state.sendStop(placement, nowMillis);
+      }
+      return;
+    }
+    if (stalled(placement, nowMillis)) {
+      placement.worker().failed(placement.task().step().job().id(), nowMillis);
+      placement.task().failedOn().add(placement.worker().id());
+      state.stop(placement, nowMillis);
+    }
+  }
+
+  private boolean stalled(Placement placement, long nowMillis) {
+    StepSpec spec = placement.task().step().spec();
+    if (placement.stage() != Placement.Stage.RUNNING || spec.longRunning() || spec.fills()) {
+      return false;
+    }
+    long allowedMillis = Math.max(state.settings().stallMillis(), spec.estimateMillis() / 2);
+    boolean lookedSince =
+        placement.worker().lastAnswerAtMillis() > placement.progressAtMillis() + allowedMillis;
+    return lookedSince && nowMillis - placement.progressAtMillis() > allowedMillis;
+  }
+
+  /** Returns the renewals that are due. */
+  List<Action.Renew> dueRenewals(Moment now) {
+    List<Action.Renew> due = new ArrayList<>();
+    for (Worker worker : state.workers().values()) {
+      boolean wanted = worker.listed() || !worker.placements().isEmpty();
+      if (wanted && worker.listing() != null && renewalDue(worker, now.steadyMillis())) {
+        due.add(renewal(worker, now.steadyMillis()));
+      }
+    }
+    return due;
+  }
+
+  private boolean renewalDue(Worker worker, long nowMillis) {
+    if (worker.renewalInFlight() || nowMillis < worker.nextRenewalAtMillis()) {
+      return false;
+    }
+    boolean unrecorded = worker.recordedEnd() < worker.processedEnd();
+    // Ends that are not stored yet would be reported again at once.
+    return !unrecorded || nowMillis > worker.nextRenewalAtMillis() + 500;
+  }
+
+  private Action.Renew renewal(Worker worker, long nowMillis) {
+    CoordinatorSettings settings = state.settings();
+    worker.renewalInFlight(true);
+    boolean sure = worker.clockKnown() && worker.failedRenewals() == 0;
+    boolean unrecorded = worker.recordedEnd() < worker.processedEnd();
+    long waitMillis = sure && !unrecorded ? settings.renewalWaitMillis() : 0;
+    long deadlineMillis = 0;
+    if (worker.clockKnown()) {
+      deadlineMillis = worker.clockAt(nowMillis) + settings.maxLeaseMillis();
+      worker.deadlineSent(deadlineMillis, settings.maxClockSlowdown());
+    }
+    return new Action.Renew(
+        worker.id(),
+        worker.incarnation(),
+        worker.listing().address(),
+        worker.recordedEnd(),
+        deadlineMillis,
+        waitMillis,
+        waitMillis + settings.answerMillis());
+  }
+}
--- /dev/null
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerReport.java
@@ -0,0 +1,23 @@
+package org.cicadaford.cell;
+
+import java.util.List;
+
+/**
+ * A worker's answer to a renewal.
+ *
+ * @param workerId id of the worker
+ * @param incarnation incarnation that answered
+ * @param clockMillis the worker's own clock in milliseconds
+ * @param sentAtMillis time at which the renewal was sent
+ * @param running runs that are present
+ * @param ended ends that were not yet acknowledged, in ascending order
+ * @param complete whether {@code ended} holds all such ends
+ */
+public record WorkerReport(
+    String workerId,
+    long incarnation,
+    long clockMillis,
+    long sentAtMillis,
+    List<RunRow> running,
+    List<EndRow> ended,
+    boolean complete) {}
--- /dev/null
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellClient.java
@@ -0,0 +1,123 @@
+package org.cicadaford.coordinator;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import org.cicadaford.wire.PeerMessage;
+
+/**
+ * Sends requests to the cell coordinator, wherever it is.
+ *
+ * <p>Requests are idempotent by the id of the job, so one without an answer is repeated. A request
+ * that certainly has not been done is refused soon; one that may have been done is repeated until
+ * its deadline, so that the caller learns the truth.
+ */
+public final class CellClient {
+
+  /** Time to wait for a coordinator before a request is refused, in milliseconds. */
+  private static final long NO_COORDINATOR_MILLIS = 250;
+
+  /** Time after which one attempt is given up, in milliseconds. */
+  private static final long ATTEMPT_MILLIS = 1_200;
+
+  /** Time between attempts, in milliseconds. */
+  private static final long RETRY_MILLIS = 60;
+
+  /** Sends one message; returns null if no coordinator can be reached now. */
+  private final Function<PeerMessage, CompletableFuture<CellReply>> route;
+
+  private final ScheduledExecutorService loop;
+  private final LongSupplier nowMillis;
+
+  /**
+   * Creates the client.
+   *
+   * @param route sends a message to the coordinator, or returns null if none can be reached
+   */
+  public CellClient(
+      Function<PeerMessage, CompletableFuture<CellReply>> route,
+      ScheduledExecutorService loop,
+      LongSupplier nowMillis) {
+    this.route = route;
+    this.loop = loop;
+    this.nowMillis = nowMillis;
+  }
+
+  /** Sends a request; the reply comes within {@code timeoutMillis}. */
+  public CompletableFuture<CellReply> send(PeerMessage message, long timeoutMillis) {
+    Exchange exchange = new Exchange(message, nowMillis.getAsLong(), timeoutMillis);
+    exchange.attempt();
+    return exchange.result;
+  }
+
+  /** One request with its attempts. */
+  private final class Exchange {
+
+    private final PeerMessage message;
+    private final long startedAtMillis;
+    private final long deadlineMillis;
+    private final CompletableFuture<CellReply> result = new CompletableFuture<>();
+    private boolean maybeDone;
+
+    private Exchange(PeerMessage message, long startedAtMillis, long timeoutMillis) {
+      this.message = message;
+      this.startedAtMillis = startedAtMillis;
+      this.deadlineMillis = startedAtMillis + timeoutMillis;
+    }
+
+    private void attempt() {
+      long now = nowMillis.getAsLong();
+      if (now >= deadlineMillis) {
+        giveUp("no answer from the coordinator in time");
+        return;
+      }
+      CompletableFuture<CellReply> reply = route.apply(message);
+      if (reply == null) {
+        tryAgain();
+        return;
+      }
+      CompletableFuture<CellReply> limited = reply.copy();
+      loop.schedule(
+          () -> limited.complete(CellReply.of(CellOutcome.UNKNOWN, "no answer in time")),
+          Math.min(ATTEMPT_MILLIS, deadlineMillis - now),
+          TimeUnit.MILLISECONDS);
+      limited.whenCompleteAsync(this::replied, loop);
+    }
+
+    private void replied(CellReply reply, Throwable failure) {
+      CellOutcome outcome = failure == null ? reply.outcome() : CellOutcome.UNKNOWN;
+      switch (outcome) {
+        case DONE, NO_SUCH_JOB, INVALID -> result.complete(reply);
+        case REFUSED -> {
+          if (maybeDone) {
+            tryAgain();
+          } else {
+            result.complete(reply);
+          }
+        }
+        case NOT_COORDINATOR -> tryAgain();
+        case UNKNOWN -> {
+          maybeDone = true;
+          tryAgain();
+        }
+        default -> throw new IllegalStateException("unknown outcome " + outcome);
+      }
+    }
+
+    private void tryAgain() {
+      long now = nowMillis.getAsLong();
+      if (!maybeDone && now - startedAtMillis >= NO_COORDINATOR_MILLIS) {
+        giveUp("no coordinator can be reached");
+        return;
+      }
+      loop.schedule(this::attempt, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void giveUp(String reason) {
+      CellOutcome outcome = maybeDone ? CellOutcome.UNKNOWN : CellOutcome.REFUSED;
+      result.complete(CellReply.of(outcome, reason));
+    }
+  }
+}
--- /dev/null
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellMetrics.java
@@ -0,0 +1,86 @@
+package org.cicadaford.coordinator;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/** Counts what an instance of a cell does. */
+public final class CellMetrics {
+
+  private static final double[] LATENCY_BOUNDS = {0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1, 3};
+
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final Counter requests =
+      counter("cicadaford_cell_requests_total", "Requests answered.", "kind", "outcome");
+  private final Counter orders =
+      counter("cicadaford_cell_orders_total", "Orders to workers by outcome.", "kind", "outcome");
+  private final Counter appends =
+      counter("cicadaford_cell_appends_total", "Appends to the journal by outcome.", "outcome");
+  private final Counter advice =
+      counter("cicadaford_cell_advice_total", "Calls for advice by outcome.", "outcome");
+  private final Counter elections =
+      counter("cicadaford_cell_elections_total", "Claims and ends of the role.", "event");
+  private final Counter droppedLogLines =
+      counter("cicadaford_cell_log_lines_dropped_total", "Log lines over the rate.", "category");
+  private final Histogram requestSeconds =
+      histogram("cicadaford_cell_request_seconds", "Time to answer a request.", "kind");
+  private final Histogram appendSeconds =
+      histogram("cicadaford_cell_append_seconds", "Time to store a batch.", "kind");
+  private final Gauge state =
+      Gauge.builder()
+          .name("cicadaford_cell_state")
+          .help("Sizes of the coordinator's state, and 1 for the role while it is held.")
+          .labelNames("what")
+          .register(registry);
+
+  private Counter counter(String name, String help, String... labels) {
+    return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
+  }
+
+  private Histogram histogram(String name, String help, String label) {
+    return Histogram.builder()
+        .name(name)
+        .help(help)
+        .labelNames(label)
+        .classicOnly()
+        .classicUpperBounds(LATENCY_BOUNDS)
+        .register(registry);
+  }
+
+  /** Returns the registry to be exposed. */
+  public PrometheusRegistry registry() {
+    return registry;
+  }
+
+  /** Counts an answered request and its duration in milliseconds. */
+  public void requestAnswered(String kind, String outcome, long durationMillis) {
+    requests.labelValues(kind, outcome).inc();
+    requestSeconds.labelValues(kind).observe(durationMillis / 1_000.0);
+  }
+
+  void orderAnswered(String kind, String outcome) {
+    orders.labelValues(kind, outcome).inc();
+  }
+
+  void appended(AppendOutcome outcome, long durationMillis) {
+    appends.labelValues(outcome.name()).inc();
+    appendSeconds.labelValues("batch").observe(durationMillis / 1_000.0);
+  }
+
+  void adviceAnswered(String outcome) {
+    advice.labelValues(outcome).inc();
+  }
+
+  void election(String event) {
+    elections.labelValues(event).inc();
+  }
+
+  void logLineDropped(String category) {
+    droppedLogLines.labelValues(category).inc();
+  }
+
+  void state(String what, long value) {
+    state.labelValues(what).set(value);
+  }
+}
--- /dev/null
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellSettings.java
@@ -0,0 +1,27 @@
+package org.cicadaford.coordinator;
+
+/**
+ * Settings of an instance of a cell.
+ *
+ * @param instanceId id of the instance
+ * @param zone its availability zone
+ * @param peerHost IP address of its peer port
+ * @param peerPort port for other instances
+ * @param maxLeaseMillis longest lease of a worker, in milliseconds
+ * @param keepEndedMillis time for which ended jobs are kept, in milliseconds
+ * @param keyFreshnessMillis age of the configuration from which keys are no longer accepted
+ */
+public record CellSettings(
+    String instanceId,
+    String zone,
+    String peerHost,
+    int peerPort,
+    long maxLeaseMillis,
+    long keepEndedMillis,
+    long keyFreshnessMillis) {
+
+  /** Returns the address of the peer port, {@code ip:port}. */
+  public String peerAddress() {
+    return peerHost + ":" + peerPort;
+  }
+}
--- /dev/null
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/ConfigHolder.java
@@ -0,0 +1,55 @@
+package org.cicadaford.coordinator;
+
+import java.util.Set;
+import org.cicadaford.cell.CellConfig;
+import org.cicadaford.cell.Moment;
+
+/** Holds the configuration that this process has seen; it never goes back to an older version. */
+public final class ConfigHolder {
+
+  private CellDirectory.Published published =
+      new CellDirectory.Published(CellConfig.EMPTY, Set.of());
+  private Moment confirmedAt;
+
+  /**
+   * Takes what was published.
+   *
+   * @param askedAt time at which the question was sent; the answer is at least that new
+   * @return whether anything has changed
+   */
+  public boolean take(CellDirectory.Published newest, Moment askedAt) {
+    confirmedAt = askedAt;
+    boolean older = newest.config().version() < published.config().version();
+    CellConfig config = older ? published.config() : newest.config();
+    boolean changed =
+        config.version() != published.config().version()
+            || !newest.zonesOut().equals(published.zonesOut());
+    published = new CellDirectory.Published(config, newest.zonesOut());
+    return changed;
+  }
+
+  /** Returns what was published last. */
+  public CellDirectory.Published published() {
+    return published;
+  }
+
+  /** Returns whether a configuration has been read. */
+  public boolean known() {
+    return published.config().version() >= 0;
+  }
+
+  /**
+   * Returns the age of the last confirmation in milliseconds.
+   *
+   * <p>The larger of both clocks counts: the steady one stands still while the instance is
+   * suspended, and the other one may have been set back.
+   */
+  public long ageMillis(Moment now) {
+    if (confirmedAt == null) {
+      return Long.MAX_VALUE;
+    }
+    return Math.max(
+        now.steadyMillis() - confirmedAt.steadyMillis(),
+        now.unixMillis() - confirmedAt.unixMillis());
+  }
+}
--- /dev/null
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
@@ -0,0 +1,453 @@
+package org.cicadaford.coordinator;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.cicadaford.cell.Action;
+import org.cicadaford.cell.AdmissionDecision;
+import org.cicadaford.cell.Batch;
+import org.cicadaford.cell.Coordinator;
+import org.cicadaford.cell.CoordinatorSettings;
+import org.cicadaford.cell.JobSpec;
+import org.cicadaford.cell.JobView;
+import org.cicadaford.cell.Moment;
+import org.cicadaford.cell.Queue;
+import org.cicadaford.cell.RecordWrite;
+import org.cicadaford.cell.StartOutcome;
+import org.cicadaford.coordinator.WorkerOrders.RenewalOutcome;
+
+/** Runs the {@link Coordinator} of one epoch: stores its batches and carries out its actions. */
+public final class CoordinatorService {
+
+  /** Time between rounds without an event, in milliseconds. */
+  private static final long ROUND_MILLIS = 25;
+
+  /** Least time between two appends, in milliseconds; each append is paid for. */
+  private static final long APPEND_INTERVAL_MILLIS = 10;
+
+  /** Time after which an append that failed is repeated, in milliseconds. */
+  private static final long APPEND_RETRY_MILLIS = 50;
+
+  /** Age of the last stored batch up to which new work is accepted, in milliseconds. */
+  private static final long SOUND_MILLIS = 1_000;
+
+  /** Time between two readings of the list of workers, in milliseconds. */
+  private static final long WORKER_LIST_MILLIS = 300;
+
+  private final long epoch;
+  private final Coordinator coordinator;
+  private final CellStore store;
+  private final WorkerOrders orders;
+  private final AdvisorPool advisors;
+  private final CellDirectory directory;
+  private final ScheduledExecutorService loop;
+  private final Supplier<Moment> clock;
+  private final CellMetrics metrics;
+  private final DecisionLog log;
+  private final Runnable deposed;
+  private final Map<String, List<CompletableFuture<CellReply>>> submissions = new HashMap<>();
+  private final Map<String, List<CompletableFuture<CellReply>>> cancellations = new HashMap<>();
+  private ScheduledFuture<?> rounds;
+  private boolean running;
+  private boolean roundQueued;
+  private boolean appendOpen;
+  private long sequence;
+  private long lastStoredAtMillis;
+  private long lastAppendAtMillis;
+  private long nextWorkerListMillis;
+  private boolean workerListOpen;
+
+  /**
+   * Creates the service of an epoch that this instance has claimed.
+   *
+   * @param deposed called once when another instance has taken over
+   */
+  public CoordinatorService(
+      long epoch,
+      CoordinatorSettings settings,
+      CellStore store,
+      WorkerOrders orders,
+      AdvisorPool advisors,
+      CellDirectory directory,
+      ScheduledExecutorService loop,
+      Supplier<Moment> clock,
+      CellMetrics metrics,
+      DecisionLog log,
+      Runnable deposed) {
+    this.epoch = epoch;
+    this.coordinator = new Coordinator(settings);
+    this.store = store;
+    this.orders = orders;
+    this.advisors = advisors;
+    this.directory = directory;
+    this.loop = loop;
+    this.clock = clock;
+    this.metrics = metrics;
+    this.log = log;
+    this.deposed = deposed;
+  }
+
+  /** Starts with the stored records and the present configuration. */
+  public void start(List<RecordWrite> records, CellDirectory.Published published) {
+    Moment now = clock.get();
+    List<String> unreadable = coordinator.restore(records, now);
+    log.decision(
+        "restore",
+        "epoch-" + epoch,
+        "restored",
+        "records=" + records.size() + " unreadable=" + unreadable);
+    coordinator.configure(published.config(), published.zonesOut());
+    running = true;
+    lastStoredAtMillis = now.steadyMillis();
+    rounds = loop.scheduleWithFixedDelay(this::round, 0, ROUND_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Stops at once; open requests are answered as unknown, so that they are repeated elsewhere. */
+  public void stop() {
+    if (!running) {
+      return;
+    }
+    running = false;
+    rounds.cancel(false);
+    CellReply reply = CellReply.of(CellOutcome.UNKNOWN, "the coordinator has changed");
+    failAll(submissions, reply);
+    failAll(cancellations, reply);
+  }
+
+  private static void failAll(
+      Map<String, List<CompletableFuture<CellReply>>> waiting, CellReply reply) {
+    List<CompletableFuture<CellReply>> replies = new ArrayList<>();
+    waiting.values().forEach(replies::addAll);
+    waiting.clear();
+    replies.forEach(future -> future.complete(reply));
+  }
+
+  /** Returns the epoch. */
+  public long epoch() {
+    return epoch;
+  }
+
+  /** Returns whether the last batch was stored recently, so that this is surely the coordinator. */
+  public boolean sound() {
+    return running && clock.get().steadyMillis() - lastStoredAtMillis <= SOUND_MILLIS;
+  }
+
+  /** Returns whether a batch is stored at the moment or waits for it. */
+  public boolean storing() {
+    return appendOpen || !submissions.isEmpty() || !cancellations.isEmpty();
+  }
+
+  /** Takes what operators have published. */
+  public void published(CellDirectory.Published published) {
+    coordinator.configure(published.config(), published.zonesOut());
+    queueRound();
+  }
+
+  /** Takes a submission; the reply comes once the job is stored. */
+  public CompletableFuture<CellReply> submit(String jobId, Queue queue, String team, JobSpec spec) {
+    if (!sound()) {
+      return refusal("the store does not answer");
+    }
+    AdmissionDecision decision = coordinator.submit(jobId, queue, team, spec, clock.get());
+    return switch (decision) {
+      case AdmissionDecision.AlreadyStored() ->
+          CompletableFuture.completedFuture(CellReply.done("known"));
+      case AdmissionDecision.Refused(String reason, long retryAfterMillis) ->
+          CompletableFuture.completedFuture(
+              new CellReply(CellOutcome.REFUSED, reason, retryAfterMillis));
+      case AdmissionDecision.Storing() -> await(submissions, jobId);
+    };
+  }
+
+  /** Takes a cancellation; the reply comes once it is stored. */
+  public CompletableFuture<CellReply> cancel(String jobId, String queue, String team) {
+    Optional<CellReply> absent = absence(jobId, queue, team);
+    if (absent.isPresent()) {
+      return CompletableFuture.completedFuture(absent.get());
+    }
+    coordinator.cancel(jobId, clock.get());
+    return await(cancellations, jobId);
+  }
+
+  private CompletableFuture<CellReply> await(
+      Map<String, List<CompletableFuture<CellReply>>> waiting, String jobId) {
+    CompletableFuture<CellReply> reply = new CompletableFuture<>();
+    waiting.computeIfAbsent(jobId, id -> new ArrayList<>()).add(reply);
+    queueRound();
+    return reply;
+  }
+
+  /** Returns the stored state of a job. */
+  public CellReply phase(String jobId, String queue, String team) {
+    return absence(jobId, queue, team)
+        .orElseGet(() -> CellReply.done(coordinator.job(jobId).orElseThrow().phase().name()));
+  }
+
+  private Optional<CellReply> absence(String jobId, String queue, String team) {
+    Optional<JobView> view = coordinator.job(jobId);
+    boolean present =
+        view.isPresent() && view.get().queue().equals(queue) && view.get().team().equals(team);
+    if (present) {
+      return Optional.empty();
+    }
+    if (!sound()) {
+      return Optional.of(CellReply.of(CellOutcome.REFUSED, "the store does not answer"));
+    }
+    return Optional.of(CellReply.of(CellOutcome.NO_SUCH_JOB, "no such job in this queue"));
+  }
+
+  /** Returns the number of jobs of a queue that have not started. */
+  public CellReply pendingCount(String queue) {
+    if (!sound()) {
+      return CellReply.of(CellOutcome.REFUSED, "the store does not answer");
+    }
+    return CellReply.done(Integer.toString(coordinator.pendingCount(queue)));
+  }
+
+  private static CompletableFuture<CellReply> refusal(String reason) {
+    return CompletableFuture.completedFuture(CellReply.of(CellOutcome.REFUSED, reason));
+  }
+
+  private void queueRound() {
+    if (running && !roundQueued) {
+      roundQueued = true;
+      loop.execute(this::round);
+    }
+  }
+
+  private void round() {
+    roundQueued = false;
+    if (!running) {
+      return;
+    }
+    Moment now = clock.get();
+    coordinator.agentsChanged(advisors.ids());
+    coordinator.advance(now);
+    coordinator.takeActions().forEach(this::carryOut);
+    store(now);
+    readWorkers(now);
+  }
+
+  private void readWorkers(Moment now) {
+    if (workerListOpen || now.steadyMillis() < nextWorkerListMillis) {
+      return;
+    }
+    workerListOpen = true;
+    directory
+        .workers()
+        .whenComplete(
+            (workers, failure) -> {
+              Moment later = clock.get();
+              workerListOpen = false;
+              nextWorkerListMillis = later.steadyMillis() + WORKER_LIST_MILLIS;
+              if (failure == null && running) {
+                coordinator.workersListed(workers, later);
+                queueRound();
+              }
+            });
+  }
+
+  private void store(Moment now) {
+    if (appendOpen || now.steadyMillis() - lastAppendAtMillis < APPEND_INTERVAL_MILLIS) {
+      return;
+    }
+    Optional<Batch> batch = coordinator.takeBatch();
+    boolean heartbeatDue =
+        now.steadyMillis() - lastAppendAtMillis >= ElectionPolicy.JOURNAL_HEARTBEAT_MILLIS;
+    boolean nothingToWrite = batch.map(content -> content.writes().isEmpty()).orElse(true);
+    if (nothingToWrite && !heartbeatDue) {
+      if (batch.isPresent()) {
+        stored(now);
+      }
+      return;
+    }
+    List<RecordWrite> writes = new ArrayList<>();
+    if (nothingToWrite) {
+      writes.add(JournalHeartbeat.record(epoch, sequence + 1));
+    } else {
+      writes.addAll(batch.get().writes());
+    }
+    sequence++;
+    appendOpen = true;
+    append(writes, batch.isPresent());
+  }
+
+  private void append(List<RecordWrite> writes, boolean batch) {
+    long sentAtMillis = clock.get().steadyMillis();
+    lastAppendAtMillis = sentAtMillis;
+    store
+        .append(epoch, sequence, writes)
+        .exceptionally(failure -> AppendOutcome.UNKNOWN)
+        .thenAccept(outcome -> appended(outcome, writes, batch, sentAtMillis));
+  }
+
+  private void appended(
+      AppendOutcome outcome, List<RecordWrite> writes, boolean batch, long sentAtMillis) {
+    Moment now = clock.get();
+    metrics.appended(outcome, now.steadyMillis() - sentAtMillis);
+    if (!running) {
+      return;
+    }
+    switch (outcome) {
+      case STORED -> {
+        appendOpen = false;
+        lastStoredAtMillis = sentAtMillis;
+        if (batch) {
+          stored(now);
+        }
+        queueRound();
+      }
+      case FENCED -> {
+        stop();
+        deposed.run();
+      }
+      case REFUSED, UNKNOWN ->
+          loop.schedule(
+              () -> {
+                if (running) {
+                  append(writes, batch);
+                }
+              },
+              APPEND_RETRY_MILLIS,
+              TimeUnit.MILLISECONDS);
+      default -> throw new IllegalStateException("unknown outcome " + outcome);
+    }
+  }
+
+  private void stored(Moment now) {
+    coordinator.stored(now);
+    coordinator.takeActions().forEach(this::carryOut);
+  }
+
+  private void carryOut(Action action) {
+    switch (action) {
+      case Action.StartTask start -> start(start);
+      case Action.StopTask stop -> stop(stop);
+      case Action.Renew renew -> renew(renew);
+      case Action.AskAdvice ask -> ask(ask);
+      case Action.ConfirmSubmission(String jobId) -> confirm(submissions, jobId, "accept");
+      case Action.ConfirmCancellation(String jobId) -> confirm(cancellations, jobId, "cancel");
+    }
+  }
+
+  private void confirm(
+      Map<String, List<CompletableFuture<CellReply>>> waiting, String jobId, String category) {
+    List<CompletableFuture<CellReply>> replies = waiting.remove(jobId);
+    if (replies != null) {
+      log.decision(category, jobId, "stored", "epoch=" + epoch + " sequence=" + sequence);
+      replies.forEach(reply -> reply.complete(CellReply.done("stored")));
+    }
+  }
+
+  private void start(Action.StartTask order) {
+    long sentAtMillis = clock.get().steadyMillis();
+    orders
+        .start(order, epoch)
+        .thenAccept(
+            answer -> {
+              Moment now = clock.get();
+              metrics.orderAnswered("start", answer.outcome().name());
+              log.decision(
+                  "start",
+                  order.task(),
+                  answer.outcome().name(),
+                  "run="
+                      + order.run()
+                      + " worker="
+                      + order.workerId()
+                      + " took_ms="
+                      + (now.steadyMillis() - sentAtMillis)
+                      + " said="
+                      + answer.detail());
+              coordinator.startAnswered(
+                  order.workerId(),
+                  order.task(),
+                  order.run(),
+                  answer.outcome(),
+                  answer.clockMillis(),
+                  now);
+              afterAnswer(answer.outcome() == StartOutcome.FENCED);
+            });
+  }
+
+  private void stop(Action.StopTask order) {
+    orders
+        .stop(order, epoch)
+        .thenAccept(
+            confirmed -> {
+              metrics.orderAnswered("stop", confirmed ? "CONFIRMED" : "NO_ANSWER");
+              log.decision(
+                  "stop",
+                  order.task(),
+                  confirmed ? "confirmed" : "no-answer",
+                  "run=" + order.run() + " worker=" + order.workerId());
+              if (confirmed) {
+                coordinator.stopConfirmed(order.workerId(), order.task(), order.run(), clock.get());
+              }
+              afterAnswer(false);
+            });
+  }
+
+  private void renew(Action.Renew order) {
+    orders
+        .renew(order, epoch, clock.get().steadyMillis())
+        .thenAccept(
+            answer -> {
+              metrics.orderAnswered("renew", answer.outcome().name());
+              Moment now = clock.get();
+              if (answer.outcome() == RenewalOutcome.REPORTED) {
+                answer.report().ifPresent(report -> coordinator.reported(report, now));
+              } else {
+                log.decision(
+                    "renew",
+                    order.workerId(),
+                    answer.outcome().name(),
+                    "incarnation=" + order.incarnation());
+                coordinator.renewalFailed(
+                    order.workerId(), answer.outcome() == RenewalOutcome.GONE, now);
+              }
+              afterAnswer(answer.outcome() == RenewalOutcome.FENCED);
+            });
+  }
+
+  private void afterAnswer(boolean fenced) {
+    if (fenced && running) {
+      // A worker follows a higher epoch, so another instance has claimed the journal.
+      stop();
+      deposed.run();
+      return;
+    }
+    queueRound();
+  }
+
+  private void ask(Action.AskAdvice request) {
+    advisors
+        .ask(request.agent(), request.step(), request.workerIds(), request.timeoutMillis())
+        .whenComplete(
+            (advice, failure) -> {
+              metrics.adviceAnswered(failure == null ? "ANSWERED" : "FAILED");
+              Moment now = clock.get();
+              if (failure == null) {
+                coordinator.adviceAnswered(
+                    request.callId(), advice.ticketByWorker(), advice.validMillis(), now);
+              } else {
+                log.decision(
+                    "advice", request.step(), "failed", "agent=" + request.agent() + " " + failure);
+                coordinator.adviceFailed(request.callId(), now);
+              }
+              queueRound();
+            });
+  }
+
+  /** Sets the gauges of the state. */
+  public void updateGauges() {
+    coordinator.counts().forEach(metrics::state);
+  }
+}
--- /dev/null
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/DecisionLog.java
@@ -0,0 +1,57 @@
+package org.cicadaford.coordinator;
+
+import java.util.function.LongSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Writes one line for each decision, at a bounded rate.
+ *
+ * <p>Lines over the rate are counted and dropped, so that logging never slows the decisions down.
+ */
+public final class DecisionLog {
+
+  private static final Logger LOGGER = LogManager.getLogger("org.cicadaford.decision");
+
+  /** Lines a second that are written; a busy coordinator makes about half as many decisions. */
+  private static final int LINES_PER_SECOND = 600;
+
+  private final CellMetrics metrics;
+  private final LongSupplier nowMillis;
+  private long secondStartMillis;
+  private int linesInSecond;
+
+  /** Creates the log; {@code nowMillis} gives the steady time in milliseconds. */
+  public DecisionLog(CellMetrics metrics, LongSupplier nowMillis) {
+    this.metrics = metrics;
+    this.nowMillis = nowMillis;
+  }
+
+  /**
+   * Writes a decision on a request.
+   *
+   * @param category what kind of decision, for example {@code start}
+   * @param id id of the job or task that it touches
+   * @param outcome what was decided
+   * @param inputs what decided it, with versions or ages, as {@code name=value} pairs
+   */
+  public void decision(String category, String id, String outcome, String inputs) {
+    if (permitted(category)) {
+      LOGGER.info("{} id={} outcome={} {}", category, id, outcome, inputs);
+    }
+  }
+
+  private boolean permitted(String category) {
+    long now = nowMillis.getAsLong();
+    if (now - secondStartMillis >= 1_000) {
+      secondStartMillis = now;
+      linesInSecond = 0;
+    }
+    linesInSecond++;
+    if (linesInSecond > LINES_PER_SECOND) {
+      metrics.logLineDropped(category);
+      return false;
+    }
+    return true;
+  }
+}
--- a/cicadaford-entry/src/main/java/org/cicadaford/entry/peer/PeerService.java
+++ b/cicadaford-entry/src/main/java/org/cicadaford/entry/peer/PeerService.java
@@ -174,6 +174,7 @@
       case PeerMessage.Hello hello -> CompletableFuture.completedFuture(self);
       case ConfigRecordsAnswer unexpected -> refusal();
       case JobStatusAnswer unexpected -> refusal();
+      case PeerMessage.CellMessage unexpected -> refusal();
       case Refusal unexpected -> refusal();
     };
   }
--- a/cicadaford-wire/src/main/java/org/cicadaford/wire/PeerLink.java
+++ b/cicadaford-wire/src/main/java/org/cicadaford/wire/PeerLink.java
@@ -96,6 +96,11 @@
     return current;
   }
 
+  /** Returns whether there is a connection on which a message can be sent now. */
+  public synchronized boolean isConnected() {
+    return current != null && current.isOpen();
+  }
+
   /** Returns the time since the peer last answered, in milliseconds. */
   public synchronized long silentMillis(long nowNanos) {
     return TimeUnit.NANOSECONDS.toMillis(nowNanos - lastAnswerAtNanos);
--- a/cicadaford-wire/src/main/java/org/cicadaford/wire/PeerMessage.java
+++ b/cicadaford-wire/src/main/java/org/cicadaford/wire/PeerMessage.java
@@ -15,6 +15,14 @@
   @JsonSubTypes.Type(value = PeerMessage.HandOver.class, name = "hand-over"),
   @JsonSubTypes.Type(value = PeerMessage.JobStatusRequest.class, name = "job-request"),
   @JsonSubTypes.Type(value = PeerMessage.JobStatusAnswer.class, name = "job-answer"),
+  @JsonSubTypes.Type(value = PeerMessage.SubmitJob.class, name = "submit"),
+  @JsonSubTypes.Type(value = PeerMessage.CancelJob.class, name = "cancel"),
+  @JsonSubTypes.Type(value = PeerMessage.JobPhaseRequest.class, name = "phase-request"),
+  @JsonSubTypes.Type(value = PeerMessage.PendingCountRequest.class, name = "count-request"),
+  @JsonSubTypes.Type(value = PeerMessage.CellAnswer.class, name = "cell-answer"),
+  @JsonSubTypes.Type(value = PeerMessage.AdvisorOffer.class, name = "advisor-offer"),
+  @JsonSubTypes.Type(value = PeerMessage.AdviceRequest.class, name = "advice-request"),
+  @JsonSubTypes.Type(value = PeerMessage.AdviceAnswer.class, name = "advice-answer"),
   @JsonSubTypes.Type(value = PeerMessage.Refusal.class, name = "refusal")
 })
 public sealed interface PeerMessage {
@@ -81,4 +89,54 @@
    * @param detail why, and what the sender can do
    */
   record Refusal(String detail) implements PeerMessage {}
+
+  /** A message of instances that share one cell coordinator. */
+  sealed interface CellMessage extends PeerMessage {}
+
+  /**
+   * Hands a job to the cell coordinator.
+   *
+   * @param jobId id chosen by the submitter
+   * @param queue name of the queue
+   * @param team team that it counts for, or an empty string on an open queue
+   * @param spec description of the job in MessagePack
+   */
+  record SubmitJob(String jobId, String queue, String team, byte[] spec) implements CellMessage {}
+
+  /** Asks the cell coordinator to cancel a job of a queue. */
+  record CancelJob(String jobId, String queue, String team) implements CellMessage {}
+
+  /** Asks the cell coordinator for the state of a job of a queue. */
+  record JobPhaseRequest(String jobId, String queue, String team) implements CellMessage {}
+
+  /** Asks the cell coordinator how many jobs of a queue have not started. */
+  record PendingCountRequest(String queue) implements CellMessage {}
+
+  /**
+   * Answers a request to the cell coordinator.
+   *
+   * @param outcome name of the outcome
+   * @param value what was asked for, or the reason of a refusal
+   * @param retryAfterMillis time after which a refused caller may try again, in milliseconds
+   */
+  record CellAnswer(String outcome, String value, long retryAfterMillis) implements CellMessage {}
+
+  /**
+   * Offers the sender as a maker of calls for advice.
+   *
+   * @param address address of the sender's peer port, {@code ip:port}
+   */
+  record AdvisorOffer(String instanceId, String address) implements CellMessage {}
+
+  /** Asks the receiver to call the advice service. */
+  record AdviceRequest(String step, List<String> workerIds, long timeoutMillis)
+      implements CellMessage {}
+
+  /**
+   * Answers an {@link AdviceRequest}.
+   *
+   * @param tickets tickets by worker that may run the step
+   * @param validMillis time for which they are accepted, in milliseconds
+   */
+  record AdviceAnswer(Map<String, String> tickets, long validMillis) implements CellMessage {}
 }
