--- /dev/null
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorTest.java
@@ -0,0 +1,181 @@
+package org.cicadaford.cell;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.cicadaford.model.Resources;
+
+/** Tests the coordinator over whole histories of workers, store and takeovers. */
+class CoordinatorTest {
+
+  private static final int JOBS = 30;
+
+  private static SimulatedCell cell(long seed, int workers) {
+    return new SimulatedCell(
+        seed, SimulatedJobs.config(Resources.NONE, AdvicePolicy.NONE), workers);
+  }
+
+  private static List<String> submitMix(SimulatedCell cell, String prefix, int count) {
+    List<String> ids = new ArrayList<>();
+    for (int index = 0; index < count; index++) {
+      String id = prefix + index;
+      long work = 200 + cell.random.nextInt(1_500);
+      JobSpec spec =
+          switch (index % 3) {
+            case 0 ->
+                SimulatedJobs.job(
+                    id,
+                    SimulatedJobs.step(3, 2_000, work, false),
+                    SimulatedJobs.step(2, 1_000, 300, false, 0));
+            case 1 -> SimulatedJobs.job(id, SimulatedJobs.step(3, 6_000, work, true));
+            default -> SimulatedJobs.job(id, SimulatedJobs.step(2, 3_000, work, false));
+          };
+      cell.submit(id, "team", spec);
+      ids.add(id);
+      cell.run(20 + cell.random.nextInt(60));
+    }
+    return ids;
+  }
+
+  private static void assertAllEnd(SimulatedCell cell, List<String> ids) {
+    for (String id : ids) {
+      assertThat(cell.coordinator.job(id).map(JobView::phase))
+          .describedAs(id)
+          .hasValueSatisfying(phase -> assertThat(phase.over()).isTrue());
+    }
+  }
+
+  /** Guards against work that is lost or limits that are broken without any fault. */
+  @Example
+  void allJobsCompleteWithoutFaults() {
+    SimulatedCell cell = cell(1, 4);
+    List<String> ids = submitMix(cell, "calm", JOBS);
+    cell.run(20_000);
+    assertThat(cell.violations).isEmpty();
+    ids.forEach(
+        id ->
+            assertThat(cell.coordinator.job(id).orElseThrow().phase())
+                .isEqualTo(JobPhase.COMPLETED));
+  }
+
+  /** Guards against a second run, or a worker over its capacity, when orders are lost or late. */
+  @Property(tries = 25, seed = "4711")
+  void rulesHoldWhenOrdersAreLostOrLate(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    SimulatedCell cell = cell(seed, 4);
+    cell.faults = new SimulatedCell.Faults(0.08, 0.08, 0.05);
+    List<String> ids = submitMix(cell, "late" + seed + "-", JOBS);
+    cell.run(40_000);
+    assertThat(cell.violations).isEmpty();
+    assertAllEnd(cell, ids);
+    assertThat(cell.starts).isGreaterThan(JOBS);
+  }
+
+  /** Guards against a second run, or lost work, when workers crash, return and are cut off. */
+  @Property(tries = 25, seed = "4712")
+  void rulesHoldWhenWorkersCrashOrAreCutOff(
+      @ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    SimulatedCell cell = cell(seed, 5);
+    cell.faults = new SimulatedCell.Faults(0.03, 0.03, 0.02);
+    List<String> ids = new ArrayList<>();
+    long incarnation = 1_000;
+    for (int round = 0; round < 5; round++) {
+      ids.addAll(submitMix(cell, "crash" + seed + "-" + round + "-", 6));
+      SimulatedWorker hit = cell.workers.get("w" + cell.random.nextInt(5));
+      SimulatedWorker cut = cell.workers.get("w" + cell.random.nextInt(5));
+      hit.crash();
+      cut.reachable = false;
+      cell.run(500 + cell.random.nextInt(8_000));
+      hit.restart(incarnation++);
+      cut.reachable = true;
+      cell.run(500);
+    }
+    cell.run(40_000);
+    assertThat(cell.violations).isEmpty();
+    assertAllEnd(cell, ids);
+  }
+
+  /** Guards against a second run, or lost work, when the coordinator is replaced at any moment. */
+  @Property(tries = 25, seed = "4713")
+  void rulesHoldOverTakeovers(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    SimulatedCell cell = cell(seed, 4);
+    cell.faults = new SimulatedCell.Faults(0.03, 0.05, 0.02);
+    List<String> ids = new ArrayList<>();
+    for (int round = 0; round < 6; round++) {
+      ids.addAll(submitMix(cell, "over" + seed + "-" + round + "-", 5));
+      cell.run(100);
+      SimulatedWorker cut = cell.workers.get("w" + cell.random.nextInt(4));
+      cut.reachable = cell.random.nextBoolean();
+      cell.takeOver();
+      cell.run(cell.random.nextInt(2_000));
+      cut.reachable = true;
+    }
+    cell.run(40_000);
+    assertThat(cell.violations).isEmpty();
+    List<String> stored = ids.stream().filter(cell.accepted::containsKey).toList();
+    assertAllEnd(cell, stored);
+    assertThat(stored).isNotEmpty();
+  }
+
+  /** Guards against starts of a job long after its cancellation was confirmed. */
+  @Example
+  void cancelledJobIsStopped() {
+    SimulatedCell cell = cell(7, 2);
+    SimulatedJobs.job("cancel", SimulatedJobs.step(8, 4_000, 4_000, false));
+    cell.submit("cancel", "team", SimulatedJobs.specOf("cancel"));
+    cell.run(500);
+    assertThat(cell.coordinator.cancel("cancel", cell.moment())).isTrue();
+    cell.run(1_500);
+    assertThat(cell.cancelled).containsKey("cancel");
+    assertThat(cell.workers.values()).allSatisfy(worker -> assertThat(worker.runs).isEmpty());
+    assertThat(cell.coordinator.job("cancel").orElseThrow().phase()).isEqualTo(JobPhase.CANCELLED);
+  }
+
+  /** Guards against a team that runs more than its limit. */
+  @Example
+  void teamStaysWithinItsLimit() {
+    SimulatedCell cell =
+        new SimulatedCell(
+            9, SimulatedJobs.config(new Resources(6_000, 0, 0), AdvicePolicy.NONE), 3);
+    SimulatedJobs.job("limited", SimulatedJobs.step(9, 2_000, 600, false));
+    cell.submit("limited", "team", SimulatedJobs.specOf("limited"));
+    for (int round = 0; round < 100; round++) {
+      cell.run(50);
+      int running = cell.workers.values().stream().mapToInt(worker -> worker.runs.size()).sum();
+      assertThat(running).isLessThanOrEqualTo(3);
+    }
+    assertThat(cell.coordinator.job("limited").orElseThrow().phase()).isEqualTo(JobPhase.COMPLETED);
+  }
+
+  /** Guards against a submission that is taken twice when its first answer was lost. */
+  @Example
+  void repeatedSubmissionIsOneJob() {
+    SimulatedCell cell = cell(11, 2);
+    SimulatedJobs.job("same", SimulatedJobs.step(1, 1_000, 300, false));
+    cell.submit("same", "team", SimulatedJobs.specOf("same"));
+    cell.submit("same", "team", SimulatedJobs.specOf("same"));
+    cell.run(2_000);
+    cell.submit("same", "team", SimulatedJobs.specOf("same"));
+    cell.run(2_000);
+    assertThat(cell.starts).isEqualTo(1);
+  }
+
+  /** Guards against a job shown as completed before that is stored, while the store is down. */
+  @Example
+  void completionIsShownOnlyOnceItIsStored() {
+    SimulatedCell cell = cell(13, 2);
+    SimulatedJobs.job("shown", SimulatedJobs.step(1, 1_000, 300, false));
+    cell.submit("shown", "team", SimulatedJobs.specOf("shown"));
+    cell.run(150);
+    cell.storeDown = true;
+    cell.run(2_000);
+    assertThat(cell.coordinator.job("shown").orElseThrow().phase()).isEqualTo(JobPhase.RUNNING);
+    cell.storeDown = false;
+    cell.run(500);
+    assertThat(cell.coordinator.job("shown").orElseThrow().phase()).isEqualTo(JobPhase.COMPLETED);
+  }
+}
--- /dev/null
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
@@ -0,0 +1,323 @@
+package org.cicadaford.cell;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import org.cicadaford.model.Resources;
+
+/**
+ * A cell of simulated workers and a store around the real {@link Coordinator}, in simulated time.
+ *
+ * <p>Each start that a worker carries out is checked against the rules at that moment; faults are
+ * lost answers, orders that are carried out late, crashes, workers cut off, and takeovers.
+ */
+final class SimulatedCell {
+
+  private static final long STEP_MILLIS = 5;
+
+  private record Event(long atMillis, long order, Runnable action) {}
+
+  /** How often faults happen, each as a probability. */
+  record Faults(double lostAnswer, double lateOrder, double failedRun) {
+    static final Faults NONE = new Faults(0, 0, 0);
+  }
+
+  final Random random;
+  final List<String> violations = new ArrayList<>();
+  final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
+  final Map<String, byte[]> store = new LinkedHashMap<>();
+  final Map<String, JobSpec> accepted = new HashMap<>();
+  final Map<String, Long> cancelled = new HashMap<>();
+  final Set<String> draining = new HashSet<>();
+  private final Set<String> doneTasks = new HashSet<>();
+  private final Map<String, Integer> failures = new HashMap<>();
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(
+          java.util.Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::order));
+  private final CellConfig config;
+  Faults faults = Faults.NONE;
+  boolean storeDown;
+  long nowMillis = 1_000;
+  Coordinator coordinator;
+  private long epoch;
+  private long order;
+  private boolean appendOpen;
+  int starts;
+
+  SimulatedCell(long seed, CellConfig config, int workerCount) {
+    this.random = new Random(seed);
+    this.config = config;
+    for (int index = 0; index < workerCount; index++) {
+      String id = "w" + index;
+      double rate = 0.98 + 0.02 * random.nextDouble();
+      workers.put(
+          id,
+          new SimulatedWorker(
+              id, "zone-" + index % 2, new Resources(16_000, 32_000, 0), rate, 100 + index));
+    }
+    takeOver();
+  }
+
+  Moment moment() {
+    return new Moment(nowMillis, 1_700_000_000_000L + nowMillis);
+  }
+
+  /** Replaces the coordinator by one of a higher epoch that knows only what is stored. */
+  void takeOver() {
+    epoch++;
+    appendOpen = false;
+    coordinator = new Coordinator(CoordinatorSettings.forPlatform(6_000, 600_000));
+    List<RecordWrite> records = new ArrayList<>();
+    store.forEach((key, value) -> records.add(new RecordWrite(key, value)));
+    coordinator.restore(records, moment());
+    coordinator.configure(config, Set.of());
+    coordinator.agentsChanged(Set.of("e1", "e2", "e3"));
+    list();
+  }
+
+  void list() {
+    List<ListedWorker> listed = new ArrayList<>();
+    for (SimulatedWorker worker : workers.values()) {
+      if (worker.up) {
+        listed.add(worker.listing(draining.contains(worker.id)));
+      }
+    }
+    coordinator.workersListed(listed, moment());
+  }
+
+  void submit(String jobId, String team, JobSpec spec) {
+    Queue queue = config.queue("q").orElseThrow();
+    coordinator.submit(jobId, queue, team, spec, moment());
+  }
+
+  void run(long millis) {
+    long endMillis = nowMillis + millis;
+    while (nowMillis < endMillis) {
+      nowMillis += STEP_MILLIS;
+      workers.values().forEach(worker -> worker.pass(STEP_MILLIS, nowMillis));
+      while (!events.isEmpty() && events.peek().atMillis() <= nowMillis) {
+        events.poll().action().run();
+      }
+      if (nowMillis % 300 == 0) {
+        list();
+      }
+      coordinator.advance(moment());
+      coordinator.takeActions().forEach(this::carryOut);
+      append();
+    }
+  }
+
+  private void after(long delayMillis, Runnable action) {
+    events.add(new Event(nowMillis + delayMillis, order++, action));
+  }
+
+  private void append() {
+    if (appendOpen || storeDown) {
+      return;
+    }
+    Optional<Batch> batch = coordinator.takeBatch();
+    if (batch.isEmpty()) {
+      return;
+    }
+    appendOpen = true;
+    Coordinator writer = coordinator;
+    after(
+        10,
+        () -> {
+          if (writer != coordinator) {
+            return;
+          }
+          for (RecordWrite write : batch.get().writes()) {
+            if (write.value().length == 0) {
+              store.remove(write.key());
+            } else {
+              store.put(write.key(), write.value());
+            }
+          }
+          appendOpen = false;
+          writer.stored(moment());
+          writer.takeActions().forEach(this::carryOut);
+        });
+  }
+
+  private void carryOut(Action action) {
+    Coordinator sender = coordinator;
+    long sentEpoch = epoch;
+    switch (action) {
+      case Action.StartTask start -> start(start, sender, sentEpoch);
+      case Action.StopTask stop -> stop(stop, sender, sentEpoch);
+      case Action.Renew renew -> renew(renew, sender, sentEpoch);
+      case Action.AskAdvice ask -> advise(ask, sender);
+      case Action.ConfirmSubmission(String jobId) -> accepted.put(jobId, null);
+      case Action.ConfirmCancellation(String jobId) -> cancelled.putIfAbsent(jobId, nowMillis);
+    }
+  }
+
+  private void start(Action.StartTask order, Coordinator sender, long sentEpoch) {
+    SimulatedWorker worker = workers.get(order.workerId());
+    boolean late = random.nextDouble() < faults.lateOrder();
+    boolean lost = late || random.nextDouble() < faults.lostAnswer();
+    long delayMillis = late ? 2_000 + random.nextInt(10_000) : 1 + random.nextInt(5);
+    after(
+        delayMillis,
+        () -> {
+          boolean arrives = worker.up && (worker.reachable || late);
+          StartOutcome outcome =
+              arrives ? carryOutStart(worker, order, sentEpoch) : StartOutcome.UNKNOWN;
+          if (!lost && arrives) {
+            after(2, () -> answerStart(sender, order, outcome, worker));
+          }
+        });
+    if (lost || !worker.up || !worker.reachable) {
+      after(700, () -> answerStart(sender, order, StartOutcome.UNKNOWN, null));
+    }
+  }
+
+  private void answerStart(
+      Coordinator sender, Action.StartTask order, StartOutcome outcome, SimulatedWorker worker) {
+    if (sender == coordinator) {
+      long clock = worker == null ? 0 : worker.clock();
+      sender.startAnswered(order.workerId(), order.task(), order.run(), outcome, clock, moment());
+    }
+  }
+
+  private StartOutcome carryOutStart(
+      SimulatedWorker worker, Action.StartTask order, long sentEpoch) {
+    String[] name = order.task().split("\\.");
+    StepSpec step = SimulatedJobs.specOf(name[0]).steps().get(Integer.parseInt(name[2]));
+    boolean fails = random.nextDouble() < faults.failedRun();
+    SimulatedWorker.Run run =
+        new SimulatedWorker.Run(
+            order.task(), order.run(), step.estimateMillis(), fails, step.reservation());
+    boolean known = worker.runs.containsKey(order.task());
+    StartOutcome outcome = worker.start(run, sentEpoch, order.deadlineMillis());
+    if (outcome == StartOutcome.STARTED && !known) {
+      starts++;
+      checkStart(worker, run, name);
+    }
+    return outcome;
+  }
+
+  private void checkStart(SimulatedWorker worker, SimulatedWorker.Run run, String[] name) {
+    Resources used = Resources.NONE;
+    for (SimulatedWorker.Run present : worker.runs.values()) {
+      used = used.plus(present.reservation);
+    }
+    if (!used.fitsIn(worker.capacity)) {
+      violations.add(nowMillis + " LIMIT " + worker.id + " by " + run.task);
+    }
+    for (SimulatedWorker other : workers.values()) {
+      if (other != worker && other.up && other.runs.containsKey(run.task)) {
+        violations.add(nowMillis + " TWICE " + run.task + " on " + worker.id + "," + other.id);
+      }
+    }
+    if (doneTasks.contains(run.task)) {
+      violations.add(nowMillis + " AGAIN " + run.task);
+    }
+    if (failures.getOrDefault(run.task, 0) >= SimulatedJobs.MAX_ATTEMPTS) {
+      violations.add(nowMillis + " BUDGET " + run.task);
+    }
+    JobSpec spec = SimulatedJobs.specOf(name[0]);
+    for (int earlier : spec.steps().get(Integer.parseInt(name[2])).after()) {
+      for (int index = 0; index < spec.steps().get(earlier).taskCount(); index++) {
+        if (!doneTasks.contains(name[0] + "." + name[1] + "." + earlier + "." + index)) {
+          violations.add(nowMillis + " ORDER " + run.task);
+        }
+      }
+    }
+    Long cancelledAt = cancelled.get(name[0]);
+    if (cancelledAt != null && nowMillis - cancelledAt > 3_000) {
+      violations.add(nowMillis + " UNASKED " + run.task);
+    }
+  }
+
+  private void stop(Action.StopTask order, Coordinator sender, long sentEpoch) {
+    SimulatedWorker worker = workers.get(order.workerId());
+    boolean lost = random.nextDouble() < faults.lostAnswer();
+    after(
+        1 + random.nextInt(5),
+        () -> {
+          boolean confirmed =
+              worker.up
+                  && worker.reachable
+                  && worker.stop(order.task(), order.run(), sentEpoch, nowMillis);
+          if (confirmed && !lost && sender == coordinator) {
+            sender.stopConfirmed(order.workerId(), order.task(), order.run(), moment());
+          }
+        });
+  }
+
+  private void renew(Action.Renew order, Coordinator sender, long sentEpoch) {
+    SimulatedWorker worker = workers.get(order.workerId());
+    pollRenewal(order, sender, sentEpoch, worker, nowMillis, nowMillis + order.waitMillis());
+  }
+
+  private void pollRenewal(
+      Action.Renew order,
+      Coordinator sender,
+      long sentEpoch,
+      SimulatedWorker worker,
+      long sentAtMillis,
+      long waitUntilMillis) {
+    if (!worker.up || !worker.reachable || random.nextDouble() < faults.lostAnswer()) {
+      after(order.timeoutMillis(), () -> renewalFailed(order, sender));
+      return;
+    }
+    WorkerReport report =
+        worker.renew(sentEpoch, order.acknowledgedEnd(), order.deadlineMillis(), sentAtMillis);
+    if (report == null) {
+      return;
+    }
+    if (!worker.hasNews(order.acknowledgedEnd()) && nowMillis < waitUntilMillis) {
+      after(20, () -> pollRenewal(order, sender, sentEpoch, worker, sentAtMillis, waitUntilMillis));
+      return;
+    }
+    after(
+        2,
+        () -> {
+          if (sender == coordinator) {
+            note(report);
+            sender.reported(report, moment());
+          }
+        });
+  }
+
+  /** Counts what a report tells; the coordinator sees it at the same moment. */
+  private void note(WorkerReport report) {
+    for (EndRow end : report.ended()) {
+      String key = report.workerId() + report.incarnation() + "/" + end.number();
+      if (end.kind() == EndKind.DONE) {
+        doneTasks.add(end.task());
+      } else if (end.kind() == EndKind.FAILED && failedEnds.add(key)) {
+        failures.merge(end.task(), 1, Integer::sum);
+      }
+    }
+  }
+
+  private final Set<String> failedEnds = new HashSet<>();
+
+  private void renewalFailed(Action.Renew order, Coordinator sender) {
+    if (sender == coordinator) {
+      sender.renewalFailed(order.workerId(), false, moment());
+    }
+  }
+
+  private void advise(Action.AskAdvice ask, Coordinator sender) {
+    after(
+        30,
+        () -> {
+          if (sender == coordinator) {
+            Map<String, String> tickets = new HashMap<>();
+            ask.workerIds().forEach(id -> tickets.put(id, "t"));
+            sender.adviceAnswered(ask.callId(), tickets, 2_500, moment());
+          }
+        });
+  }
+}
--- /dev/null
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedJobs.java
@@ -0,0 +1,53 @@
+package org.cicadaford.cell;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.cicadaford.model.Resources;
+
+/** Makes job descriptions and configurations for tests, and keeps descriptions by job id. */
+final class SimulatedJobs {
+
+  static final int MAX_ATTEMPTS = 4;
+
+  private static final Map<String, JobSpec> SPECS = new HashMap<>();
+
+  private SimulatedJobs() {}
+
+  static CellConfig config(Resources limit, AdvicePolicy advice) {
+    Queue queue = new Queue("q", "h", "/q/", "svc", 0, MAX_ATTEMPTS, 2, 250, 3_000, false, advice);
+    TeamShare team = new TeamShare("team", Set.of("key"), 0, limit);
+    return new CellConfig(1, List.of(queue), List.of(team), 0);
+  }
+
+  static StepSpec step(int count, long millicores, long millis, boolean gang, Integer... after) {
+    return new StepSpec(
+        count,
+        new Resources(millicores, 100, 0),
+        millis,
+        List.of(after),
+        false,
+        gang,
+        false,
+        "",
+        "",
+        0,
+        false,
+        false,
+        "",
+        0,
+        false,
+        0);
+  }
+
+  static JobSpec job(String jobId, StepSpec... steps) {
+    JobSpec spec = new JobSpec("payload", List.of(steps), 0, 0, 0);
+    SPECS.put(jobId, spec);
+    return spec;
+  }
+
+  static JobSpec specOf(String jobId) {
+    return SPECS.get(jobId);
+  }
+}
--- /dev/null
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedWorker.java
@@ -0,0 +1,172 @@
+package org.cicadaford.cell;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.cicadaford.model.Resources;
+
+/** A worker that keeps the rules of the platform: leases, epochs, run numbers and lists of ends. */
+final class SimulatedWorker {
+
+  static final long MAX_LEASE_MILLIS = 6_000;
+  private static final long STOP_MILLIS = 300;
+
+  /** A run that is present. */
+  static final class Run {
+    final String task;
+    final int number;
+    final long workMillis;
+    final boolean fails;
+    final Resources reservation;
+    long workedMillis;
+    long stopAtMillis = Long.MAX_VALUE;
+
+    Run(String task, int number, long workMillis, boolean fails, Resources reservation) {
+      this.task = task;
+      this.number = number;
+      this.workMillis = workMillis;
+      this.fails = fails;
+      this.reservation = reservation;
+    }
+  }
+
+  final String id;
+  final String zone;
+  final Resources capacity;
+  final double clockRate;
+  long incarnation;
+  boolean up = true;
+  boolean reachable = true;
+  final Map<String, Run> runs = new LinkedHashMap<>();
+  private final List<EndRow> ends = new ArrayList<>();
+  private final Map<String, Integer> closedRuns = new HashMap<>();
+  private double clockMillis;
+  private long leaseUntilMillis;
+  private long highestEpoch;
+  private long lastEnd;
+
+  SimulatedWorker(String id, String zone, Resources capacity, double clockRate, long incarnation) {
+    this.id = id;
+    this.zone = zone;
+    this.capacity = capacity;
+    this.clockRate = clockRate;
+    this.incarnation = incarnation;
+  }
+
+  ListedWorker listing(boolean draining) {
+    return new ListedWorker(
+        id, incarnation, "svc", id + ":1", zone, draining, capacity, Set.of("a"), "rack-" + zone);
+  }
+
+  long clock() {
+    return (long) clockMillis;
+  }
+
+  void crash() {
+    up = false;
+    runs.clear();
+    ends.clear();
+    closedRuns.clear();
+    leaseUntilMillis = 0;
+    highestEpoch = 0;
+    lastEnd = 0;
+    clockMillis = 0;
+  }
+
+  void restart(long newIncarnation) {
+    incarnation = newIncarnation;
+    up = true;
+  }
+
+  /** Lets time pass. */
+  void pass(long millis, long nowMillis) {
+    if (!up) {
+      return;
+    }
+    clockMillis += millis * clockRate;
+    if (clock() > leaseUntilMillis) {
+      for (Run run : List.copyOf(runs.values())) {
+        end(run, EndKind.LAPSED);
+      }
+    }
+    for (Run run : List.copyOf(runs.values())) {
+      run.workedMillis += millis;
+      if (nowMillis >= run.stopAtMillis) {
+        end(run, EndKind.STOPPED);
+      } else if (run.workedMillis >= run.workMillis) {
+        end(run, run.fails ? EndKind.FAILED : EndKind.DONE);
+      }
+    }
+  }
+
+  private void end(Run run, EndKind kind) {
+    runs.remove(run.task);
+    closedRuns.merge(run.task, run.number, Math::max);
+    ends.add(new EndRow(++lastEnd, run.task, run.number, kind, ""));
+  }
+
+  /** Carries out a start; returns the outcome, and the run if it has begun. */
+  StartOutcome start(Run run, long epoch, long deadlineMillis) {
+    if (epoch < highestEpoch) {
+      return StartOutcome.FENCED;
+    }
+    highestEpoch = epoch;
+    Run present = runs.get(run.task);
+    if (present != null && present.number == run.number) {
+      return StartOutcome.STARTED;
+    }
+    if (closedRuns.getOrDefault(run.task, 0) >= run.number) {
+      return StartOutcome.UNKNOWN;
+    }
+    if (clock() > deadlineMillis) {
+      return StartOutcome.NOT_STARTED;
+    }
+    extend(deadlineMillis);
+    runs.put(run.task, run);
+    return StartOutcome.STARTED;
+  }
+
+  boolean stop(String task, int number, long epoch, long nowMillis) {
+    if (epoch < highestEpoch) {
+      return false;
+    }
+    highestEpoch = epoch;
+    Run present = runs.get(task);
+    if (present != null && present.number == number) {
+      present.stopAtMillis = Math.min(present.stopAtMillis, nowMillis + STOP_MILLIS);
+    } else {
+      closedRuns.merge(task, number, Math::max);
+    }
+    return true;
+  }
+
+  private void extend(long deadlineMillis) {
+    leaseUntilMillis =
+        Math.max(leaseUntilMillis, Math.min(deadlineMillis, clock() + MAX_LEASE_MILLIS));
+  }
+
+  /** Returns the report, or null if the worker follows a higher epoch. */
+  WorkerReport renew(long epoch, long acknowledged, long deadlineMillis, long sentAtMillis) {
+    if (epoch < highestEpoch) {
+      return null;
+    }
+    highestEpoch = epoch;
+    ends.removeIf(end -> end.number() <= acknowledged);
+    if (deadlineMillis > 0) {
+      extend(deadlineMillis);
+    }
+    List<RunRow> rows = new ArrayList<>();
+    for (Run run : runs.values()) {
+      int percent = (int) (100 * run.workedMillis / Math.max(1, run.workMillis));
+      rows.add(new RunRow(run.task, run.number, "", percent, 0));
+    }
+    return new WorkerReport(id, incarnation, clock(), sentAtMillis, rows, List.copyOf(ends), true);
+  }
+
+  boolean hasNews(long acknowledged) {
+    return ends.stream().anyMatch(end -> end.number() > acknowledged);
+  }
+}
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/AdvisorPool.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/AdvisorPool.java
@@ -121,6 +121,15 @@
     }
   }
 
+  /** Answers another instance's request by a call from this one. */
+  static CompletableFuture<PeerMessage> answer(
+      AdviceService service, PeerMessage.AdviceRequest request) {
+    return service
+        .ask(request.step(), request.workerIds(), request.timeoutMillis())
+        .thenApply(
+            advice -> new PeerMessage.AdviceAnswer(advice.ticketByWorker(), advice.validMillis()));
+  }
+
   /** Closes the links. */
   public void stop() {
     advisors.values().forEach(advisor -> advisor.link().stop());
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellClient.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellClient.java
@@ -5,6 +5,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import org.cicadaford.cell.JobSpec;
+import org.cicadaford.model.RecordCodec;
 import org.cicadaford.wire.PeerMessage;
 
 /**
@@ -45,6 +47,30 @@
     this.nowMillis = nowMillis;
   }
 
+  /** Submits a job. */
+  public CompletableFuture<CellReply> submit(
+      String jobId, String queue, String team, JobSpec spec, long timeoutMillis) {
+    return send(
+        new PeerMessage.SubmitJob(jobId, queue, team, RecordCodec.encode(spec)), timeoutMillis);
+  }
+
+  /** Cancels a job. */
+  public CompletableFuture<CellReply> cancel(
+      String jobId, String queue, String team, long timeoutMillis) {
+    return send(new PeerMessage.CancelJob(jobId, queue, team), timeoutMillis);
+  }
+
+  /** Returns the state of a job. */
+  public CompletableFuture<CellReply> phase(
+      String jobId, String queue, String team, long timeoutMillis) {
+    return send(new PeerMessage.JobPhaseRequest(jobId, queue, team), timeoutMillis);
+  }
+
+  /** Returns the number of jobs of a queue that have not started. */
+  public CompletableFuture<CellReply> pendingCount(String queue, long timeoutMillis) {
+    return send(new PeerMessage.PendingCountRequest(queue), timeoutMillis);
+  }
+
   /** Sends a request; the reply comes within {@code timeoutMillis}. */
   public CompletableFuture<CellReply> send(PeerMessage message, long timeoutMillis) {
     Exchange exchange = new Exchange(message, nowMillis.getAsLong(), timeoutMillis);
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import java.util.List;
-import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -10,17 +9,12 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.cicadaford.cell.CoordinatorSettings;
-import org.cicadaford.cell.JobSpec;
 import org.cicadaford.cell.Moment;
-import org.cicadaford.cell.Queue;
 import org.cicadaford.cell.RecordWrite;
-import org.cicadaford.model.MalformedRecordException;
-import org.cicadaford.model.RecordCodec;
 import org.cicadaford.wire.PeerException;
 import org.cicadaford.wire.PeerLink;
 import org.cicadaford.wire.PeerMessage;
 import org.cicadaford.wire.PeerServer;
-import org.cicadaford.wire.PeerSettings;
 
 /**
  * Takes part in a cell: follows the configuration and the coordinator, and becomes the coordinator
@@ -30,9 +24,6 @@
 
   private static final Logger LOGGER = LogManager.getLogger(CellNode.class);
 
-  /** Time for which an answer of the directory may wait for a change, in milliseconds. */
-  private static final long CONFIG_WAIT_MILLIS = 900;
-
   /** Time for which the store may wait for another announcement, in milliseconds. */
   private static final long LEADERSHIP_WAIT_MILLIS = 5_000;
 
@@ -45,20 +36,12 @@
   /** Time between two offers to call the advice service, in milliseconds. */
   private static final long OFFER_MILLIS = 800;
 
-  /** Largest random delay of a claim, in milliseconds. */
-  private static final int CLAIM_DELAY_BOUND_MILLIS = 200;
-
-  /** Range of the random part of an epoch, so that two claims never use the same one. */
-  private static final int EPOCH_SPREAD = 64;
-
   /** Time in which the records must be loaded after a claim, in milliseconds. */
   private static final long LOADING_MILLIS = 4_000;
 
   /** Longest time that a stopping coordinator waits for its open append, in milliseconds. */
   private static final long HAND_OVER_MILLIS = 400;
 
-  private static final PeerSettings PEER_SETTINGS = new PeerSettings(1 << 20, 250, 1_500, 700, 512);
-
   private final CellSettings settings;
   private final CellStore store;
   private final WorkerOrders orders;
@@ -71,23 +54,19 @@
   private final PeerMessage.Hello self;
   private final PeerServer server;
   private final ConfigHolder config = new ConfigHolder();
-  private final ElectionPolicy election = new ElectionPolicy();
-  private final Random random = new Random();
+  private final CoordinatorRequests requests = new CoordinatorRequests(config);
+  private final ConfigFollower configFollower;
+  private final CoordinatorCandidate candidate;
   private final CellClient client;
   private Leadership leadership = Leadership.NONE;
   private PeerLink link;
   private AdvisorPool advisors;
   private CoordinatorService coordinator;
   private ScheduledFuture<?> checks;
-  private boolean claiming;
   private long loadingSinceMillis = -1;
   private long loadingEpoch;
-  private boolean observing;
   private boolean stopping;
-  private boolean configReachable = true;
-  private long claimDelayMillis;
   private long nextOfferMillis;
-  private long highestEpoch;
 
   /** Creates the node of an instance. */
   public CellNode(
@@ -113,12 +92,14 @@
     this.server =
         new PeerServer(
             PeerAddress.parse(settings.peerAddress()),
-            PEER_SETTINGS,
+            CellSettings.PEERS,
             self,
             (peer, message) -> answer(message),
             loop);
+    this.configFollower =
+        new ConfigFollower(directory, config, loop, clock, log, this::configChanged);
     this.client = new CellClient(this::route, loop, this::nowMillis);
-    this.claimDelayMillis = random.nextInt(CLAIM_DELAY_BOUND_MILLIS);
+    this.candidate = new CoordinatorCandidate(store, this::nowMillis, metrics, log, this::load);
   }
 
   /**
@@ -130,7 +111,7 @@
     server.start();
     loop.execute(
         () -> {
-          followConfig();
+          configFollower.start();
           followLeadership();
           checks =
               loop.scheduleWithFixedDelay(
@@ -168,6 +149,7 @@
     if (checks != null) {
       checks.cancel(false);
     }
+    configFollower.stop();
     endCoordinator("stopped");
     closeLink();
     server.stop();
@@ -196,28 +178,9 @@
     return link != null && link.isConnected();
   }
 
-  /** Submits a job. */
-  public CompletableFuture<CellReply> submit(
-      String jobId, String queue, String team, JobSpec spec, long timeoutMillis) {
-    return client.send(
-        new PeerMessage.SubmitJob(jobId, queue, team, RecordCodec.encode(spec)), timeoutMillis);
-  }
-
-  /** Cancels a job. */
-  public CompletableFuture<CellReply> cancel(
-      String jobId, String queue, String team, long timeoutMillis) {
-    return client.send(new PeerMessage.CancelJob(jobId, queue, team), timeoutMillis);
-  }
-
-  /** Returns the state of a job. */
-  public CompletableFuture<CellReply> phase(
-      String jobId, String queue, String team, long timeoutMillis) {
-    return client.send(new PeerMessage.JobPhaseRequest(jobId, queue, team), timeoutMillis);
-  }
-
-  /** Returns the number of jobs of a queue that have not started. */
-  public CompletableFuture<CellReply> pendingCount(String queue, long timeoutMillis) {
-    return client.send(new PeerMessage.PendingCountRequest(queue), timeoutMillis);
+  /** Returns the client through which requests reach the coordinator. */
+  public CellClient client() {
+    return client;
   }
 
   private long nowMillis() {
@@ -226,7 +189,7 @@
 
   private CompletableFuture<CellReply> route(PeerMessage message) {
     if (coordinator != null) {
-      return serve(message);
+      return requests.serve(coordinator, message);
     }
     if (link == null || !link.isConnected()) {
       return null;
@@ -234,37 +197,6 @@
     return link.ask(message, LEADERSHIP_WAIT_MILLIS).thenApply(CellReply::of);
   }
 
-  private CompletableFuture<CellReply> serve(PeerMessage message) {
-    return switch (message) {
-      case PeerMessage.SubmitJob(String jobId, String queue, String team, byte[] spec) ->
-          submitHere(jobId, queue, team, spec);
-      case PeerMessage.CancelJob(String jobId, String queue, String team) ->
-          coordinator.cancel(jobId, queue, team);
-      case PeerMessage.JobPhaseRequest(String jobId, String queue, String team) ->
-          CompletableFuture.completedFuture(coordinator.phase(jobId, queue, team));
-      case PeerMessage.PendingCountRequest(String queue) ->
-          CompletableFuture.completedFuture(coordinator.pendingCount(queue));
-      default ->
-          CompletableFuture.completedFuture(
-              CellReply.of(CellOutcome.INVALID, "not a request to the coordinator"));
-    };
-  }
-
-  private CompletableFuture<CellReply> submitHere(
-      String jobId, String queueName, String team, byte[] spec) {
-    Queue queue = config.published().config().queue(queueName).orElse(null);
-    if (queue == null) {
-      return CompletableFuture.completedFuture(
-          CellReply.of(CellOutcome.NOT_COORDINATOR, "the queue is not known here yet"));
-    }
-    try {
-      return coordinator.submit(jobId, queue, team, RecordCodec.decode(spec, JobSpec.class));
-    } catch (MalformedRecordException e) {
-      return CompletableFuture.completedFuture(
-          CellReply.of(CellOutcome.INVALID, "the description cannot be read: " + e.getMessage()));
-    }
-  }
-
   private CompletableFuture<PeerMessage> answer(PeerMessage message) {
     return switch (message) {
       case PeerMessage.Heartbeat heartbeat -> CompletableFuture.completedFuture(heartbeat());
@@ -274,12 +206,7 @@
         }
         yield CompletableFuture.completedFuture(heartbeat());
       }
-      case PeerMessage.AdviceRequest(var step, var workerIds, long timeoutMillis) ->
-          advice
-              .ask(step, workerIds, timeoutMillis)
-              .thenApply(
-                  given ->
-                      new PeerMessage.AdviceAnswer(given.ticketByWorker(), given.validMillis()));
+      case PeerMessage.AdviceRequest request -> AdvisorPool.answer(advice, request);
       default -> answerRequest(message);
     };
   }
@@ -290,7 +217,7 @@
           CellReply.of(CellOutcome.NOT_COORDINATOR, "this instance is not the coordinator")
               .toMessage());
     }
-    return serve(message).thenApply(CellReply::toMessage);
+    return requests.serve(coordinator, message).thenApply(CellReply::toMessage);
   }
 
   private PeerMessage.Heartbeat heartbeat() {
@@ -306,43 +233,9 @@
         0);
   }
 
-  private void followConfig() {
-    Moment askedAt = clock.get();
-    directory
-        .published(CONFIG_WAIT_MILLIS)
-        .whenComplete(
-            (published, failure) -> {
-              if (failure != null) {
-                configLost(failure);
-                loop.schedule(this::followConfig, READ_RETRY_MILLIS, TimeUnit.MILLISECONDS);
-                return;
-              }
-              configRead(published, askedAt);
-              followConfig();
-            });
-  }
-
-  private void configLost(Throwable failure) {
-    if (configReachable) {
-      LOGGER.warn("store lost: configuration cannot be confirmed: {}", failure.getMessage());
-      configReachable = false;
-    }
-  }
-
-  private void configRead(CellDirectory.Published published, Moment askedAt) {
-    if (!configReachable) {
-      LOGGER.info("store back: configuration confirmed again");
-      configReachable = true;
-    }
-    if (config.take(published, askedAt)) {
-      log.decision(
-          "config",
-          "version-" + published.config().version(),
-          "in-force",
-          "zones_out=" + published.zonesOut());
-      if (coordinator != null) {
-        coordinator.published(config.published());
-      }
+  private void configChanged() {
+    if (coordinator != null) {
+      coordinator.published(config.published());
     }
   }
 
@@ -361,7 +254,7 @@
   }
 
   private void announced(Leadership announced) {
-    highestEpoch = Math.max(highestEpoch, announced.epoch());
+    candidate.epochSeen(announced.epoch());
     boolean known = announced.epoch() < leadership.epoch() || announced.equals(leadership);
     if (known) {
       return;
@@ -372,7 +265,7 @@
         "epoch-" + announced.epoch(),
         announced.vacant() ? "vacant" : "announced",
         "instance=" + announced.instanceId() + " address=" + announced.address());
-    election.announced(announced, nowMillis());
+    candidate.election().announced(announced, nowMillis());
     if (coordinator != null && announced.epoch() > coordinator.epoch()) {
       endCoordinator("replaced by epoch " + announced.epoch());
     }
@@ -387,7 +280,7 @@
     link =
         new PeerLink(
             PeerAddress.parse(coordinatorAt.address()),
-            PEER_SETTINGS,
+            CellSettings.PEERS,
             self,
             this::heartbeat,
             heartbeat -> heard(coordinatorAt, heartbeat),
@@ -406,7 +299,7 @@
   private void heard(Leadership coordinatorAt, PeerMessage.Heartbeat heartbeat) {
     boolean sound = heartbeat.ownsZone() && heartbeat.zoneEpoch() == coordinatorAt.epoch();
     if (sound && coordinatorAt.equals(leadership)) {
-      election.coordinatorSound(nowMillis());
+      candidate.election().coordinatorSound(nowMillis());
     }
   }
 
@@ -419,59 +312,24 @@
       coordinator.updateGauges();
       return;
     }
-    if (link != null && link.isConnected() && now >= nextOfferMillis) {
-      nextOfferMillis = now + OFFER_MILLIS;
-      link.ask(
-          new PeerMessage.AdvisorOffer(settings.instanceId(), settings.peerAddress()),
-          OFFER_MILLIS);
+    offerAdvice(now);
+    if (config.known()) {
+      candidate.check(now);
     }
-    if (claiming || !config.known()) {
-      return;
-    }
-    if (election.wantsObservation(now) && !observing) {
-      observe(now);
-    }
-    long end = election.claimableEnd(now, claimDelayMillis);
-    if (end >= 0) {
-      claim(end);
-    }
-  }
-
-  private void observe(long askedAtMillis) {
-    observing = true;
-    store
-        .journalEnd()
-        .whenComplete(
-            (end, failure) -> {
-              observing = false;
-              if (failure == null) {
-                election.observed(end, askedAtMillis);
-              }
-            });
   }
 
-  private void claim(long end) {
-    claiming = true;
-    claimDelayMillis = random.nextInt(CLAIM_DELAY_BOUND_MILLIS);
-    long epoch = highestEpoch + 1 + random.nextInt(EPOCH_SPREAD);
-    highestEpoch = epoch;
-    store
-        .claim(epoch, end)
-        .whenComplete(
-            (outcome, failure) -> {
-              boolean claimed = failure == null && outcome == AppendOutcome.STORED;
-              String result = failure == null ? outcome.name() : failure.toString();
-              log.decision("claim", "epoch-" + epoch, result, "end=" + end);
-              metrics.election(claimed ? "claimed" : "not-claimed");
-              if (claimed && !stopping) {
-                load(epoch);
-              } else {
-                claiming = false;
-              }
-            });
+  private void offerAdvice(long now) {
+    if (linkSound() && now >= nextOfferMillis) {
+      nextOfferMillis = now + OFFER_MILLIS;
+      String address = settings.peerAddress();
+      link.ask(new PeerMessage.AdvisorOffer(settings.instanceId(), address), OFFER_MILLIS);
+    }
   }
 
   private void load(long epoch) {
+    if (stopping) {
+      return;
+    }
     loadingSinceMillis = nowMillis();
     loadingEpoch = epoch;
     Leadership own = new Leadership(epoch, settings.instanceId(), settings.peerAddress());
@@ -480,7 +338,7 @@
         .load()
         .whenComplete(
             (records, failure) -> {
-              claiming = false;
+              candidate.claimDone();
               loadingSinceMillis = -1;
               if (failure != null) {
                 LOGGER.warn("the records of epoch {} cannot be loaded: {}", epoch, failure);
@@ -491,12 +349,13 @@
   }
 
   private void begin(long epoch, List<RecordWrite> records) {
-    if (stopping || highestEpoch > epoch) {
+    if (stopping || candidate.highestEpoch() > epoch) {
       return;
     }
     metrics.state("coordinator", 1);
     advisors =
-        new AdvisorPool(self, advice, PEER_SETTINGS, loop, loop, this::heartbeat, this::nowMillis);
+        new AdvisorPool(
+            self, advice, CellSettings.PEERS, loop, loop, this::heartbeat, this::nowMillis);
     coordinator =
         new CoordinatorService(
             epoch,
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellSettings.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellSettings.java
@@ -1,5 +1,7 @@
 package org.cicadaford.coordinator;
 
+import org.cicadaford.wire.PeerSettings;
+
 /**
  * Settings of an instance of a cell.
  *
@@ -20,6 +22,9 @@
     long keepEndedMillis,
     long keyFreshnessMillis) {
 
+  /** Settings of the links between instances; silence is noticed within half a lease. */
+  static final PeerSettings PEERS = new PeerSettings(1 << 20, 250, 1_500, 700, 512);
+
   /** Returns the address of the peer port, {@code ip:port}. */
   public String peerAddress() {
     return peerHost + ":" + peerPort;
--- /dev/null
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorCandidate.java
@@ -0,0 +1,113 @@
+package org.cicadaford.coordinator;
+
+import java.util.Random;
+import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
+
+/**
+ * Watches the journal while no coordinator is heard, and claims it as {@link ElectionPolicy} says.
+ */
+final class CoordinatorCandidate {
+
+  /** Largest random delay of a claim, in milliseconds. */
+  private static final int CLAIM_DELAY_BOUND_MILLIS = 200;
+
+  /** Range of the random part of an epoch, so that two claims hardly ever use the same one. */
+  private static final int EPOCH_SPREAD = 64;
+
+  private final CellStore store;
+  private final LongSupplier nowMillis;
+  private final CellMetrics metrics;
+  private final DecisionLog log;
+  private final LongConsumer claimed;
+  private final ElectionPolicy election = new ElectionPolicy();
+  private final Random random = new Random();
+  private boolean observing;
+  private boolean claiming;
+  private long claimDelayMillis;
+  private long highestEpoch;
+
+  /** Creates a candidate; {@code claimed} takes the epoch of a claim that was successful. */
+  CoordinatorCandidate(
+      CellStore store,
+      LongSupplier nowMillis,
+      CellMetrics metrics,
+      DecisionLog log,
+      LongConsumer claimed) {
+    this.store = store;
+    this.nowMillis = nowMillis;
+    this.metrics = metrics;
+    this.log = log;
+    this.claimed = claimed;
+    this.claimDelayMillis = random.nextInt(CLAIM_DELAY_BOUND_MILLIS);
+  }
+
+  ElectionPolicy election() {
+    return election;
+  }
+
+  void epochSeen(long epoch) {
+    highestEpoch = Math.max(highestEpoch, epoch);
+  }
+
+  long highestEpoch() {
+    return highestEpoch;
+  }
+
+  /** Notes that a claim has led to a coordinator, or has failed to. */
+  void claimDone() {
+    claiming = false;
+  }
+
+  /** Does what is due at this time. */
+  void check(long now) {
+    if (claiming) {
+      return;
+    }
+    if (election.wantsObservation(now) && !observing) {
+      observe(now);
+    }
+    long end = election.claimableEnd(now, claimDelayMillis);
+    if (end >= 0) {
+      claim(end);
+    }
+  }
+
+  private void observe(long askedAtMillis) {
+    observing = true;
+    store
+        .journalEnd()
+        .whenComplete(
+            (end, failure) -> {
+              observing = false;
+              if (failure == null) {
+                election.observed(end, askedAtMillis);
+              }
+            });
+  }
+
+  private void claim(long end) {
+    claiming = true;
+    claimDelayMillis = random.nextInt(CLAIM_DELAY_BOUND_MILLIS);
+    long epoch = highestEpoch + 1 + random.nextInt(EPOCH_SPREAD);
+    highestEpoch = epoch;
+    long askedAtMillis = nowMillis.getAsLong();
+    store
+        .claim(epoch, end)
+        .whenComplete((outcome, failure) -> answered(epoch, end, askedAtMillis, outcome, failure));
+  }
+
+  private void answered(
+      long epoch, long end, long askedAtMillis, AppendOutcome outcome, Throwable failure) {
+    boolean successful = failure == null && outcome == AppendOutcome.STORED;
+    String result = failure == null ? outcome.name() : failure.toString();
+    long tookMillis = nowMillis.getAsLong() - askedAtMillis;
+    log.decision("claim", "epoch-" + epoch, result, "end=" + end + " took_ms=" + tookMillis);
+    metrics.election(successful ? "claimed" : "not-claimed");
+    if (successful) {
+      claimed.accept(epoch);
+    } else {
+      claiming = false;
+    }
+  }
+}
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
@@ -20,8 +20,6 @@
 import org.cicadaford.cell.Moment;
 import org.cicadaford.cell.Queue;
 import org.cicadaford.cell.RecordWrite;
-import org.cicadaford.cell.StartOutcome;
-import org.cicadaford.coordinator.WorkerOrders.RenewalOutcome;
 
 /** Runs the {@link Coordinator} of one epoch: stores its batches and carries out its actions. */
 public final class CoordinatorService {
@@ -29,12 +27,6 @@
   /** Time between rounds without an event, in milliseconds. */
   private static final long ROUND_MILLIS = 25;
 
-  /** Least time between two appends, in milliseconds; each append is paid for. */
-  private static final long APPEND_INTERVAL_MILLIS = 10;
-
-  /** Time after which an append that failed is repeated, in milliseconds. */
-  private static final long APPEND_RETRY_MILLIS = 50;
-
   /** Age of the last stored batch up to which new work is accepted, in milliseconds. */
   private static final long SOUND_MILLIS = 1_000;
 
@@ -43,8 +35,8 @@
 
   private final long epoch;
   private final Coordinator coordinator;
-  private final CellStore store;
-  private final WorkerOrders orders;
+  private final OrderSender sender;
+  private final JournalWriter journal;
   private final AdvisorPool advisors;
   private final CellDirectory directory;
   private final ScheduledExecutorService loop;
@@ -57,10 +49,6 @@
   private ScheduledFuture<?> rounds;
   private boolean running;
   private boolean roundQueued;
-  private boolean appendOpen;
-  private long sequence;
-  private long lastStoredAtMillis;
-  private long lastAppendAtMillis;
   private long nextWorkerListMillis;
   private boolean workerListOpen;
 
@@ -83,8 +71,20 @@
       Runnable deposed) {
     this.epoch = epoch;
     this.coordinator = new Coordinator(settings);
-    this.store = store;
-    this.orders = orders;
+    this.journal =
+        new JournalWriter(
+            epoch, store, loop, () -> clock.get().steadyMillis(), metrics, this::replaced);
+    this.sender =
+        new OrderSender(
+            epoch,
+            coordinator,
+            orders,
+            advisors,
+            clock,
+            metrics,
+            log,
+            this::queueRound,
+            this::replaced);
     this.advisors = advisors;
     this.directory = directory;
     this.loop = loop;
@@ -105,7 +105,6 @@
         "records=" + records.size() + " unreadable=" + unreadable);
     coordinator.configure(published.config(), published.zonesOut());
     running = true;
-    lastStoredAtMillis = now.steadyMillis();
     rounds = loop.scheduleWithFixedDelay(this::round, 0, ROUND_MILLIS, TimeUnit.MILLISECONDS);
   }
 
@@ -116,6 +115,7 @@
     }
     running = false;
     rounds.cancel(false);
+    journal.stop();
     CellReply reply = CellReply.of(CellOutcome.UNKNOWN, "the coordinator has changed");
     failAll(submissions, reply);
     failAll(cancellations, reply);
@@ -136,12 +136,12 @@
 
   /** Returns whether the last batch was stored recently, so that this is surely the coordinator. */
   public boolean sound() {
-    return running && clock.get().steadyMillis() - lastStoredAtMillis <= SOUND_MILLIS;
+    return running && journal.storedAgeMillis() <= SOUND_MILLIS;
   }
 
   /** Returns whether a batch is stored at the moment or waits for it. */
   public boolean storing() {
-    return appendOpen || !submissions.isEmpty() || !cancellations.isEmpty();
+    return journal.open() || !submissions.isEmpty() || !cancellations.isEmpty();
   }
 
   /** Takes what operators have published. */
@@ -255,69 +255,30 @@
   }
 
   private void store(Moment now) {
-    if (appendOpen || now.steadyMillis() - lastAppendAtMillis < APPEND_INTERVAL_MILLIS) {
+    if (!journal.free()) {
       return;
     }
     Optional<Batch> batch = coordinator.takeBatch();
-    boolean heartbeatDue =
-        now.steadyMillis() - lastAppendAtMillis >= ElectionPolicy.JOURNAL_HEARTBEAT_MILLIS;
-    boolean nothingToWrite = batch.map(content -> content.writes().isEmpty()).orElse(true);
-    if (nothingToWrite && !heartbeatDue) {
-      if (batch.isPresent()) {
-        stored(now);
-      }
-      return;
+    List<RecordWrite> writes = batch.map(Batch::writes).orElse(List.of());
+    Runnable whenStored = batch.isPresent() ? this::batchStored : this::queueRound;
+    if (!writes.isEmpty()) {
+      journal.write(writes, whenStored);
+    } else if (journal.heartbeatDue()) {
+      journal.heartbeat(whenStored);
+    } else if (batch.isPresent()) {
+      stored(now);
     }
-    List<RecordWrite> writes = new ArrayList<>();
-    if (nothingToWrite) {
-      writes.add(JournalHeartbeat.record(epoch, sequence + 1));
-    } else {
-      writes.addAll(batch.get().writes());
-    }
-    sequence++;
-    appendOpen = true;
-    append(writes, batch.isPresent());
   }
 
-  private void append(List<RecordWrite> writes, boolean batch) {
-    long sentAtMillis = clock.get().steadyMillis();
-    lastAppendAtMillis = sentAtMillis;
-    store
-        .append(epoch, sequence, writes)
-        .exceptionally(failure -> AppendOutcome.UNKNOWN)
-        .thenAccept(outcome -> appended(outcome, writes, batch, sentAtMillis));
+  private void batchStored() {
+    stored(clock.get());
+    queueRound();
   }
 
-  private void appended(
-      AppendOutcome outcome, List<RecordWrite> writes, boolean batch, long sentAtMillis) {
-    Moment now = clock.get();
-    metrics.appended(outcome, now.steadyMillis() - sentAtMillis);
-    if (!running) {
-      return;
-    }
-    switch (outcome) {
-      case STORED -> {
-        appendOpen = false;
-        lastStoredAtMillis = sentAtMillis;
-        if (batch) {
-          stored(now);
-        }
-        queueRound();
-      }
-      case FENCED -> {
-        stop();
-        deposed.run();
-      }
-      case REFUSED, UNKNOWN ->
-          loop.schedule(
-              () -> {
-                if (running) {
-                  append(writes, batch);
-                }
-              },
-              APPEND_RETRY_MILLIS,
-              TimeUnit.MILLISECONDS);
-      default -> throw new IllegalStateException("unknown outcome " + outcome);
+  private void replaced() {
+    if (running) {
+      stop();
+      deposed.run();
     }
   }
 
@@ -328,10 +289,10 @@
 
   private void carryOut(Action action) {
     switch (action) {
-      case Action.StartTask start -> start(start);
-      case Action.StopTask stop -> stop(stop);
-      case Action.Renew renew -> renew(renew);
-      case Action.AskAdvice ask -> ask(ask);
+      case Action.StartTask start -> sender.start(start);
+      case Action.StopTask stop -> sender.stop(stop);
+      case Action.Renew renew -> sender.renew(renew);
+      case Action.AskAdvice ask -> sender.ask(ask);
       case Action.ConfirmSubmission(String jobId) -> confirm(submissions, jobId, "accept");
       case Action.ConfirmCancellation(String jobId) -> confirm(cancellations, jobId, "cancel");
     }
@@ -341,111 +302,11 @@
       Map<String, List<CompletableFuture<CellReply>>> waiting, String jobId, String category) {
     List<CompletableFuture<CellReply>> replies = waiting.remove(jobId);
     if (replies != null) {
-      log.decision(category, jobId, "stored", "epoch=" + epoch + " sequence=" + sequence);
+      log.decision(category, jobId, "stored", "epoch=" + epoch + " sequence=" + journal.sequence());
       replies.forEach(reply -> reply.complete(CellReply.done("stored")));
     }
   }
 
-  private void start(Action.StartTask order) {
-    long sentAtMillis = clock.get().steadyMillis();
-    orders
-        .start(order, epoch)
-        .thenAccept(
-            answer -> {
-              Moment now = clock.get();
-              metrics.orderAnswered("start", answer.outcome().name());
-              log.decision(
-                  "start",
-                  order.task(),
-                  answer.outcome().name(),
-                  "run="
-                      + order.run()
-                      + " worker="
-                      + order.workerId()
-                      + " took_ms="
-                      + (now.steadyMillis() - sentAtMillis)
-                      + " said="
-                      + answer.detail());
-              coordinator.startAnswered(
-                  order.workerId(),
-                  order.task(),
-                  order.run(),
-                  answer.outcome(),
-                  answer.clockMillis(),
-                  now);
-              afterAnswer(answer.outcome() == StartOutcome.FENCED);
-            });
-  }
-
-  private void stop(Action.StopTask order) {
-    orders
-        .stop(order, epoch)
-        .thenAccept(
-            confirmed -> {
-              metrics.orderAnswered("stop", confirmed ? "CONFIRMED" : "NO_ANSWER");
-              log.decision(
-                  "stop",
-                  order.task(),
-                  confirmed ? "confirmed" : "no-answer",
-                  "run=" + order.run() + " worker=" + order.workerId());
-              if (confirmed) {
-                coordinator.stopConfirmed(order.workerId(), order.task(), order.run(), clock.get());
-              }
-              afterAnswer(false);
-            });
-  }
-
-  private void renew(Action.Renew order) {
-    orders
-        .renew(order, epoch, clock.get().steadyMillis())
-        .thenAccept(
-            answer -> {
-              metrics.orderAnswered("renew", answer.outcome().name());
-              Moment now = clock.get();
-              if (answer.outcome() == RenewalOutcome.REPORTED) {
-                answer.report().ifPresent(report -> coordinator.reported(report, now));
-              } else {
-                log.decision(
-                    "renew",
-                    order.workerId(),
-                    answer.outcome().name(),
-                    "incarnation=" + order.incarnation());
-                coordinator.renewalFailed(
-                    order.workerId(), answer.outcome() == RenewalOutcome.GONE, now);
-              }
-              afterAnswer(answer.outcome() == RenewalOutcome.FENCED);
-            });
-  }
-
-  private void afterAnswer(boolean fenced) {
-    if (fenced && running) {
-      // A worker follows a higher epoch, so another instance has claimed the journal.
-      stop();
-      deposed.run();
-      return;
-    }
-    queueRound();
-  }
-
-  private void ask(Action.AskAdvice request) {
-    advisors
-        .ask(request.agent(), request.step(), request.workerIds(), request.timeoutMillis())
-        .whenComplete(
-            (advice, failure) -> {
-              metrics.adviceAnswered(failure == null ? "ANSWERED" : "FAILED");
-              Moment now = clock.get();
-              if (failure == null) {
-                coordinator.adviceAnswered(
-                    request.callId(), advice.ticketByWorker(), advice.validMillis(), now);
-              } else {
-                log.decision(
-                    "advice", request.step(), "failed", "agent=" + request.agent() + " " + failure);
-                coordinator.adviceFailed(request.callId(), now);
-              }
-              queueRound();
-            });
-  }
-
   /** Sets the gauges of the state. */
   public void updateGauges() {
     coordinator.counts().forEach(metrics::state);
--- /dev/null
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/JournalWriter.java
@@ -0,0 +1,127 @@
+package org.cicadaford.coordinator;
+
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.cicadaford.cell.RecordWrite;
+
+/** Appends the batches of one epoch to the journal, one after the other, until each is stored. */
+final class JournalWriter {
+
+  /** Least time between two appends, in milliseconds; each append is paid for. */
+  private static final long APPEND_INTERVAL_MILLIS = 10;
+
+  /** Time after which an append that failed is repeated, in milliseconds. */
+  private static final long APPEND_RETRY_MILLIS = 50;
+
+  private final long epoch;
+  private final CellStore store;
+  private final ScheduledExecutorService loop;
+  private final LongSupplier nowMillis;
+  private final CellMetrics metrics;
+  private final Runnable fenced;
+  private boolean running = true;
+  private boolean open;
+  private long sequence;
+  private long lastStoredAtMillis;
+  private long lastAppendAtMillis;
+
+  /**
+   * Creates the writer of an epoch that was claimed just now.
+   *
+   * @param fenced called once when another epoch has taken over
+   */
+  JournalWriter(
+      long epoch,
+      CellStore store,
+      ScheduledExecutorService loop,
+      LongSupplier nowMillis,
+      CellMetrics metrics,
+      Runnable fenced) {
+    this.epoch = epoch;
+    this.store = store;
+    this.loop = loop;
+    this.nowMillis = nowMillis;
+    this.metrics = metrics;
+    this.fenced = fenced;
+    this.lastStoredAtMillis = nowMillis.getAsLong();
+  }
+
+  void stop() {
+    running = false;
+  }
+
+  /** Returns whether an append may begin now. */
+  boolean free() {
+    return !open && nowMillis.getAsLong() - lastAppendAtMillis >= APPEND_INTERVAL_MILLIS;
+  }
+
+  boolean open() {
+    return open;
+  }
+
+  long sequence() {
+    return sequence;
+  }
+
+  /** Returns the age of the newest append that was stored, counted from its sending. */
+  long storedAgeMillis() {
+    return nowMillis.getAsLong() - lastStoredAtMillis;
+  }
+
+  boolean heartbeatDue() {
+    long age = nowMillis.getAsLong() - lastAppendAtMillis;
+    return age >= ElectionPolicy.JOURNAL_HEARTBEAT_MILLIS;
+  }
+
+  /** Appends a record that shows only that the coordinator lives. */
+  void heartbeat(Runnable stored) {
+    write(List.of(JournalHeartbeat.record(epoch, sequence + 1)), stored);
+  }
+
+  /** Appends records; {@code stored} is called once they are stored. */
+  void write(List<RecordWrite> records, Runnable stored) {
+    sequence++;
+    open = true;
+    attempt(records, stored);
+  }
+
+  private void attempt(List<RecordWrite> records, Runnable stored) {
+    long sentAtMillis = nowMillis.getAsLong();
+    lastAppendAtMillis = sentAtMillis;
+    store
+        .append(epoch, sequence, records)
+        .exceptionally(failure -> AppendOutcome.UNKNOWN)
+        .thenAccept(outcome -> answered(outcome, records, stored, sentAtMillis));
+  }
+
+  private void answered(
+      AppendOutcome outcome, List<RecordWrite> records, Runnable stored, long sentAtMillis) {
+    metrics.appended(outcome, nowMillis.getAsLong() - sentAtMillis);
+    if (!running) {
+      return;
+    }
+    switch (outcome) {
+      case STORED -> {
+        open = false;
+        lastStoredAtMillis = sentAtMillis;
+        stored.run();
+      }
+      case FENCED -> {
+        running = false;
+        fenced.run();
+      }
+      case REFUSED, UNKNOWN ->
+          loop.schedule(
+              () -> {
+                if (running) {
+                  attempt(records, stored);
+                }
+              },
+              APPEND_RETRY_MILLIS,
+              TimeUnit.MILLISECONDS);
+      default -> throw new IllegalStateException("unknown outcome " + outcome);
+    }
+  }
+}
--- /dev/null
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/OrderSender.java
@@ -0,0 +1,152 @@
+package org.cicadaford.coordinator;
+
+import java.util.function.Supplier;
+import org.cicadaford.cell.Action;
+import org.cicadaford.cell.Coordinator;
+import org.cicadaford.cell.Moment;
+import org.cicadaford.cell.StartOutcome;
+import org.cicadaford.coordinator.WorkerOrders.RenewalOutcome;
+
+/** Sends the orders of one epoch and hands their answers to the {@link Coordinator}. */
+final class OrderSender {
+
+  private final long epoch;
+  private final Coordinator coordinator;
+  private final WorkerOrders orders;
+  private final AdvisorPool advisors;
+  private final Supplier<Moment> clock;
+  private final CellMetrics metrics;
+  private final DecisionLog log;
+  private final Runnable answered;
+  private final Runnable replaced;
+
+  /**
+   * Creates the sender of an epoch.
+   *
+   * @param answered called after each answer
+   * @param replaced called when a worker follows a higher epoch
+   */
+  OrderSender(
+      long epoch,
+      Coordinator coordinator,
+      WorkerOrders orders,
+      AdvisorPool advisors,
+      Supplier<Moment> clock,
+      CellMetrics metrics,
+      DecisionLog log,
+      Runnable answered,
+      Runnable replaced) {
+    this.epoch = epoch;
+    this.coordinator = coordinator;
+    this.orders = orders;
+    this.advisors = advisors;
+    this.clock = clock;
+    this.metrics = metrics;
+    this.log = log;
+    this.answered = answered;
+    this.replaced = replaced;
+  }
+
+  /** Sends a start. */
+  void start(Action.StartTask order) {
+    long sentAtMillis = clock.get().steadyMillis();
+    orders
+        .start(order, epoch)
+        .thenAccept(
+            answer -> {
+              Moment now = clock.get();
+              metrics.orderAnswered("start", answer.outcome().name());
+              log.decision(
+                  "start",
+                  order.task(),
+                  answer.outcome().name(),
+                  "run="
+                      + order.run()
+                      + " worker="
+                      + order.workerId()
+                      + " took_ms="
+                      + (now.steadyMillis() - sentAtMillis)
+                      + " said="
+                      + answer.detail());
+              coordinator.startAnswered(
+                  order.workerId(),
+                  order.task(),
+                  order.run(),
+                  answer.outcome(),
+                  answer.clockMillis(),
+                  now);
+              afterAnswer(answer.outcome() == StartOutcome.FENCED);
+            });
+  }
+
+  /** Sends a stop. */
+  void stop(Action.StopTask order) {
+    orders
+        .stop(order, epoch)
+        .thenAccept(
+            confirmed -> {
+              metrics.orderAnswered("stop", confirmed ? "CONFIRMED" : "NO_ANSWER");
+              log.decision(
+                  "stop",
+                  order.task(),
+                  confirmed ? "confirmed" : "no-answer",
+                  "run=" + order.run() + " worker=" + order.workerId());
+              if (confirmed) {
+                coordinator.stopConfirmed(order.workerId(), order.task(), order.run(), clock.get());
+              }
+              afterAnswer(false);
+            });
+  }
+
+  /** Sends a renewal. */
+  void renew(Action.Renew order) {
+    orders
+        .renew(order, epoch, clock.get().steadyMillis())
+        .thenAccept(
+            answer -> {
+              metrics.orderAnswered("renew", answer.outcome().name());
+              Moment now = clock.get();
+              if (answer.outcome() == RenewalOutcome.REPORTED) {
+                answer.report().ifPresent(report -> coordinator.reported(report, now));
+              } else {
+                log.decision(
+                    "renew",
+                    order.workerId(),
+                    answer.outcome().name(),
+                    "incarnation=" + order.incarnation());
+                coordinator.renewalFailed(
+                    order.workerId(), answer.outcome() == RenewalOutcome.GONE, now);
+              }
+              afterAnswer(answer.outcome() == RenewalOutcome.FENCED);
+            });
+  }
+
+  private void afterAnswer(boolean fenced) {
+    if (fenced) {
+      // A worker follows a higher epoch, so another instance has claimed the journal.
+      replaced.run();
+    } else {
+      answered.run();
+    }
+  }
+
+  /** Asks for advice. */
+  void ask(Action.AskAdvice request) {
+    advisors
+        .ask(request.agent(), request.step(), request.workerIds(), request.timeoutMillis())
+        .whenComplete(
+            (advice, failure) -> {
+              metrics.adviceAnswered(failure == null ? "ANSWERED" : "FAILED");
+              Moment now = clock.get();
+              if (failure == null) {
+                coordinator.adviceAnswered(
+                    request.callId(), advice.ticketByWorker(), advice.validMillis(), now);
+              } else {
+                log.decision(
+                    "advice", request.step(), "failed", "agent=" + request.agent() + " " + failure);
+                coordinator.adviceFailed(request.callId(), now);
+              }
+              answered.run();
+            });
+  }
+}
