Notice a lost coordinator and silent workers sooner

Cause: tasks were started for 1.9 s on workers of a zone that was cut off and then waited for the end of the lease; a coordinator whose appends fail was replaced only after 1.6 s. Change: SilenceDetector excludes workers, and zones with two of them, whose answers are overdue; failed appends count as unsound; shorter times.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
@@ -53,8 +53,9 @@
 
   private List<Worker> usableWorkers(String service, long nowMillis) {
     List<Worker> usable = new ArrayList<>();
+    SilenceDetector silence = new SilenceDetector(state.workers().values(), nowMillis);
     for (Worker worker : state.workers().values()) {
-      if (usable(worker, service, nowMillis)) {
+      if (usable(worker, service, nowMillis) && !silence.suspects(worker)) {
         usable.add(worker);
       }
     }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
@@ -33,6 +33,7 @@
   private long processedEnd;
   private long recordedEnd;
   private boolean renewalInFlight;
+  private long renewalDueMillis = Long.MAX_VALUE;
   private long nextRenewalAtMillis;
   private int failedRenewals;
   private final Set<String> failedJobs = new HashSet<>();
@@ -168,8 +169,37 @@
     return renewalInFlight;
   }
 
-  void renewalInFlight(boolean inFlight) {
-    renewalInFlight = inFlight;
+  /** Notes that a renewal was sent whose answer is due at a time. */
+  void renewalSent(long dueMillis) {
+    renewalInFlight = true;
+    renewalDueMillis = dueMillis;
+  }
+
+  void renewalOver() {
+    renewalInFlight = false;
+    renewalDueMillis = Long.MAX_VALUE;
+  }
+
+  /**
+   * Returns the time of the oldest sign that the worker does not answer, or {@code Long.MAX_VALUE}:
+   * an answer that is overdue by {@code graceMillis}.
+   */
+  long silentSinceMillis(long nowMillis, long graceMillis) {
+    long since = nowMillis - renewalDueMillis > graceMillis ? renewalDueMillis : Long.MAX_VALUE;
+    for (Placement placement : placements.values()) {
+      boolean open = placement.stage() == Placement.Stage.STARTING && placement.orderSent();
+      if (open && nowMillis - placement.orderedAtMillis() > graceMillis) {
+        since = Math.min(since, placement.orderedAtMillis());
+      }
+      boolean unanswered =
+          placement.stage() == Placement.Stage.UNCERTAIN
+              && placement.uncertainSinceMillis() != Long.MAX_VALUE
+              && placement.uncertainSinceMillis() > lastAnswerAtMillis;
+      if (unanswered) {
+        since = Math.min(since, placement.orderedAtMillis());
+      }
+    }
+    return since;
   }
 
   long nextRenewalAtMillis() {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -83,7 +83,7 @@
     if (worker == null) {
       return;
     }
-    worker.renewalInFlight(false);
+    worker.renewalOver();
     if (report.incarnation() < worker.incarnation()) {
       return;
     }
@@ -180,7 +180,7 @@
     if (worker == null) {
       return;
     }
-    worker.renewalInFlight(false);
+    worker.renewalOver();
     worker.renewalFailed();
     worker.nextRenewalAtMillis(
         worker.failedRenewals() > 1
@@ -277,7 +277,6 @@
 
   private Action.Renew renewal(Worker worker, long nowMillis) {
     CoordinatorSettings settings = state.settings();
-    worker.renewalInFlight(true);
     boolean sure = worker.clockKnown() && worker.failedRenewals() == 0;
     boolean unrecorded = worker.recordedEnd() < worker.processedEnd();
     long waitMillis = sure && !unrecorded ? settings.renewalWaitMillis() : 0;
@@ -286,6 +285,7 @@
       deadlineMillis = worker.clockAt(nowMillis) + settings.maxLeaseMillis();
       worker.deadlineSent(deadlineMillis, settings.maxClockSlowdown());
     }
+    worker.renewalSent(nowMillis + waitMillis);
     return new Action.Renew(
         worker.id(),
         worker.incarnation(),
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
@@ -31,7 +31,7 @@
   private static final long CHECK_MILLIS = 50;
 
   /** Age of the last stored batch from which others watch the journal, in milliseconds. */
-  private static final long UNSOUND_MILLIS = 650;
+  private static final long UNSOUND_MILLIS = 400;
 
   /** Time between two offers to call the advice service, in milliseconds. */
   private static final long OFFER_MILLIS = 800;
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellSettings.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellSettings.java
@@ -23,7 +23,7 @@
     long keyFreshnessMillis) {
 
   /** Settings of the links between instances; silence is noticed within half a lease. */
-  static final PeerSettings PEERS = new PeerSettings(1 << 20, 250, 1_500, 700, 512);
+  static final PeerSettings PEERS = new PeerSettings(1 << 20, 150, 1_500, 700, 512);
 
   /** Returns the address of the peer port, {@code ip:port}. */
   public String peerAddress() {
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
@@ -129,9 +129,9 @@
     replies.forEach(future -> future.complete(reply));
   }
 
-  /** Returns whether a batch was stored within the last {@code millis}. */
+  /** Returns whether the store takes batches, the last one within {@code millis}. */
   boolean storing(long millis) {
-    return running && journal.storedAgeMillis() <= millis;
+    return running && journal.sound(millis);
   }
 
   /** Returns the epoch. */
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/ElectionPolicy.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/ElectionPolicy.java
@@ -12,13 +12,13 @@
 public final class ElectionPolicy {
 
   /** Longest time between two appends of the coordinator, in milliseconds. */
-  public static final long JOURNAL_HEARTBEAT_MILLIS = 300;
+  public static final long JOURNAL_HEARTBEAT_MILLIS = 200;
 
   /** Time without a sound answer from the coordinator after which the journal is watched. */
-  static final long SILENCE_MILLIS = 500;
+  static final long SILENCE_MILLIS = 400;
 
   /** Time without growth after which the journal counts as abandoned, in milliseconds. */
-  static final long ABANDONED_MILLIS = 700;
+  static final long ABANDONED_MILLIS = 450;
 
   private long observedEnd = -1;
   private long unchangedSinceMillis;
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/JournalWriter.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/JournalWriter.java
@@ -15,6 +15,9 @@
   /** Time after which an append that failed is repeated, in milliseconds. */
   private static final long APPEND_RETRY_MILLIS = 50;
 
+  /** Failed attempts in a row after which the store counts as lost. */
+  private static final int FAILURES_UNTIL_UNSOUND = 3;
+
   private final long epoch;
   private final CellStore store;
   private final ScheduledExecutorService loop;
@@ -26,6 +29,7 @@
   private long sequence;
   private long lastStoredAtMillis;
   private long lastAppendAtMillis;
+  private int failuresInARow;
 
   /**
    * Creates the writer of an epoch that was claimed just now.
@@ -70,6 +74,11 @@
     return nowMillis.getAsLong() - lastStoredAtMillis;
   }
 
+  /** Returns whether the store takes appends: none has failed again and one was stored lately. */
+  boolean sound(long maxAgeMillis) {
+    return failuresInARow < FAILURES_UNTIL_UNSOUND && storedAgeMillis() <= maxAgeMillis;
+  }
+
   boolean heartbeatDue() {
     long age = nowMillis.getAsLong() - lastAppendAtMillis;
     return age >= ElectionPolicy.JOURNAL_HEARTBEAT_MILLIS;
@@ -105,6 +114,7 @@
     switch (outcome) {
       case STORED -> {
         open = false;
+        failuresInARow = 0;
         lastStoredAtMillis = sentAtMillis;
         stored.run();
       }
@@ -112,15 +122,17 @@
         running = false;
         fenced.run();
       }
-      case REFUSED, UNKNOWN ->
-          loop.schedule(
-              () -> {
-                if (running) {
-                  attempt(records, stored);
-                }
-              },
-              APPEND_RETRY_MILLIS,
-              TimeUnit.MILLISECONDS);
+      case REFUSED, UNKNOWN -> {
+        failuresInARow++;
+        loop.schedule(
+            () -> {
+              if (running) {
+                attempt(records, stored);
+              }
+            },
+            APPEND_RETRY_MILLIS,
+            TimeUnit.MILLISECONDS);
+      }
       default -> throw new IllegalStateException("unknown outcome " + outcome);
     }
   }
