--- /dev/null
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CellClientTest.java
@@ -0,0 +1,89 @@
+package org.cicadaford.coordinator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import net.jqwik.api.Example;
+import org.cicadaford.wire.PeerMessage;
+
+/** Tests what callers are told while the coordinator changes. */
+class CellClientTest {
+
+  private static final PeerMessage REQUEST = new PeerMessage.PendingCountRequest("q");
+  private static final long TIMEOUT_MILLIS = 2_900;
+
+  private final EmbeddedChannel channel = new EmbeddedChannel();
+  private final Deque<Supplier<CompletableFuture<CellReply>>> routes = new ArrayDeque<>();
+  private long nowMillis;
+
+  private CompletableFuture<CellReply> send() {
+    channel.freezeTime();
+    CellClient client =
+        new CellClient(
+            message -> routes.size() > 1 ? routes.poll().get() : routes.peek().get(),
+            channel.eventLoop(),
+            () -> nowMillis);
+    return client.send(REQUEST, TIMEOUT_MILLIS);
+  }
+
+  private void pass(long millis) {
+    for (long step = 0; step < millis; step += 10) {
+      nowMillis += 10;
+      channel.advanceTimeBy(10, TimeUnit.MILLISECONDS);
+      channel.runScheduledPendingTasks();
+      channel.runPendingTasks();
+    }
+  }
+
+  private static Supplier<CompletableFuture<CellReply>> reply(CellOutcome outcome) {
+    return () -> CompletableFuture.completedFuture(CellReply.of(outcome, "test"));
+  }
+
+  /** Guards against a request that is held until its deadline though nobody can serve it. */
+  @Example
+  void requestWithoutCoordinatorIsRefusedSoon() {
+    routes.add(() -> null);
+    CompletableFuture<CellReply> result = send();
+    pass(400);
+    assertThat(result.join().outcome()).isEqualTo(CellOutcome.REFUSED);
+    assertThat(result.join().retryAfterMillis()).isPositive();
+  }
+
+  /** Guards against "not run" being said of a request that may have been done. */
+  @Example
+  void requestThatMayBeDoneIsNotRefused() {
+    routes.add(reply(CellOutcome.UNKNOWN));
+    routes.add(reply(CellOutcome.REFUSED));
+    CompletableFuture<CellReply> result = send();
+    pass(TIMEOUT_MILLIS - 200);
+    assertThat(result).isNotDone();
+    pass(400);
+    assertThat(result.join().outcome()).isEqualTo(CellOutcome.UNKNOWN);
+  }
+
+  /** Guards against an answer that is lost with the coordinator that was replaced. */
+  @Example
+  void lostRequestIsAskedAgainOfTheNextCoordinator() {
+    routes.add(reply(CellOutcome.UNKNOWN));
+    routes.add(reply(CellOutcome.NOT_COORDINATOR));
+    routes.add(reply(CellOutcome.DONE));
+    CompletableFuture<CellReply> result = send();
+    pass(400);
+    assertThat(result.join().outcome()).isEqualTo(CellOutcome.DONE);
+  }
+
+  /** Guards against a request that waits for ever on a connection that has gone silent. */
+  @Example
+  void silentAttemptIsGivenUp() {
+    routes.add(CompletableFuture::new);
+    routes.add(reply(CellOutcome.DONE));
+    CompletableFuture<CellReply> result = send();
+    pass(1_500);
+    assertThat(result.join().outcome()).isEqualTo(CellOutcome.DONE);
+  }
+}
--- /dev/null
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/ConfigHolderTest.java
@@ -0,0 +1,45 @@
+package org.cicadaford.coordinator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import net.jqwik.api.Example;
+import org.cicadaford.cell.CellConfig;
+import org.cicadaford.cell.Moment;
+
+/** Tests that a process never goes back in its configuration, and knows its age. */
+class ConfigHolderTest {
+
+  private static CellDirectory.Published version(long number, String... zonesOut) {
+    return new CellDirectory.Published(
+        new CellConfig(number, List.of(), List.of(), 0), Set.of(zonesOut));
+  }
+
+  /** Guards against an older version that a late answer brings. */
+  @Example
+  void olderVersionIsNotTaken() {
+    ConfigHolder holder = new ConfigHolder();
+    holder.take(version(5), new Moment(0, 0));
+    assertThat(holder.take(version(3), new Moment(10, 10))).isFalse();
+    assertThat(holder.published().config().version()).isEqualTo(5);
+  }
+
+  /** Guards against a zone taken out that is overlooked when the version stays the same. */
+  @Example
+  void changeOfZonesIsAChange() {
+    ConfigHolder holder = new ConfigHolder();
+    holder.take(version(5), new Moment(0, 0));
+    assertThat(holder.take(version(5, "kolkata"), new Moment(10, 10))).isTrue();
+  }
+
+  /** Guards against keys that work too long after the instance was suspended, or its clock set. */
+  @Example
+  void ageIsTheLargerOfBothClocks() {
+    ConfigHolder holder = new ConfigHolder();
+    assertThat(holder.ageMillis(new Moment(0, 0))).isEqualTo(Long.MAX_VALUE);
+    holder.take(version(5), new Moment(1_000, 50_000));
+    assertThat(holder.ageMillis(new Moment(1_500, 58_000))).isEqualTo(8_000);
+    assertThat(holder.ageMillis(new Moment(4_000, 47_000))).isEqualTo(3_000);
+  }
+}
--- /dev/null
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/ElectionPolicyTest.java
@@ -0,0 +1,64 @@
+package org.cicadaford.coordinator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import net.jqwik.api.Example;
+
+/** Tests when the role of the coordinator is claimed. */
+class ElectionPolicyTest {
+
+  private static final Leadership OTHER = new Leadership(7, "other", "10.0.0.1:7000");
+
+  private static ElectionPolicy following() {
+    ElectionPolicy policy = new ElectionPolicy();
+    policy.announced(OTHER, 0);
+    policy.coordinatorSound(0);
+    return policy;
+  }
+
+  /** Guards against an instance that is cut off replacing a coordinator that works. */
+  @Example
+  void coordinatorThatStillAppendsIsNotReplaced() {
+    ElectionPolicy policy = following();
+    for (long now = 0; now < 20_000; now += 50) {
+      long end = now / ElectionPolicy.JOURNAL_HEARTBEAT_MILLIS;
+      policy.coordinatorUnsound();
+      policy.observed(end, now, now + 5);
+      assertThat(policy.claimableEnd(now + 5, 0)).isEqualTo(-1);
+    }
+  }
+
+  /** Guards against a cell that stays without a coordinator after it was killed. */
+  @Example
+  void abandonedJournalIsClaimedAtItsEnd() {
+    ElectionPolicy policy = following();
+    long now = ElectionPolicy.SILENCE_MILLIS;
+    assertThat(policy.wantsObservation(now - 1)).isFalse();
+    assertThat(policy.wantsObservation(now)).isTrue();
+    policy.observed(41, now, now);
+    assertThat(policy.claimableEnd(now + ElectionPolicy.ABANDONED_MILLIS - 1, 0)).isEqualTo(-1);
+    assertThat(policy.claimableEnd(now + ElectionPolicy.ABANDONED_MILLIS, 0)).isEqualTo(41);
+  }
+
+  /** Guards against waiting for a coordinator that has resigned or was restarted. */
+  @Example
+  void vacantRoleIsClaimedAtOnce() {
+    ElectionPolicy policy = following();
+    policy.coordinatorGone();
+    policy.observed(41, 10, 12);
+    assertThat(policy.claimableEnd(12, 0)).isEqualTo(41);
+    assertThat(policy.claimableEnd(12, 30)).isEqualTo(-1);
+    assertThat(policy.claimableEnd(42, 30)).isEqualTo(41);
+  }
+
+  /** Guards against a slow store making a working coordinator look dead. */
+  @Example
+  void slowStoreDelaysTheClaim() {
+    ElectionPolicy policy = following();
+    policy.coordinatorUnsound();
+    policy.observed(41, 0, 240);
+    long needed = 240 + ElectionPolicy.ABANDONED_MILLIS + 2 * 240;
+    assertThat(policy.claimableEnd(needed - 1, 0)).isEqualTo(-1);
+    assertThat(policy.claimableEnd(needed, 0)).isEqualTo(41);
+  }
+}
--- /dev/null
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/JournalWriterTest.java
@@ -0,0 +1,85 @@
+package org.cicadaford.coordinator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.Example;
+import org.cicadaford.cell.RecordWrite;
+
+/** Tests that each batch takes effect once, and that a replaced coordinator stops. */
+class JournalWriterTest {
+
+  private static final List<RecordWrite> RECORDS = List.of(new RecordWrite("k", new byte[] {1}));
+
+  private final EmbeddedChannel channel = new EmbeddedChannel();
+  private final List<Long> sequences = new ArrayList<>();
+  private final List<AppendOutcome> outcomes = new ArrayList<>();
+  private int storedCount;
+  private int fencedCount;
+  private long nowMillis;
+
+  private JournalWriter writer() {
+    channel.freezeTime();
+    CellStore store =
+        new UnusedCellStore() {
+          @Override
+          public CompletableFuture<AppendOutcome> append(
+              long epoch, long sequence, List<RecordWrite> records) {
+            sequences.add(sequence);
+            return CompletableFuture.completedFuture(outcomes.remove(0));
+          }
+        };
+    return new JournalWriter(
+        3, store, channel.eventLoop(), () -> nowMillis, new CellMetrics(), () -> fencedCount++);
+  }
+
+  private void pass(long millis) {
+    nowMillis += millis;
+    channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+    channel.runScheduledPendingTasks();
+  }
+
+  /** Guards against a batch stored twice, or under two numbers, when its answer was lost. */
+  @Example
+  void lostAppendIsRepeatedWithItsNumber() {
+    outcomes.addAll(List.of(AppendOutcome.UNKNOWN, AppendOutcome.REFUSED, AppendOutcome.STORED));
+    JournalWriter writer = writer();
+    writer.write(RECORDS, () -> storedCount++);
+    assertThat(writer.open()).isTrue();
+    pass(60);
+    pass(60);
+    assertThat(sequences).containsExactly(1L, 1L, 1L);
+    assertThat(storedCount).isEqualTo(1);
+    assertThat(writer.open()).isFalse();
+  }
+
+  /** Guards against a replaced coordinator that goes on to act on its batches. */
+  @Example
+  void fencedWriterStops() {
+    outcomes.add(AppendOutcome.FENCED);
+    JournalWriter writer = writer();
+    writer.write(RECORDS, () -> storedCount++);
+    pass(500);
+    assertThat(fencedCount).isEqualTo(1);
+    assertThat(storedCount).isZero();
+    assertThat(sequences).hasSize(1);
+  }
+
+  /** Guards against a coordinator that counts as sound while the store refuses its appends. */
+  @Example
+  void repeatedFailuresAreUnsound() {
+    for (int attempt = 0; attempt < 4; attempt++) {
+      outcomes.add(AppendOutcome.REFUSED);
+    }
+    JournalWriter writer = writer();
+    assertThat(writer.sound(1_000)).isTrue();
+    writer.write(RECORDS, () -> storedCount++);
+    pass(60);
+    pass(60);
+    assertThat(writer.sound(1_000)).isFalse();
+  }
+}
