--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -171,7 +171,10 @@
         placement.task().step().tickets().remove(workerId);
         ends.lost(placement, now);
       }
-      case NO_ROOM, NOT_STARTED -> ends.lost(placement, now);
+      case NO_ROOM, NOT_STARTED -> {
+        placement.worker().turnedDown(nowMillis);
+        ends.lost(placement, now);
+      }
       case FENCED, UNKNOWN -> {
         placement.uncertain(nowMillis);
         placement.worker().nextRenewalAtMillis(nowMillis);
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Task.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Task.java
@@ -63,9 +63,14 @@
     return checkpoint;
   }
 
+  /** Takes a checkpoint; the members of a gang resume from the same one. */
   void checkpoint(String newCheckpoint) {
-    if (!newCheckpoint.isEmpty()) {
-      checkpoint = newCheckpoint;
+    if (newCheckpoint.isEmpty()) {
+      return;
+    }
+    checkpoint = newCheckpoint;
+    if (step.spec().gang()) {
+      step.tasks().forEach(member -> member.checkpoint = newCheckpoint);
     }
   }
 
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
@@ -18,6 +18,9 @@
   /** Longest time without tasks, in milliseconds. */
   private static final long MAX_QUARANTINE_MILLIS = 16_000;
 
+  /** Time without new tasks after a start was turned down, in milliseconds. */
+  private static final long PAUSE_MILLIS = 500;
+
   private final String id;
   private long incarnation;
   private ListedWorker listing;
@@ -39,6 +42,7 @@
   private final Set<String> failedJobs = new HashSet<>();
   private long quarantinedUntilMillis = Long.MIN_VALUE;
   private long quarantineMillis;
+  private long pausedUntilMillis = Long.MIN_VALUE;
 
   Worker(String id, long incarnation) {
     this.id = id;
@@ -235,8 +239,13 @@
     }
   }
 
+  /** Keeps tasks away after the worker has turned down a start. */
+  void turnedDown(long nowMillis) {
+    pausedUntilMillis = nowMillis + PAUSE_MILLIS;
+  }
+
   boolean quarantined(long nowMillis) {
-    return nowMillis < quarantinedUntilMillis;
+    return nowMillis < quarantinedUntilMillis || nowMillis < pausedUntilMillis;
   }
 
   /** Returns the number of different jobs that failed since the last success. */
