Send fewer heartbeats to advisers, and name the count of all pending jobs

Cause: the coordinator's links to advisers carried a heartbeat each 150 ms in both directions, though a lost one costs only a repeated call.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Decides for a whole cell: takes jobs, places their tasks, follows workers and records results.
@@ -95,7 +96,7 @@
       state.afterwards().add(new Action.ConfirmSubmission(jobId));
       return new AdmissionDecision.Storing();
     }
-    if (pendingCount(null) >= AdmissionPolicy.MAX_PENDING_JOBS) {
+    if (countPending(job -> true) >= AdmissionPolicy.MAX_PENDING_JOBS) {
       return new AdmissionDecision.Refused(
           "too many jobs are waiting", AdmissionPolicy.RETRY_AFTER_MILLIS);
     }
@@ -139,12 +140,16 @@
     return Optional.of(new JobView(job.team(), job.queueName(), job.storedPhase()));
   }
 
-  /** Returns the number of accepted jobs of a queue without a start; null means of all queues. */
+  /** Returns the number of accepted jobs of a queue without a start. */
   public int pendingCount(String queueName) {
+    return countPending(job -> job.queueName().equals(queueName));
+  }
+
+  private int countPending(Predicate<Job> counted) {
     int count = 0;
     for (Job job : state.jobs().values()) {
-      boolean counted = queueName == null || job.queueName().equals(queueName);
-      if (counted && job.stored() && job.storedPhase() == JobPhase.PENDING) {
+      boolean pending = job.stored() && job.storedPhase() == JobPhase.PENDING;
+      if (pending && counted.test(job)) {
         count++;
       }
     }
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
@@ -364,7 +364,7 @@
     metrics.state("coordinator", 1);
     advisors =
         new AdvisorPool(
-            self, advice, CellSettings.PEERS, loop, loop, this::heartbeat, this::nowMillis);
+            self, advice, CellSettings.ADVISERS, loop, loop, this::heartbeat, this::nowMillis);
     coordinator =
         new CoordinatorService(
             epoch,
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellSettings.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellSettings.java
@@ -25,6 +25,9 @@
   /** Settings of the links between instances; silence is noticed within half a lease. */
   static final PeerSettings PEERS = new PeerSettings(1 << 20, 150, 1_500, 700, 512);
 
+  /** Settings of the coordinator's links to advisers; a lost one only costs a repeated call. */
+  static final PeerSettings ADVISERS = new PeerSettings(1 << 20, 1_000, 4_000, 700, 512);
+
   /** Returns the address of the peer port, {@code ip:port}. */
   public String peerAddress() {
     return peerHost + ":" + peerPort;
