--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
@@ -107,7 +107,9 @@
         new ConfigFollower(directory, config, loop, clock, log, this::configChanged);
     this.leadershipFollower = new LeadershipFollower(store, loop, this::announced);
     this.client = new CellClient(this::route, loop, this::nowMillis);
-    this.candidate = new CoordinatorCandidate(store, this::nowMillis, metrics, log, this::load);
+    this.candidate =
+        new CoordinatorCandidate(
+            store, this::nowMillis, metrics, log, settings.claimDelayMillis(), this::load);
   }
 
   /**
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellSettings.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellSettings.java
@@ -11,6 +11,8 @@
  * @param peerPort port for other instances
  * @param maxLeaseMillis longest lease of a worker, in milliseconds
  * @param keepEndedMillis time for which ended jobs are kept, in milliseconds
+ * @param processorCores processor time that the instance has, in cores
+ * @param linkMegabits bandwidth of its link, in megabits a second
  * @param keyFreshnessMillis age of the configuration from which keys are no longer accepted
  */
 public record CellSettings(
@@ -20,14 +22,34 @@
     int peerPort,
     long maxLeaseMillis,
     long keepEndedMillis,
+    double processorCores,
+    double linkMegabits,
     long keyFreshnessMillis) {
 
+  /** Processor time from which an instance is fit to be the coordinator, in cores. */
+  private static final double FIT_CORES = 0.7;
+
+  /**
+   * Bandwidth from which an instance is fit to be the coordinator, in megabits a second. Loading 3
+   * MB of records then takes half a second.
+   */
+  private static final double FIT_MEGABITS = 50;
+
+  /** Time that an instance that is not fit leaves to the others to claim, in milliseconds. */
+  private static final long UNFIT_DELAY_MILLIS = 500;
+
   /** Settings of the links between instances; silence is noticed within half a lease. */
   static final PeerSettings PEERS = new PeerSettings(1 << 20, 150, 1_500, 700, 512);
 
   /** Settings of the coordinator's links to advisers; a lost one only costs a repeated call. */
   static final PeerSettings ADVISERS = new PeerSettings(1 << 20, 1_000, 4_000, 700, 512);
 
+  /** Returns the time that this instance waits before it claims the role of the coordinator. */
+  long claimDelayMillis() {
+    boolean fit = processorCores >= FIT_CORES && linkMegabits >= FIT_MEGABITS;
+    return fit ? 0 : UNFIT_DELAY_MILLIS;
+  }
+
   /** Returns the address of the peer port, {@code ip:port}. */
   public String peerAddress() {
     return peerHost + ":" + peerPort;
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorCandidate.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorCandidate.java
@@ -24,22 +24,34 @@
   private final Random random = new Random();
   private boolean observing;
   private boolean claiming;
+  private final long ownDelayMillis;
   private long claimDelayMillis;
   private long highestEpoch;
 
-  /** Creates a candidate; {@code claimed} takes the epoch of a claim that was successful. */
+  /**
+   * Creates a candidate.
+   *
+   * @param ownDelayMillis time that this instance leaves to others before it claims
+   * @param claimed takes the epoch of a claim that was successful
+   */
   CoordinatorCandidate(
       CellStore store,
       LongSupplier nowMillis,
       CellMetrics metrics,
       DecisionLog log,
+      long ownDelayMillis,
       LongConsumer claimed) {
     this.store = store;
     this.nowMillis = nowMillis;
     this.metrics = metrics;
     this.log = log;
     this.claimed = claimed;
-    this.claimDelayMillis = random.nextInt(CLAIM_DELAY_BOUND_MILLIS);
+    this.ownDelayMillis = ownDelayMillis;
+    this.claimDelayMillis = drawDelay();
+  }
+
+  private long drawDelay() {
+    return ownDelayMillis + random.nextInt(CLAIM_DELAY_BOUND_MILLIS);
   }
 
   ElectionPolicy election() {
@@ -88,7 +100,7 @@
 
   private void claim(long end) {
     claiming = true;
-    claimDelayMillis = random.nextInt(CLAIM_DELAY_BOUND_MILLIS);
+    claimDelayMillis = drawDelay();
     long epoch = highestEpoch + 1 + random.nextInt(EPOCH_SPREAD);
     highestEpoch = epoch;
     long askedAtMillis = nowMillis.getAsLong();
