Make claims unique, and never keep work waiting by quarantine or old advice

Two ways to it exist and are mended, each with a test that failed before: quarantine of up to 16 s, which tasks that had failed could not end, and advice that names no worker once. Which of the two it was is open; steps that wait are now logged with what keeps them (category waiting).

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Action.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Action.java
@@ -69,4 +69,11 @@
    * @param ageMillis time since its acceptance, in milliseconds
    */
   record ReportEnd(String jobId, JobPhase phase, long ageMillis) implements Action {}
+
+  /**
+   * Tells that a step waits.
+   *
+   * @param inputs what keeps it from being placed, as {@code name=value} pairs
+   */
+  record ReportWaiting(String step, String inputs) implements Action {}
 }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
@@ -20,6 +20,12 @@
   /** Time that is left of a ticket when its renewal arrives, in milliseconds. */
   private static final long RENEWAL_MARGIN_MILLIS = 250;
 
+  /** Time after which all workers are asked about again when none may run a step. */
+  private static final long ASK_AGAIN_MILLIS = 1_000;
+
+  /** Time between two reports on a step that waits, in milliseconds. */
+  private static final long REPORT_MILLIS = 3_000;
+
   /** Room that is reserved for a waiting gang, as a multiple of what it needs. */
   private static final int RESERVATION_FACTOR = 2;
 
@@ -97,6 +103,9 @@
         labelled.stream().filter(worker -> !reservation.holds(worker, priority)).toList();
     boolean placed =
         spec.gang() ? placeGang(step, candidates, now) : placeTasks(step, candidates, now);
+    if (step.startable() && step.reportDue(now.steadyMillis(), REPORT_MILLIS)) {
+      report(step, labelled, candidates, now);
+    }
     if (!placed) {
       askAdvice(step, labelled, now);
       if (spec.gang()) {
@@ -105,6 +114,32 @@
     }
   }
 
+  /** Tells why a step waits, so that the cause can be found in the logs. */
+  private void report(StepRun step, List<Worker> labelled, List<Worker> candidates, Moment now) {
+    Resources demand = step.spec().reservation();
+    long withRoom = labelled.stream().filter(w -> demand.fitsIn(w.free())).count();
+    long good = labelled.stream().filter(w -> step.tickets().containsKey(w.id())).count();
+    long valid = labelled.stream().filter(w -> permitted(step, w, now)).count();
+    String inputs =
+        "usable="
+            + labelled.size()
+            + " unreserved="
+            + candidates.size()
+            + " with_room="
+            + withRoom
+            + " advised="
+            + good
+            + " ticket_valid="
+            + valid
+            + " advised_against="
+            + step.advisedAgainst().size()
+            + " asking="
+            + step.adviceInFlight()
+            + " within_limit="
+            + withinLimit(step, 1);
+    state.actions().add(new Action.ReportWaiting(step.name(), inputs));
+  }
+
   /**
    * Asks for the advice that a waiting step lacks.
    *
@@ -122,6 +157,12 @@
     if (named.isEmpty()) {
       named = unknownWithRoom(step, labelled);
     }
+    boolean noneKnown = labelled.stream().noneMatch(w -> step.tickets().containsKey(w.id()));
+    if (named.isEmpty() && noneKnown && now.steadyMillis() >= step.adviceRetryAtMillis()) {
+      // No worker is left that may run the step, so the earlier advice is not relied on.
+      step.advisedAgainst().clear();
+      step.adviceRetryAtMillis(now.steadyMillis() + ASK_AGAIN_MILLIS);
+    }
     advice.ask(step, policy, advice.toName(step, named, limit), now.steadyMillis());
   }
 
@@ -239,10 +280,10 @@
   private boolean fits(Task task, Worker worker, long placedThere, Resources free, Moment now) {
     StepSpec spec = task.step().spec();
     boolean spread = spec.maxTasksPerWorker() <= 0 || placedThere < spec.maxTasksPerWorker();
-    boolean probing = worker.failuresInARow() > 0 && worker.free().equals(free);
+    // After several failures in a row a worker has to prove itself with one step at a time.
     boolean trusted =
         worker.failuresInARow() < Worker.FAILURES_BEFORE_QUARANTINE
-            || (probing && worker.placements().isEmpty() && task.failedCount() == 0);
+            || worker.placements().isEmpty();
     return spread
         && trusted
         && spec.reservation().fitsIn(free)
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
@@ -19,6 +19,7 @@
   private final Set<String> advisedAgainst = new HashSet<>();
   private boolean adviceInFlight;
   private long adviceRetryAtMillis;
+  private long nextReportMillis;
   private int countedFailureRun;
 
   StepRun(Job job, int occurrence, int index) {
@@ -102,6 +103,18 @@
     return advisedAgainst;
   }
 
+  /** Returns whether the step has waited for a while since it was first tried or last reported. */
+  boolean reportDue(long nowMillis, long intervalMillis) {
+    if (nextReportMillis == 0) {
+      nextReportMillis = nowMillis + intervalMillis;
+    }
+    if (nowMillis < nextReportMillis) {
+      return false;
+    }
+    nextReportMillis = nowMillis + intervalMillis;
+    return true;
+  }
+
   boolean adviceInFlight() {
     return adviceInFlight;
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
@@ -13,10 +13,13 @@
   static final int FAILURES_BEFORE_QUARANTINE = 3;
 
   /** First time without tasks, in milliseconds; it doubles with each further failure. */
-  private static final long FIRST_QUARANTINE_MILLIS = 2_000;
+  private static final long FIRST_QUARANTINE_MILLIS = 1_000;
 
-  /** Longest time without tasks, in milliseconds. */
-  private static final long MAX_QUARANTINE_MILLIS = 16_000;
+  /**
+   * Longest time without tasks, in milliseconds. It is under the 3 s for which work may wait while
+   * there is room, as all workers that may run a step can be in quarantine at once.
+   */
+  private static final long MAX_QUARANTINE_MILLIS = 2_000;
 
   /** Time without new tasks after a start was turned down, in milliseconds. */
   private static final long PAUSE_MILLIS = 500;
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorTest.java
@@ -176,6 +176,38 @@
     assertThat(inTime).isGreaterThanOrEqualTo(16);
   }
 
+  /** Guards against a step that waits for ever because one call for advice named no worker. */
+  @Example
+  void adviceThatNamesNoWorkerIsAskedForAgain() {
+    SimulatedCell cell =
+        new SimulatedCell(
+            18, SimulatedJobs.config(Resources.NONE, new AdvicePolicy(20, 1, 2_500)), 3);
+    cell.emptyAdvice = 2;
+    SimulatedJobs.job("advised", SimulatedJobs.step(2, 1_000, 300, false));
+    cell.submit("advised", "team", SimulatedJobs.specOf("advised"));
+    cell.run(6_000);
+    assertThat(cell.coordinator.job("advised").orElseThrow().phase()).isEqualTo(JobPhase.COMPLETED);
+  }
+
+  /**
+   * Guards against a task that waits for ever since all workers have failed others: a task that has
+   * failed itself was kept from workers with failures in a row, even while they were idle.
+   */
+  @Example
+  void taskThatHasFailedRunsAgainOnWorkersThatHaveFailedOthers() {
+    SimulatedCell cell = cell(19, 2);
+    cell.faults = new SimulatedCell.Faults(0, 0, 1);
+    for (int index = 0; index < 8; index++) {
+      String id = "bad" + index;
+      SimulatedJobs.job(id, SimulatedJobs.step(1, 1_000, 100, false));
+      cell.submit(id, "team", SimulatedJobs.specOf(id));
+      cell.run(60);
+    }
+    cell.run(60_000);
+    assertThat(cell.ended).hasSize(8);
+    assertThat(cell.violations).isEmpty();
+  }
+
   /** Guards against a team that runs more than its limit. */
   @Example
   void teamStaysWithinItsLimit() {
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
@@ -46,6 +46,10 @@
   private final CellConfig config;
   Faults faults = Faults.NONE;
   boolean storeDown;
+
+  /** Number of the next calls for advice that name no worker. */
+  int emptyAdvice;
+
   long nowMillis = 1_000;
   Coordinator coordinator;
   private long epoch;
@@ -165,6 +169,7 @@
       case Action.StopTask stop -> stop(stop, sender, sentEpoch);
       case Action.Renew renew -> renew(renew, sender, sentEpoch);
       case Action.AskAdvice ask -> advise(ask, sender);
+      case Action.ReportWaiting waiting -> trace(waiting.step(), waiting.inputs());
       case Action.ReportEnd end -> ended.put(end.jobId(), end.ageMillis());
       case Action.ConfirmSubmission(String jobId) -> accepted.put(jobId, null);
       case Action.ConfirmCancellation(String jobId) -> cancelled.putIfAbsent(jobId, nowMillis);
@@ -336,7 +341,11 @@
         () -> {
           if (sender == coordinator) {
             Map<String, String> tickets = new HashMap<>();
-            ask.workerIds().forEach(id -> tickets.put(id, "t"));
+            if (emptyAdvice > 0) {
+              emptyAdvice--;
+            } else {
+              ask.workerIds().forEach(id -> tickets.put(id, "t"));
+            }
             sender.adviceAnswered(ask.callId(), tickets, 2_500, moment());
           }
         });
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorCandidate.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorCandidate.java
@@ -12,8 +12,11 @@
   /** Largest random delay of a claim, in milliseconds. */
   private static final int CLAIM_DELAY_BOUND_MILLIS = 150;
 
-  /** Range of the random part of an epoch, so that two claims hardly ever use the same one. */
-  private static final int EPOCH_SPREAD = 64;
+  /**
+   * Range of the random part of an epoch, so that two claims hardly ever use the same one. With 64,
+   * two instances that started together shared an epoch on 5 of 80 hunted days.
+   */
+  private static final int EPOCH_SPREAD = 1 << 20;
 
   private final CellStore store;
   private final LongSupplier nowMillis;
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
@@ -322,6 +322,8 @@
       case Action.AskAdvice ask -> sender.ask(ask);
       case Action.ReportEnd(String jobId, JobPhase phase, long ageMillis) ->
           log.decision("end", jobId, phase.name(), "age_ms=" + ageMillis + " epoch=" + epoch);
+      case Action.ReportWaiting(String step, String inputs) ->
+          log.decision("waiting", step, "not-placed", inputs);
       case Action.ConfirmSubmission(String jobId) -> confirm(submissions, jobId, "accept");
       case Action.ConfirmCancellation(String jobId) -> confirm(cancellations, jobId, "cancel");
     }
