--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Batch.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Batch.java
@@ -8,10 +8,4 @@
  * @param writes records to store, all or none
  * @param afterwards actions that rely on the records
  */
-public record Batch(List<RecordWrite> writes, List<Action> afterwards) {
-
-  /** Returns whether there is nothing to do. */
-  public boolean isEmpty() {
-    return writes.isEmpty() && afterwards.isEmpty();
-  }
-}
+public record Batch(List<RecordWrite> writes, List<Action> afterwards) {}
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
@@ -154,10 +154,6 @@
     }
   }
 
-  int progressPercent() {
-    return progressPercent;
-  }
-
   long progressAtMillis() {
     return progressAtMillis;
   }
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellSettings.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellSettings.java
@@ -26,6 +26,9 @@
     double linkMegabits,
     long keyFreshnessMillis) {
 
+  /** Part of the bound on withdrawn keys for which keys are accepted without a confirmation. */
+  private static final double KEY_FRESHNESS_PART = 0.75;
+
   /** Processor time from which an instance is fit to be the coordinator, in cores. */
   private static final double FIT_CORES = 0.7;
 
@@ -50,6 +53,14 @@
     return fit ? 0 : UNFIT_DELAY_MILLIS;
   }
 
+  /**
+   * Returns the age of the configuration up to which keys are accepted, for a bound on the use of a
+   * withdrawn key.
+   */
+  public static long keyFreshnessMillis(long revokeMillis) {
+    return (long) (revokeMillis * KEY_FRESHNESS_PART);
+  }
+
   /** Returns the address of the peer port, {@code ip:port}. */
   public String peerAddress() {
     return peerHost + ":" + peerPort;
--- a/platform/src/main/java/org/cicadaford/adapter/HttpClient.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/http/HttpClient.java
@@ -1,4 +1,4 @@
-package org.cicadaford.adapter;
+package org.cicadaford.coordinator.http;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -37,7 +37,7 @@
  * closed together with the idle ones to that address, since something between the two ends may have
  * lost track of them. All methods are called on the event loop, and futures complete on it.
  */
-final class HttpClient {
+public final class HttpClient {
 
   private static final int CONNECT_TIMEOUT_MILLIS = 700;
 
@@ -50,7 +50,8 @@
   private final EventLoop loop;
   private final Map<String, Deque<Connection>> idleByAddress = new HashMap<>();
 
-  HttpClient(EventLoop loop) {
+  /** Creates a client whose calls and answers are on {@code loop}. */
+  public HttpClient(EventLoop loop) {
     this.loop = loop;
   }
 
@@ -59,7 +60,7 @@
    *
    * @param headers names and values by turns
    */
-  CompletableFuture<HttpAnswer> send(
+  public CompletableFuture<HttpAnswer> send(
       String address,
       HttpMethod method,
       String uri,
@@ -148,7 +149,7 @@
   }
 
   /** Closes all idle connections. */
-  void stop() {
+  public void stop() {
     idleByAddress.values().forEach(idle -> idle.forEach(c -> c.channel.close()));
     idleByAddress.clear();
   }
--- a/platform/src/main/java/org/cicadaford/adapter/HttpFailure.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/http/HttpFailure.java
@@ -1,7 +1,7 @@
-package org.cicadaford.adapter;
+package org.cicadaford.coordinator.http;
 
 /** Signals that a request got no whole answer. */
-final class HttpFailure extends Exception {
+public final class HttpFailure extends Exception {
 
   private static final long serialVersionUID = 1L;
 
@@ -22,7 +22,7 @@
   }
 
   /** Returns whether a request that failed in this way may have been received. */
-  static boolean maybeSent(Throwable failure) {
+  public static boolean maybeSent(Throwable failure) {
     Throwable cause =
         failure instanceof java.util.concurrent.CompletionException ? failure.getCause() : failure;
     return !(cause instanceof HttpFailure http) || http.sent();
--- a/platform/src/main/java/org/cicadaford/adapter/HttpListener.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/http/HttpListener.java
@@ -1,4 +1,4 @@
-package org.cicadaford.adapter;
+package org.cicadaford.coordinator.http;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -14,7 +14,7 @@
 import org.cicadaford.coordinator.PeerAddress;
 
 /** Listens for HTTP requests on one address. */
-final class HttpListener {
+public final class HttpListener {
 
   private static final int BACKLOG = 512;
 
@@ -25,14 +25,19 @@
   private Channel channel;
 
   /** Creates a listener; {@code handler} is shared by all connections. */
-  HttpListener(String address, int maxBodyBytes, ChannelHandler handler, EventLoop loop) {
+  public HttpListener(String address, int maxBodyBytes, ChannelHandler handler, EventLoop loop) {
     this.address = address;
     this.maxBodyBytes = maxBodyBytes;
     this.handler = handler;
     this.loop = loop;
   }
 
-  void start() throws IOException {
+  /**
+   * Starts to listen.
+   *
+   * @throws IOException if the address cannot be bound
+   */
+  public void start() throws IOException {
     var bound =
         new ServerBootstrap()
             .group(loop)
@@ -57,7 +62,8 @@
     channel = bound.channel();
   }
 
-  void stop() {
+  /** Stops listening; accepted connections stay. */
+  public void stop() {
     if (channel != null) {
       channel.close();
     }
--- a/platform/src/main/java/org/cicadaford/adapter/DirectLogConfiguration.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/process/DirectLogConfiguration.java
@@ -1,4 +1,4 @@
-package org.cicadaford.adapter;
+package org.cicadaford.coordinator.process;
 
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.core.LoggerContext;
--- a/platform/src/main/java/org/cicadaford/adapter/DirectLogContextFactory.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/process/DirectLogContextFactory.java
@@ -1,4 +1,4 @@
-package org.cicadaford.adapter;
+package org.cicadaford.coordinator.process;
 
 import java.net.URI;
 import org.apache.logging.log4j.core.LoggerContext;
--- a/platform/src/main/java/org/cicadaford/adapter/JsonLineLayout.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/process/JsonLineLayout.java
@@ -1,5 +1,6 @@
-package org.cicadaford.adapter;
+package org.cicadaford.coordinator.process;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.PrintWriter;
 import java.io.StringWriter;
@@ -12,13 +13,15 @@
 /** Writes each event as one line of JSON. */
 final class JsonLineLayout extends AbstractStringLayout {
 
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
   JsonLineLayout(Configuration configuration) {
     super(configuration, StandardCharsets.UTF_8, null, null);
   }
 
   @Override
   public String toSerializable(LogEvent event) {
-    ObjectNode line = Json.object();
+    ObjectNode line = MAPPER.createObjectNode();
     line.put("time", Instant.ofEpochMilli(event.getTimeMillis()).toString());
     line.put("level", event.getLevel().name());
     line.put("logger", event.getLoggerName());
@@ -28,6 +31,6 @@
       event.getThrown().printStackTrace(new PrintWriter(stackTrace));
       line.put("exception", stackTrace.toString());
     }
-    return new String(Json.write(line), StandardCharsets.UTF_8) + "\n";
+    return line + "\n";
   }
 }
--- a/platform/src/main/java/org/cicadaford/adapter/Signals.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/process/Signals.java
@@ -1,4 +1,4 @@
-package org.cicadaford.adapter;
+package org.cicadaford.coordinator.process;
 
 import java.lang.reflect.InvocationHandler;
 import java.lang.reflect.Proxy;
@@ -8,12 +8,12 @@
  *
  * <p>The JDK's class for it is not part of the platform API, so it is used by reflection.
  */
-final class Signals {
+public final class Signals {
 
   private Signals() {}
 
   /** Runs {@code action} on each signal of that name, for example {@code TERM}. */
-  static void handle(String name, Runnable action) {
+  public static void handle(String name, Runnable action) {
     try {
       Class<?> signalType = Class.forName("sun.misc.Signal");
       Class<?> handlerType = Class.forName("sun.misc.SignalHandler");
--- /dev/null
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/process/package-info.java
@@ -0,0 +1,2 @@
+/** Signals and logs of a process. */
+package org.cicadaford.coordinator.process;
