Shorten the restart of a cell daemon, and let only connected instances give advice

Log4j's core loads all plug-ins, reflection and Netty generate method handles at each start, claims wait for 50 ms checks, and advice was asked of instances whose link was not yet connected. Ruled out: -XX:AOTCache (clashes with -Xshare:auto), the compiler (TieredStopAtLevel=0 gives the same), the relocation of the archive (no difference).

--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/AdvisorPool.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/AdvisorPool.java
@@ -72,7 +72,7 @@
     advisors.put(offer.instanceId(), new Advisor(link, offer.address(), now));
   }
 
-  /** Returns the instances that can be asked now. */
+  /** Returns the instances that can be asked now: their offer is recent and they are connected. */
   public Set<String> ids() {
     long now = nowMillis.getAsLong();
     Set<String> ids = new HashSet<>();
@@ -84,7 +84,7 @@
               boolean lapsed = now - entry.getValue().offeredAtMillis() > OFFER_VALID_MILLIS;
               if (lapsed) {
                 entry.getValue().link().stop();
-              } else {
+              } else if (entry.getValue().link().isConnected()) {
                 ids.add(entry.getKey());
               }
               return lapsed;
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
@@ -12,7 +12,6 @@
 import org.cicadaford.cell.Moment;
 import org.cicadaford.cell.RecordWrite;
 import org.cicadaford.wire.PeerException;
-import org.cicadaford.wire.PeerLink;
 import org.cicadaford.wire.PeerMessage;
 import org.cicadaford.wire.PeerServer;
 
@@ -24,12 +23,12 @@
 
   private static final Logger LOGGER = LogManager.getLogger(CellNode.class);
 
-  /** Time after which a forwarded request is given up; its sender gives up earlier. */
-  private static final long FORWARD_MILLIS = 5_000;
-
   /** Time between two checks of the coordinator, in milliseconds. */
   private static final long CHECK_MILLIS = 50;
 
+  /** Time between two checks while there may be no coordinator, in milliseconds. */
+  private static final long SEARCH_CHECK_MILLIS = 10;
+
   /** Age of the last stored batch from which others watch the journal, in milliseconds. */
   private static final long UNSOUND_MILLIS = 400;
 
@@ -39,9 +38,6 @@
    */
   private static final long READY_CONFIG_AGE_MILLIS = 2_000;
 
-  /** Time between two offers to call the advice service, in milliseconds. */
-  private static final long OFFER_MILLIS = 800;
-
   /** Time in which the records must be loaded after a claim, in milliseconds. */
   private static final long LOADING_MILLIS = 4_000;
 
@@ -65,15 +61,14 @@
   private final LeadershipFollower leadershipFollower;
   private final CoordinatorCandidate candidate;
   private final CellClient client;
+  private final CoordinatorLink link;
   private Leadership leadership = Leadership.NONE;
-  private PeerLink link;
   private AdvisorPool advisors;
   private CoordinatorService coordinator;
   private ScheduledFuture<?> checks;
   private long loadingSinceMillis = -1;
   private long loadingEpoch;
   private boolean stopping;
-  private long nextOfferMillis;
 
   /** Creates the node of an instance. */
   public CellNode(
@@ -103,6 +98,7 @@
             self,
             (peer, message) -> answer(message),
             loop);
+    this.link = new CoordinatorLink(self, settings.peerAddress(), this::heartbeat, loop);
     this.configFollower =
         new ConfigFollower(directory, config, loop, clock, log, this::configChanged);
     this.leadershipFollower = new LeadershipFollower(store, loop, this::announced);
@@ -123,9 +119,7 @@
         () -> {
           configFollower.start();
           leadershipFollower.start();
-          checks =
-              loop.scheduleWithFixedDelay(
-                  this::check, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+          checkAgainLater();
         });
   }
 
@@ -162,7 +156,7 @@
     configFollower.stop();
     leadershipFollower.stop();
     endCoordinator("stopped");
-    closeLink();
+    link.close();
     server.stop();
   }
 
@@ -179,17 +173,13 @@
   /** Returns whether requests can be served here. */
   public boolean ready() {
     boolean confirmed = config.ageMillis(clock.get()) <= READY_CONFIG_AGE_MILLIS;
-    return !stopping && confirmed && (coordinatorSound() || linkSound());
+    return !stopping && confirmed && (coordinatorSound() || link.connected());
   }
 
   private boolean coordinatorSound() {
     return coordinator != null && coordinator.sound();
   }
 
-  private boolean linkSound() {
-    return link != null && link.isConnected();
-  }
-
   /** Returns the client through which requests reach the coordinator. */
   public CellClient client() {
     return client;
@@ -203,10 +193,7 @@
     if (coordinator != null) {
       return requests.serve(coordinator, message);
     }
-    if (link == null || !link.isConnected()) {
-      return null;
-    }
-    return link.ask(message, FORWARD_MILLIS).thenApply(CellReply::of);
+    return link.forward(message);
   }
 
   private CompletableFuture<PeerMessage> answer(PeerMessage message) {
@@ -268,9 +255,9 @@
       endCoordinator("replaced by epoch " + announced.epoch());
     }
     boolean own = announced.instanceId().equals(settings.instanceId());
-    closeLink();
+    link.close();
     if (!announced.vacant() && !own) {
-      openLink(announced);
+      link.open(announced.address(), heartbeat -> heard(announced, heartbeat));
     }
     if (own && coordinator == null && loadingSinceMillis < 0) {
       // An earlier process of this instance was the coordinator.
@@ -278,26 +265,6 @@
     }
   }
 
-  private void openLink(Leadership coordinatorAt) {
-    link =
-        new PeerLink(
-            PeerAddress.parse(coordinatorAt.address()),
-            CellSettings.PEERS,
-            self,
-            this::heartbeat,
-            heartbeat -> heard(coordinatorAt, heartbeat),
-            loop);
-    link.start();
-    nextOfferMillis = 0;
-  }
-
-  private void closeLink() {
-    if (link != null) {
-      link.stop();
-      link = null;
-    }
-  }
-
   private void heard(Leadership coordinatorAt, PeerMessage.Heartbeat heartbeat) {
     if (!coordinatorAt.equals(leadership)) {
       return;
@@ -311,30 +278,30 @@
     }
   }
 
-  private void check() {
-    if (stopping) {
-      return;
+  private void checkAgainLater() {
+    boolean searching = coordinator == null && candidate.searching(nowMillis());
+    long delayMillis = searching ? SEARCH_CHECK_MILLIS : CHECK_MILLIS;
+    checks = loop.schedule(this::checkAndRepeat, delayMillis, TimeUnit.MILLISECONDS);
+  }
+
+  private void checkAndRepeat() {
+    if (!stopping) {
+      check();
+      checkAgainLater();
     }
+  }
+
+  private void check() {
     long now = nowMillis();
     if (coordinator != null) {
       coordinator.updateGauges();
       return;
     }
-    offerAdvice(now);
-    if (link != null && !link.isConnected()) {
+    link.offerAdvice(now);
+    if (link.lost()) {
       candidate.election().coordinatorUnsound();
     }
-    if (config.known()) {
-      candidate.check(now);
-    }
-  }
-
-  private void offerAdvice(long now) {
-    if (linkSound() && now >= nextOfferMillis) {
-      nextOfferMillis = now + OFFER_MILLIS;
-      String address = settings.peerAddress();
-      link.ask(new PeerMessage.AdvisorOffer(settings.instanceId(), address), OFFER_MILLIS);
-    }
+    candidate.check(now, config.known());
   }
 
   private void load(long epoch) {
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorCandidate.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorCandidate.java
@@ -9,8 +9,11 @@
  */
 final class CoordinatorCandidate {
 
-  /** Largest random delay of a claim, in milliseconds. */
-  private static final int CLAIM_DELAY_BOUND_MILLIS = 150;
+  /**
+   * Largest random delay of a claim, in milliseconds. An append takes the store 4 ms, so it is long
+   * enough that the first claim is announced before most others are sent; those are rejected.
+   */
+  private static final int CLAIM_DELAY_BOUND_MILLIS = 60;
 
   /**
    * Range of the random part of an epoch, so that two claims hardly ever use the same one. With 64,
@@ -18,6 +21,9 @@
    */
   private static final int EPOCH_SPREAD = 1 << 20;
 
+  /** Least time between two readings of the journal's end, in milliseconds; each is paid for. */
+  private static final long OBSERVATION_INTERVAL_MILLIS = 50;
+
   private final CellStore store;
   private final LongSupplier nowMillis;
   private final CellMetrics metrics;
@@ -26,6 +32,7 @@
   private final ElectionPolicy election = new ElectionPolicy();
   private final Random random = new Random();
   private boolean observing;
+  private long observedAtMillis = Long.MIN_VALUE / 2;
   private boolean claiming;
   private final long ownDelayMillis;
   private long claimDelayMillis;
@@ -74,15 +81,26 @@
     claiming = false;
   }
 
-  /** Does what is due at this time. */
-  void check(long now) {
+  /** Returns whether the role may have to be claimed soon. */
+  boolean searching(long now) {
+    return claiming || election.wantsObservation(now);
+  }
+
+  /**
+   * Does what is due at this time.
+   *
+   * @param mayClaim whether this instance can be the coordinator; it observes the journal in any
+   *     case
+   */
+  void check(long now, boolean mayClaim) {
     if (claiming) {
       return;
     }
-    if (election.wantsObservation(now) && !observing) {
+    boolean due = now - observedAtMillis >= OBSERVATION_INTERVAL_MILLIS;
+    if (election.wantsObservation(now) && !observing && due) {
       observe(now);
     }
-    long end = election.claimableEnd(now, claimDelayMillis);
+    long end = mayClaim ? election.claimableEnd(now, claimDelayMillis) : -1;
     if (end >= 0) {
       claim(end);
     }
@@ -90,6 +108,7 @@
 
   private void observe(long askedAtMillis) {
     observing = true;
+    observedAtMillis = askedAtMillis;
     store
         .journalEnd()
         .whenComplete(
@@ -123,6 +142,9 @@
       claimed.accept(epoch);
     } else {
       claiming = false;
+      if (outcome == AppendOutcome.FENCED) {
+        election.claimLost(nowMillis.getAsLong());
+      }
     }
   }
 }
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/ElectionPolicy.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/ElectionPolicy.java
@@ -45,6 +45,17 @@
     vacant = true;
   }
 
+  /**
+   * Notes that another instance has claimed the role just now. It needs some time to load the
+   * records, in which it must not be replaced by one that came second.
+   */
+  public void claimLost(long nowMillis) {
+    vacant = false;
+    unsound = false;
+    observedEnd = -1;
+    lastSoundAtMillis = nowMillis;
+  }
+
   /** Takes an announcement. */
   public void announced(Leadership leadership, long nowMillis) {
     vacant = leadership.vacant();
--- /dev/null
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/process/JsonLogHandler.java
@@ -0,0 +1,131 @@
+package org.cicadaford.coordinator.process;
+
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+
+/**
+ * Writes each log record as one line of JSON, through a bounded buffer and a thread of its own.
+ *
+ * <p>The logging thread never waits: a record that finds the buffer full is counted and dropped.
+ * All lines that wait are written by one call, as each system call is paid for.
+ */
+final class JsonLogHandler extends Handler {
+
+  /** Longest time that stopping waits for the buffered lines, in milliseconds. */
+  private static final long CLOSE_MILLIS = 200;
+
+  private final BlockingQueue<LogRecord> buffer;
+  private final OutputStream output;
+  private final AtomicLong dropped = new AtomicLong();
+  private final Thread writer = new Thread(this::writeAll, "log");
+  private long reportedDropped;
+  private volatile boolean closed;
+
+  /** Creates the handler; at most {@code capacity} lines wait to be written to {@code output}. */
+  JsonLogHandler(OutputStream output, int capacity) {
+    this.output = output;
+    this.buffer = new ArrayBlockingQueue<>(capacity);
+    writer.setDaemon(true);
+  }
+
+  /** Starts the thread that writes. */
+  void start() {
+    writer.start();
+  }
+
+  @Override
+  public void publish(LogRecord line) {
+    if (closed || !buffer.offer(line)) {
+      dropped.incrementAndGet();
+    }
+  }
+
+  private void writeAll() {
+    List<LogRecord> waiting = new ArrayList<>();
+    try {
+      while (!closed || !buffer.isEmpty()) {
+        LogRecord first = buffer.poll(CLOSE_MILLIS, TimeUnit.MILLISECONDS);
+        if (first != null) {
+          waiting.add(first);
+          buffer.drainTo(waiting);
+          write(waiting);
+          waiting.clear();
+        }
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void write(List<LogRecord> lines) {
+    StringBuilder text = new StringBuilder();
+    lines.forEach(line -> append(text, line));
+    long droppedNow = dropped.get();
+    if (droppedNow > reportedDropped) {
+      reportedDropped = droppedNow;
+      append(text, new LogRecord(Level.WARNING, droppedNow + " log lines were dropped so far"));
+    }
+    try {
+      output.write(text.toString().getBytes(StandardCharsets.UTF_8));
+      output.flush();
+    } catch (IOException e) {
+      // There is nowhere else to report it; the next line that can be written tells the count.
+      dropped.addAndGet(lines.size());
+    }
+  }
+
+  private static void append(StringBuilder text, LogRecord line) {
+    text.append("{\"time\":\"").append(line.getInstant()).append("\",\"level\":\"");
+    text.append(levelName(line.getLevel())).append("\",\"logger\":\"");
+    quote(text, line.getLoggerName());
+    text.append("\",\"message\":\"");
+    quote(text, line.getMessage());
+    if (line.getThrown() != null) {
+      StringWriter stackTrace = new StringWriter();
+      line.getThrown().printStackTrace(new PrintWriter(stackTrace));
+      text.append("\",\"exception\":\"");
+      quote(text, stackTrace.toString());
+    }
+    text.append("\"}\n");
+  }
+
+  /** Returns Log4j's name of a level. */
+  private static String levelName(Level level) {
+    if (level.intValue() >= Level.SEVERE.intValue()) {
+      return "ERROR";
+    }
+    return level.intValue() >= Level.WARNING.intValue() ? "WARN" : level.getName();
+  }
+
+  private static void quote(StringBuilder text, String value) {
+    JsonStringEncoder.getInstance().quoteAsString(String.valueOf(value), text);
+  }
+
+  @Override
+  public void flush() {
+    // Each write flushes.
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    try {
+      writer.join(2 * CLOSE_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/ElectionPolicyTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/ElectionPolicyTest.java
@@ -61,4 +61,21 @@
     assertThat(policy.claimableEnd(needed - 1, 0)).isEqualTo(-1);
     assertThat(policy.claimableEnd(needed, 0)).isEqualTo(41);
   }
+
+  /**
+   * Guards against an instance that comes second and replaces the one that has just claimed the
+   * role; after a loss of power the records were then loaded twice, half a second each.
+   */
+  @Example
+  void instanceWhoseClaimWasRejectedLeavesTimeToTheOther() {
+    ElectionPolicy policy = following();
+    policy.coordinatorGone();
+    policy.observed(10, 1_000, 1_005);
+    assertThat(policy.claimableEnd(1_005, 0)).isEqualTo(10);
+    policy.claimLost(1_020);
+    policy.observed(11, 1_025, 1_030);
+    assertThat(policy.claimableEnd(1_060, 0)).isEqualTo(-1);
+    policy.observed(11, 1_500, 1_505);
+    assertThat(policy.claimableEnd(1_700, 0)).as("given up in the end").isEqualTo(11);
+  }
 }
