--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellClient.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellClient.java
@@ -13,14 +13,21 @@
  * Sends requests to the cell coordinator, wherever it is.
  *
  * <p>Requests are idempotent by the id of the job, so one without an answer is repeated. A request
- * that certainly has not been done is refused soon; one that may have been done is repeated until
- * its deadline, so that the caller learns the truth.
+ * that certainly has not been done is refused soon; one that may have been done is repeated while a
+ * coordinator can be reached, so that the caller learns the truth. Where none can be reached for
+ * longer than a takeover lasts, the caller is told so, and has time left to ask elsewhere.
  */
 public final class CellClient {
 
   /** Time to wait for a coordinator before a request is refused, in milliseconds. */
   private static final long NO_COORDINATOR_MILLIS = 250;
 
+  /**
+   * Time without a coordinator after which a request that may have been done is answered as
+   * unknown, in milliseconds; most takeovers end within 1.5 s.
+   */
+  private static final long TAKEOVER_MILLIS = 1_600;
+
   /** Time after which one attempt is given up, in milliseconds. */
   private static final long ATTEMPT_MILLIS = 1_200;
 
@@ -101,7 +108,11 @@
       }
       CompletableFuture<CellReply> reply = route.apply(message);
       if (reply == null) {
-        tryAgain();
+        if (maybeDone && now - startedAtMillis >= TAKEOVER_MILLIS) {
+          giveUp("no coordinator can be reached");
+        } else {
+          tryAgain();
+        }
         return;
       }
       CompletableFuture<CellReply> limited = reply.copy();
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
@@ -34,7 +34,8 @@
 
   /**
    * Age of the configuration from which an instance is not ready, in milliseconds. It is under the
-   * age at which keys are refused, so that the balancer moves callers elsewhere before that.
+   * age at which keys are refused, so that the balancer moves callers elsewhere before that; a
+   * confirmation that waited 0.9 s is used until the next one comes 0.9 s later.
    */
   private static final long READY_CONFIG_AGE_MILLIS = 2_000;
 
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorLink.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorLink.java
@@ -13,6 +13,12 @@
   /** Time after which a forwarded request is given up; its sender gives up earlier. */
   private static final long FORWARD_MILLIS = 5_000;
 
+  /**
+   * Time without an answer after which nothing is sent to the coordinator, in milliseconds: three
+   * heartbeats. Requests that go into a cut have no certain outcome for their callers.
+   */
+  private static final long SILENT_MILLIS = 450;
+
   /** Time between two offers to call the advice service, in milliseconds. */
   private static final long OFFER_MILLIS = 800;
 
@@ -50,8 +56,11 @@
     }
   }
 
+  /** Returns whether the coordinator can be reached: it has answered just now. */
   boolean connected() {
-    return link != null && link.isConnected();
+    return link != null
+        && link.isConnected()
+        && link.silentMillis(System.nanoTime()) <= SILENT_MILLIS;
   }
 
   /** Returns whether there is a coordinator elsewhere that is not connected. */
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CellClientTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CellClientTest.java
@@ -86,4 +86,19 @@
     pass(1_500);
     assertThat(result.join().outcome()).isEqualTo(CellOutcome.DONE);
   }
+
+  /**
+   * Guards against a request that is held until its deadline in a zone that is cut off: its caller
+   * then had no time left to ask another instance.
+   */
+  @Example
+  void requestOfUnknownOutcomeIsAnsweredWhileItsCallerCanAskElsewhere() {
+    routes.add(reply(CellOutcome.UNKNOWN));
+    routes.add(() -> null);
+    CompletableFuture<CellReply> result = send();
+    pass(1_400);
+    assertThat(result).as("a takeover may still bring the answer").isNotDone();
+    pass(400);
+    assertThat(result.join().outcome()).isEqualTo(CellOutcome.UNKNOWN);
+  }
 }
