--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellClient.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellClient.java
@@ -13,9 +13,9 @@
  * Sends requests to the cell coordinator, wherever it is.
  *
  * <p>Requests are idempotent by the id of the job, so one without an answer is repeated. A request
- * that certainly has not been done is refused soon; one that may have been done is repeated while a
- * coordinator can be reached, so that the caller learns the truth. Where none can be reached for
- * longer than a takeover lasts, the caller is told so, and has time left to ask elsewhere.
+ * that certainly has not been done is refused soon; one that may have been done is repeated for as
+ * long as a takeover lasts, so that the caller learns the truth. After that the caller is told that
+ * the outcome is not known, and has time left to ask again, also elsewhere.
  */
 public final class CellClient {
 
@@ -23,8 +23,8 @@
   private static final long NO_COORDINATOR_MILLIS = 250;
 
   /**
-   * Time without a coordinator after which a request that may have been done is answered as
-   * unknown, in milliseconds; most takeovers end within 1.5 s.
+   * Time after which a request that may have been done is answered as unknown, in milliseconds;
+   * most takeovers end within 1.5 s.
    */
   private static final long TAKEOVER_MILLIS = 1_600;
 
@@ -102,27 +102,30 @@
 
     private void attempt() {
       long now = nowMillis.getAsLong();
-      if (now >= deadlineMillis) {
+      boolean unknownForLong = maybeDone && now - startedAtMillis >= TAKEOVER_MILLIS;
+      if (now >= deadlineMillis || unknownForLong) {
         giveUp("no answer from the coordinator in time");
         return;
       }
       CompletableFuture<CellReply> reply = route.apply(message);
       if (reply == null) {
-        if (maybeDone && now - startedAtMillis >= TAKEOVER_MILLIS) {
-          giveUp("no coordinator can be reached");
-        } else {
-          tryAgain();
-        }
+        tryAgain();
         return;
       }
       CompletableFuture<CellReply> limited = reply.copy();
       loop.schedule(
           () -> limited.complete(CellReply.of(CellOutcome.UNKNOWN, "no answer in time")),
-          Math.min(ATTEMPT_MILLIS, deadlineMillis - now),
+          attemptMillis(now),
           TimeUnit.MILLISECONDS);
       limited.whenCompleteAsync(this::replied, loop);
     }
 
+    /** Returns the time that an attempt may take, so that an unknown outcome is told in time. */
+    private long attemptMillis(long now) {
+      long untilMillis = Math.min(deadlineMillis, startedAtMillis + TAKEOVER_MILLIS);
+      return Math.min(ATTEMPT_MILLIS, Math.max(RETRY_MILLIS, untilMillis - now));
+    }
+
     private void replied(CellReply reply, Throwable failure) {
       CellOutcome outcome = failure == null ? reply.outcome() : CellOutcome.UNKNOWN;
       switch (outcome) {
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorCandidate.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorCandidate.java
@@ -10,8 +10,14 @@
 final class CoordinatorCandidate {
 
   /**
-   * Largest random delay of a claim, in milliseconds. An append takes the store 4 ms, so it is long
-   * enough that the first claim is announced before most others are sent; those are rejected.
+   * Least delay of a claim, in milliseconds. A claim is announced within about 30 ms, so an
+   * instance that has first read the journal just after it learns of it in time.
+   */
+  private static final int LEAST_CLAIM_DELAY_MILLIS = 30;
+
+  /**
+   * Largest random part of that delay, in milliseconds. An append takes the store 4 ms, so it is
+   * long enough that the first claim is announced before most others are sent; those are rejected.
    */
   private static final int CLAIM_DELAY_BOUND_MILLIS = 60;
 
@@ -61,7 +67,7 @@
   }
 
   private long drawDelay() {
-    return ownDelayMillis + random.nextInt(CLAIM_DELAY_BOUND_MILLIS);
+    return ownDelayMillis + LEAST_CLAIM_DELAY_MILLIS + random.nextInt(CLAIM_DELAY_BOUND_MILLIS);
   }
 
   ElectionPolicy election() {
