--- a/cicadaford-entry/src/test/java/org/cicadaford/entry/call/CallServiceTest.java
+++ b/cicadaford-entry/src/test/java/org/cicadaford/entry/call/CallServiceTest.java
@@ -80,8 +80,8 @@
 
   /**
    * Crashes or pauses an instance. Only the first one may pause for the whole history; three pauses
-   * of the second one take at most three eighths of it. With both paused from the beginning, no call
-   * runs and the properties test nothing.
+   * of the second one take at most three eighths of it. With both paused from the beginning, no
+   * call runs and the properties test nothing.
    */
   private void disturb(Run[] current, int index, long horizonMillis) {
     if (cell.chance(0.3)) {
