--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CellConfig.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CellConfig.java
@@ -1,5 +1,6 @@
 package org.cicadaford.cell;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,22 +10,20 @@
 public final class CellConfig {
 
   /** Configuration before the first version: no queue, no team. */
-  public static final CellConfig EMPTY = new CellConfig(-1, List.of(), List.of(), 0);
+  public static final CellConfig EMPTY = new CellConfig(-1, List.of(), List.of());
 
   private final long version;
   private final Map<String, Queue> queuesByName = new HashMap<>();
   private final Map<String, List<Queue>> queuesByHost = new HashMap<>();
   private final Map<String, TeamShare> teamsByName = new HashMap<>();
   private final Map<String, TeamShare> teamsByKey = new HashMap<>();
-  private final int maxBodyBytes;
 
   /** Creates a version from its queues and teams. */
-  public CellConfig(long version, List<Queue> queues, List<TeamShare> teams, int maxBodyBytes) {
+  public CellConfig(long version, List<Queue> queues, List<TeamShare> teams) {
     this.version = version;
-    this.maxBodyBytes = maxBodyBytes;
     for (Queue queue : queues) {
       queuesByName.put(queue.name(), queue);
-      queuesByHost.computeIfAbsent(queue.host(), host -> new java.util.ArrayList<>()).add(queue);
+      queuesByHost.computeIfAbsent(queue.host(), host -> new ArrayList<>()).add(queue);
     }
     for (TeamShare team : teams) {
       teamsByName.put(team.name(), team);
@@ -37,11 +36,6 @@
     return version;
   }
 
-  /** Returns the largest body of a call in bytes, or 0 if none is stated. */
-  public int maxBodyBytes() {
-    return maxBodyBytes;
-  }
-
   /** Returns the queue of that name. */
   public Optional<Queue> queue(String name) {
     return Optional.ofNullable(queuesByName.get(name));
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedJobs.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedJobs.java
@@ -18,7 +18,7 @@
   static CellConfig config(Resources limit, AdvicePolicy advice) {
     Queue queue = new Queue("q", "h", "/q/", "svc", 0, MAX_ATTEMPTS, 2, 250, 3_000, false, advice);
     TeamShare team = new TeamShare("team", Set.of("key"), 0, limit);
-    return new CellConfig(1, List.of(queue), List.of(team), 0);
+    return new CellConfig(1, List.of(queue), List.of(team));
   }
 
   static StepSpec step(int count, long millicores, long millis, boolean gang, Integer... after) {
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
@@ -35,6 +35,10 @@
   /** Age of the last stored batch up to which new work is accepted, in milliseconds. */
   private static final long SOUND_MILLIS = 1_000;
 
+  /** Reply while the last append is too old to be sure of the role. */
+  private static final CellReply STORE_SILENT =
+      CellReply.of(CellOutcome.REFUSED, "the store does not answer");
+
   /** Time between two readings of the list of workers, in milliseconds. */
   private static final long WORKER_LIST_MILLIS = 300;
 
@@ -164,7 +168,7 @@
   /** Takes a submission; the reply comes once the job is stored. */
   public CompletableFuture<CellReply> submit(String jobId, Queue queue, String team, JobSpec spec) {
     if (!sound()) {
-      return refusal("the store does not answer");
+      return CompletableFuture.completedFuture(STORE_SILENT);
     }
     AdmissionDecision decision = coordinator.submit(jobId, queue, team, spec, clock.get());
     return switch (decision) {
@@ -209,7 +213,7 @@
       return Optional.empty();
     }
     if (!sound()) {
-      return Optional.of(CellReply.of(CellOutcome.REFUSED, "the store does not answer"));
+      return Optional.of(STORE_SILENT);
     }
     return Optional.of(CellReply.of(CellOutcome.NO_SUCH_JOB, "no such job in this queue"));
   }
@@ -217,15 +221,11 @@
   /** Returns the number of jobs of a queue that have not started. */
   public CellReply pendingCount(String queue) {
     if (!sound()) {
-      return CellReply.of(CellOutcome.REFUSED, "the store does not answer");
+      return STORE_SILENT;
     }
     return CellReply.done(Integer.toString(coordinator.pendingCount(queue)));
   }
 
-  private static CompletableFuture<CellReply> refusal(String reason) {
-    return CompletableFuture.completedFuture(CellReply.of(CellOutcome.REFUSED, reason));
-  }
-
   private void queueRound() {
     if (running && !roundQueued) {
       roundQueued = true;
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/ElectionPolicy.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/ElectionPolicy.java
@@ -64,11 +64,7 @@
    * records, in which it must not be replaced by one that came second.
    */
   public void claimLost(long nowMillis) {
-    vacant = false;
-    unsound = false;
-    refused = false;
-    observedEnd = -1;
-    lastSoundAtMillis = nowMillis;
+    coordinatorSound(nowMillis);
   }
 
   /** Takes an announcement. */
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/ConfigHolderTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/ConfigHolderTest.java
@@ -13,7 +13,7 @@
 
   private static CellDirectory.Published version(long number, String... zonesOut) {
     return new CellDirectory.Published(
-        new CellConfig(number, List.of(), List.of(), 0), Set.of(zonesOut));
+        new CellConfig(number, List.of(), List.of()), Set.of(zonesOut));
   }
 
   /** Guards against an older version that a late answer brings. */
