Move the process, its settings and its times out of platform/

Ruled out: moving ArchiveTraining; it runs the adapter's own decoders in the build. Change: CellProcess, RequestHandler, StatusHandler, InstanceSettings and CellClient.answerMillis in cicadaford-coordinator; the adapter takes its time-outs as arguments. RequestDecoder maps paths and statuses, CellDaemon is the command line and the wiring. Behaviour is unchanged.

--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellClient.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellClient.java
@@ -1,11 +1,13 @@
 package org.cicadaford.coordinator;
 
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import org.cicadaford.cell.JobSpec;
+import org.cicadaford.cell.Queue;
 import org.cicadaford.model.RecordCodec;
 import org.cicadaford.wire.PeerMessage;
 
@@ -19,6 +21,12 @@
  */
 public final class CellClient {
 
+  /** Time before the caller's own deadline at which it is answered in any case. */
+  private static final long ANSWER_MARGIN_MILLIS = 100;
+
+  /** Time that a caller waits if neither it nor its queue states one, in milliseconds. */
+  private static final long DEFAULT_TIMEOUT_MILLIS = 3_000;
+
   /** Time to wait for a coordinator before a request is refused, in milliseconds. */
   private static final long NO_COORDINATOR_MILLIS = 250;
 
@@ -54,6 +62,17 @@
     this.nowMillis = nowMillis;
   }
 
+  /**
+   * Returns the time within which a request is answered in any case, in milliseconds.
+   *
+   * @param statedMillis time that the caller says it waits
+   */
+  public static long answerMillis(Queue queue, OptionalLong statedMillis) {
+    long limitMillis = queue.timeoutMillis() > 0 ? queue.timeoutMillis() : DEFAULT_TIMEOUT_MILLIS;
+    long waitMillis = Math.min(limitMillis, statedMillis.orElse(limitMillis));
+    return Math.max(ANSWER_MARGIN_MILLIS, waitMillis - ANSWER_MARGIN_MILLIS);
+  }
+
   /** Submits a job. */
   public CompletableFuture<CellReply> submit(
       String jobId, String queue, String team, JobSpec spec, long timeoutMillis) {
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
@@ -74,19 +74,16 @@
   /** Creates the node of an instance. */
   public CellNode(
       CellSettings settings,
-      CellStore store,
-      WorkerOrders orders,
-      AdviceService advice,
-      CellDirectory directory,
+      CellPlatform platform,
       EventLoop loop,
       Supplier<Moment> clock,
       CellMetrics metrics,
       DecisionLog log) {
     this.settings = settings;
-    this.store = store;
-    this.orders = orders;
-    this.advice = advice;
-    this.directory = directory;
+    this.store = platform.store();
+    this.orders = platform.orders();
+    this.advice = platform.advice();
+    this.directory = platform.directory();
     this.loop = loop;
     this.clock = clock;
     this.metrics = metrics;
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellSettings.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellSettings.java
@@ -41,6 +41,12 @@
   /** Time that an instance that is not fit leaves to the others to claim, in milliseconds. */
   private static final long UNFIT_DELAY_MILLIS = 500;
 
+  /** Time in which a worker answers an order, in milliseconds; most answer within 5 ms. */
+  public static final long ORDER_MILLIS = 300;
+
+  /** Time in which the store answers a call, in milliseconds. A slow store takes 60 x 4 ms. */
+  public static final long STORE_CALL_MILLIS = 900;
+
   /** Settings of the links between instances; silence is noticed within half a lease. */
   static final PeerSettings PEERS = new PeerSettings(1 << 20, 150, 1_500, 700, 512);
 
--- a/platform/src/main/java/org/cicadaford/adapter/InstanceSettings.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/InstanceSettings.java
@@ -1,13 +1,13 @@
-package org.cicadaford.adapter;
+package org.cicadaford.coordinator;
 
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.File;
 import java.io.IOException;
+import java.util.concurrent.TimeUnit;
 
 /**
- * Settings of an instance on the users' platform, as {@code deploy/settings.template.json} renders
- * them.
+ * Settings of the process of an instance, as {@code deploy/settings.template.json} renders them.
  *
  * @param instanceId id of the instance
  * @param zone availability zone
@@ -26,7 +26,7 @@
  * @param stopSeconds time from the order to stop until the process is killed, in seconds
  * @param metricsPort port of the metrics
  */
-record InstanceSettings(
+public record InstanceSettings(
     String instanceId,
     String zone,
     String ip,
@@ -52,12 +52,25 @@
    *
    * @throws IOException if the file cannot be read or a setting is missing
    */
-  static InstanceSettings load(File file) throws IOException {
+  public static InstanceSettings load(File file) throws IOException {
     InstanceSettings settings = MAPPER.readValue(file, InstanceSettings.class);
     settings.check();
     return settings;
   }
 
+  CellSettings cellSettings() {
+    return new CellSettings(
+        instanceId,
+        zone,
+        ip,
+        peerPort,
+        maxLeaseMillis,
+        TimeUnit.SECONDS.toMillis(keepEndedSeconds),
+        processorShare * processorCount,
+        linkMegabits,
+        CellSettings.keyFreshnessMillis(revokeMillis));
+  }
+
   private void check() throws IOException {
     require(instanceId != null && !instanceId.isEmpty(), "instanceId must be given");
     require(zone != null && !zone.isEmpty(), "zone must be given");
--- a/platform/src/main/java/org/cicadaford/adapter/StatusHandler.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/http/StatusHandler.java
@@ -1,4 +1,4 @@
-package org.cicadaford.adapter;
+package org.cicadaford.coordinator.http;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
@@ -22,35 +22,31 @@
 
 /** Answers whether the instance is ready, and shows the metrics. */
 @ChannelHandler.Sharable
-final class StatusHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+public final class StatusHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
   private static final Logger LOGGER = LogManager.getLogger(StatusHandler.class);
-  private static final String READINESS_PATH = "/readiness";
   private static final String METRICS_PATH = "/metrics";
 
+  private final String readinessPath;
   private final BooleanSupplier ready;
   private final PrometheusRegistry registry;
   private final PrometheusTextFormatWriter writer =
       PrometheusTextFormatWriter.builder().setIncludeCreatedTimestamps(false).build();
 
-  StatusHandler(BooleanSupplier ready, PrometheusRegistry registry) {
+  /**
+   * Creates the handler.
+   *
+   * @param readinessPath path at which the balancer asks
+   */
+  public StatusHandler(String readinessPath, BooleanSupplier ready, PrometheusRegistry registry) {
+    this.readinessPath = readinessPath;
     this.ready = ready;
     this.registry = registry;
   }
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-    FullHttpResponse response =
-        switch (request.uri()) {
-          case READINESS_PATH ->
-              response(
-                  ready.getAsBoolean()
-                      ? HttpResponseStatus.OK
-                      : HttpResponseStatus.SERVICE_UNAVAILABLE,
-                  new byte[0]);
-          case METRICS_PATH -> metrics();
-          default -> response(HttpResponseStatus.NOT_FOUND, new byte[0]);
-        };
+    FullHttpResponse response = answer(request.uri());
     HttpUtil.setContentLength(response, response.content().readableBytes());
     var written = context.writeAndFlush(response);
     if (!HttpUtil.isKeepAlive(request)) {
@@ -58,6 +54,17 @@
     }
   }
 
+  private FullHttpResponse answer(String uri) {
+    if (uri.equals(readinessPath)) {
+      return response(
+          ready.getAsBoolean() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
+          new byte[0]);
+    }
+    return uri.equals(METRICS_PATH)
+        ? metrics()
+        : response(HttpResponseStatus.NOT_FOUND, new byte[0]);
+  }
+
   private FullHttpResponse metrics() {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
     try {
