--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CoordinatorSettings.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CoordinatorSettings.java
@@ -28,14 +28,46 @@
     long ticketMarginMillis,
     long keepEndedMillis) {
 
-  /**
-   * Returns the settings for a platform with the given bounds.
-   *
-   * <p>Orders may be carried out up to 12 s late and clocks of workers may be 2% slow, as the
-   * platform's protocol states. The other times leave room for two lost answers within a lease.
-   */
+  /** Largest part by which a worker's clock may be slow; stated by the platform's protocol. */
+  private static final double MAX_CLOCK_SLOWDOWN = 0.02;
+
+  /** Leaves room for an order's answer and one repetition before the run is looked for. */
+  private static final long START_VALID_MILLIS = 1_500;
+
+  /** Orders may be carried out up to 12 s late, as the platform's users state. */
+  private static final long LATE_ORDER_MILLIS = 12_500;
+
+  /** The platform allows up to 2 s; with 1 s, two answers may be lost within a lease. */
+  private static final long RENEWAL_WAIT_MILLIS = 1_000;
+
+  /** Most workers answer within 5 ms; slow links and busy workers take longer. */
+  private static final long ANSWER_MILLIS = 600;
+
+  /** A renewal that waits, and its answer, with a reserve of 0.3 s. */
+  private static final long UNREACHABLE_MILLIS = 1_900;
+
+  /** Tasks make progress at each report; two and a half reports without any are a stall. */
+  private static final long STALL_MILLIS = 2_500;
+
+  /** The protocol takes 100, but a call lasts longer with each, and credit counts on 30. */
+  private static final int ADVICE_WORKER_COUNT = 30;
+
+  /** Time for a start order to reach its worker while the ticket is still valid. */
+  private static final long TICKET_MARGIN_MILLIS = 200;
+
+  /** Returns the settings for a platform with the given bounds. */
   public static CoordinatorSettings forPlatform(long maxLeaseMillis, long keepEndedMillis) {
     return new CoordinatorSettings(
-        maxLeaseMillis, 0.02, 1_500, 12_500, 1_000, 600, 1_900, 2_500, 30, 200, keepEndedMillis);
+        maxLeaseMillis,
+        MAX_CLOCK_SLOWDOWN,
+        START_VALID_MILLIS,
+        LATE_ORDER_MILLIS,
+        RENEWAL_WAIT_MILLIS,
+        ANSWER_MILLIS,
+        UNREACHABLE_MILLIS,
+        STALL_MILLIS,
+        ADVICE_WORKER_COUNT,
+        TICKET_MARGIN_MILLIS,
+        keepEndedMillis);
   }
 }
