--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/AdviceDesk.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/AdviceDesk.java
@@ -48,9 +48,9 @@
   }
 
   /** Takes the instances that can make calls now. */
-  void agents(Set<String> instanceIds) {
+  void agents(Set<String> instanceIds, long nowMillis) {
     busyUntilByAgent.keySet().retainAll(instanceIds);
-    instanceIds.forEach(id -> busyUntilByAgent.putIfAbsent(id, Long.MIN_VALUE));
+    instanceIds.forEach(id -> busyUntilByAgent.putIfAbsent(id, nowMillis));
   }
 
   /**
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.cicadaford.model.Resources;
 
@@ -30,6 +31,7 @@
   private CellConfig config = CellConfig.EMPTY;
   private Set<String> zonesOut = Set.of();
   private boolean planWanted;
+  private OptionalLong roleConfirmedAtMillis = OptionalLong.empty();
 
   CellState(CoordinatorSettings settings) {
     this.settings = settings;
@@ -39,6 +41,15 @@
     return settings;
   }
 
+  void roleConfirmed(long atMillis) {
+    roleConfirmedAtMillis = ElapsedTime.later(roleConfirmedAtMillis, atMillis);
+  }
+
+  /** Returns whether this coordinator may still extend leases without the store's confirmation. */
+  boolean mayExtendLeases(long nowMillis) {
+    return ElapsedTime.within(roleConfirmedAtMillis, nowMillis, settings.leaseWithoutStoreMillis());
+  }
+
   Map<String, Job> jobs() {
     return jobs;
   }
@@ -163,6 +174,7 @@
     task.place(null);
     placement.worker().remove(placement);
     count(task, -1);
+    task.step().job().dropIdle(task.step().occurrence());
     change(task.step().job());
     planWanted = true;
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
 
@@ -46,8 +47,8 @@
   private final List<Action> storingActions = new ArrayList<>();
   private final List<RecordedEnds> storingEnds = new ArrayList<>();
   private boolean batchOpen;
-  private long nextUpkeepMillis = Long.MIN_VALUE;
-  private long nextRemovalMillis = Long.MIN_VALUE;
+  private OptionalLong nextUpkeepMillis = OptionalLong.empty();
+  private OptionalLong nextRemovalMillis = OptionalLong.empty();
 
   /** Creates a coordinator that knows nothing yet. */
   public Coordinator(CoordinatorSettings settings) {
@@ -74,14 +75,22 @@
     state.zonesOut(zonesOut);
   }
 
+  /**
+   * Notes that the store confirmed this coordinator's role: it has taken an append sent at that
+   * time.
+   */
+  public void roleConfirmed(long sentAtMillis) {
+    state.roleConfirmed(sentAtMillis);
+  }
+
   /** Takes the platform's list of workers. */
   public void workersListed(List<ListedWorker> workers, Moment now) {
     monitor.listed(workers, now);
   }
 
   /** Takes the instances that can ask for advice. */
-  public void agentsChanged(Set<String> instanceIds) {
-    advice.agents(instanceIds);
+  public void agentsChanged(Set<String> instanceIds, Moment now) {
+    advice.agents(instanceIds, now.steadyMillis());
     state.planWanted(true);
   }
 
@@ -183,9 +192,10 @@
         ends.lost(placement, now);
       }
       case FENCED, UNKNOWN -> {
-        // The order may still be on its way, so the run is stopped before it is placed again.
+        // The order may be carried out or on its way. The next report tells whether the run is
+        // there; if not, it is stopped before it is placed again.
         placement.uncertain(nowMillis);
-        state.stop(placement, StopReason.UNCERTAIN, nowMillis);
+        placement.worker().wantLook();
       }
       default -> throw new IllegalStateException("unknown outcome " + outcome);
     }
@@ -234,15 +244,15 @@
 
   /** Does what is due at this time and plans, if anything has changed. */
   public void advance(Moment now) {
-    if (now.steadyMillis() >= nextUpkeepMillis) {
-      nextUpkeepMillis = now.steadyMillis() + UPKEEP_MILLIS;
+    if (!ElapsedTime.ahead(nextUpkeepMillis, now.steadyMillis())) {
+      nextUpkeepMillis = OptionalLong.of(now.steadyMillis() + UPKEEP_MILLIS);
       monitor.tick(now);
       state.timedJobs().removeIf(job -> job.phase().over());
       state.timedJobs().forEach(job -> beginDue(job, now));
       state.planWanted(true);
     }
-    if (now.steadyMillis() >= nextRemovalMillis) {
-      nextRemovalMillis = now.steadyMillis() + REMOVAL_MILLIS;
+    if (!ElapsedTime.ahead(nextRemovalMillis, now.steadyMillis())) {
+      nextRemovalMillis = OptionalLong.of(now.steadyMillis() + REMOVAL_MILLIS);
       List.copyOf(state.jobs().values()).forEach(job -> removeExpired(job, now));
     }
     if (state.planWanted()) {
@@ -346,7 +356,7 @@
   }
 
   private void stopOnce(Placement placement, Moment now) {
-    if (placement.stopSentAtMillis() == Long.MIN_VALUE) {
+    if (!placement.stopSent()) {
       state.stop(placement, StopReason.CANCELLED, now.steadyMillis());
     }
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CoordinatorSettings.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CoordinatorSettings.java
@@ -4,6 +4,7 @@
  * Settings of the coordinator. Times are in milliseconds.
  *
  * @param maxLeaseMillis longest lease that a worker grants
+ * @param leaseWithoutStoreMillis time since the last stored record for which leases are extended
  * @param maxClockSlowdown largest part by which a worker's clock may be slow, for example 0.02
  * @param startValidMillis time after which a start that is still on its way is void
  * @param lateOrderMillis longest time after which an unanswered order may still be carried out
@@ -17,6 +18,7 @@
  */
 public record CoordinatorSettings(
     long maxLeaseMillis,
+    long leaseWithoutStoreMillis,
     double maxClockSlowdown,
     long startValidMillis,
     long lateOrderMillis,
@@ -31,6 +33,12 @@
   /** Largest part by which a worker's clock may be slow; stated by the platform's protocol. */
   private static final double MAX_CLOCK_SLOWDOWN = 0.02;
 
+  /** Time from the loss of the store for which running work goes on; outages last up to 9 s. */
+  private static final long OUTAGE_MILLIS = 10_000;
+
+  /** Least time for which leases are extended without the store; a slow one answers in 0.3 s. */
+  private static final long MIN_LEASE_WITHOUT_STORE_MILLIS = 2_000;
+
   /** Leaves room for an order's answer and one repetition before the run is looked for. */
   private static final long START_VALID_MILLIS = 1_500;
 
@@ -55,10 +63,19 @@
   /** Time for a start order to reach its worker while the ticket is still valid. */
   private static final long TICKET_MARGIN_MILLIS = 200;
 
+  /**
+   * Returns the time after which no lease that an earlier coordinator has granted is in force, from
+   * the claim of its successor on.
+   */
+  long earlierLeasesMillis() {
+    return (long) Math.ceil((leaseWithoutStoreMillis + maxLeaseMillis) / (1 - maxClockSlowdown));
+  }
+
   /** Returns the settings for a platform with the given bounds. */
   public static CoordinatorSettings forPlatform(long maxLeaseMillis, long keepEndedMillis) {
     return new CoordinatorSettings(
         maxLeaseMillis,
+        Math.max(MIN_LEASE_WITHOUT_STORE_MILLIS, OUTAGE_MILLIS - maxLeaseMillis),
         MAX_CLOCK_SLOWDOWN,
         START_VALID_MILLIS,
         LATE_ORDER_MILLIS,
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Job.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Job.java
@@ -131,15 +131,26 @@
     return step.spec().after().stream().allMatch(earlier -> steps.get(earlier).done());
   }
 
-  /** Drops an occurrence whose steps are all done; returns whether it was dropped. */
+  /** Marks an occurrence as done if all its steps are; returns whether it has just become so. */
   boolean finish(int occurrence) {
     List<StepRun> steps = occurrences.get(occurrence);
     if (steps == null || !steps.stream().allMatch(StepRun::done)) {
       return false;
     }
-    occurrences.remove(occurrence);
-    doneOccurrences.add(occurrence);
-    return true;
+    boolean finished = doneOccurrences.add(occurrence);
+    dropIdle(occurrence);
+    return finished;
+  }
+
+  /**
+   * Drops the steps of an occurrence that is done once nothing of it is placed any more. Until then
+   * they are stored, so that another coordinator knows the room that they hold.
+   */
+  void dropIdle(int occurrence) {
+    List<StepRun> steps = occurrences.get(occurrence);
+    if (steps != null && doneOccurrences.contains(occurrence) && placementsOf(steps).isEmpty()) {
+      occurrences.remove(occurrence);
+    }
   }
 
   boolean allDone() {
@@ -148,12 +159,16 @@
 
   List<Placement> placements() {
     List<Placement> placements = new ArrayList<>();
-    for (List<StepRun> steps : occurrences.values()) {
-      for (StepRun step : steps) {
-        for (Task task : step.tasks()) {
-          if (task.placement() != null) {
-            placements.add(task.placement());
-          }
+    occurrences.values().forEach(steps -> placements.addAll(placementsOf(steps)));
+    return placements;
+  }
+
+  private static List<Placement> placementsOf(List<StepRun> steps) {
+    List<Placement> placements = new ArrayList<>();
+    for (StepRun step : steps) {
+      for (Task task : step.tasks()) {
+        if (task.placement() != null) {
+          placements.add(task.placement());
         }
       }
     }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
@@ -102,6 +102,8 @@
     state.place(placement);
     if (task.step().job().phase().over()) {
       placement.wantStop(StopReason.CANCELLED);
+    } else if (task.done()) {
+      placement.wantStop(StopReason.DONE_BEFORE);
     }
   }
 }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Moment.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Moment.java
@@ -6,4 +6,15 @@
  * @param steadyMillis time of a clock that never jumps, in milliseconds
  * @param unixMillis time of day as Unix time in milliseconds; it may jump
  */
-public record Moment(long steadyMillis, long unixMillis) {}
+public record Moment(long steadyMillis, long unixMillis) {
+
+  /**
+   * Returns the time since an earlier moment, in milliseconds.
+   *
+   * <p>The larger difference of both clocks counts: the steady one stands still while the instance
+   * is suspended, and the other one may have been set back.
+   */
+  public long millisSince(Moment earlier) {
+    return Math.max(steadyMillis - earlier.steadyMillis, unixMillis - earlier.unixMillis);
+  }
+}
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
@@ -1,5 +1,6 @@
 package org.cicadaford.cell;
 
+import java.util.OptionalLong;
 import org.cicadaford.model.Resources;
 
 /** One run of a task on a worker, from the decision until its end is known. */
@@ -23,10 +24,10 @@
   private Stage stage = Stage.STARTING;
   private boolean orderSent;
   private StopReason stopReason;
-  private long stopSentAtMillis = Long.MIN_VALUE;
-  private long stopConfirmedAtMillis = Long.MAX_VALUE;
-  private long uncertainSinceMillis = Long.MAX_VALUE;
-  private long confirmedAtMillis = Long.MAX_VALUE;
+  private OptionalLong stopSentAtMillis = OptionalLong.empty();
+  private OptionalLong stopConfirmedAtMillis = OptionalLong.empty();
+  private OptionalLong uncertainSinceMillis = OptionalLong.empty();
+  private OptionalLong confirmedAtMillis = OptionalLong.empty();
   private long orderedAtMillis;
   private int progressPercent = -1;
   private long progressAtMillis;
@@ -83,33 +84,43 @@
   void confirmed(long nowMillis) {
     if (stage != Stage.RUNNING) {
       stage = Stage.RUNNING;
-      confirmedAtMillis = nowMillis;
+      confirmedAtMillis = OptionalLong.of(nowMillis);
       progressAtMillis = nowMillis;
     }
   }
 
-  long confirmedAtMillis() {
-    return confirmedAtMillis;
+  /** Returns whether a report on an order sent at a time must show the run, if it is present. */
+  boolean confirmedBefore(long atMillis) {
+    return isBefore(confirmedAtMillis, atMillis);
+  }
+
+  private static boolean isBefore(OptionalLong eventMillis, long atMillis) {
+    return eventMillis.isPresent() && eventMillis.getAsLong() < atMillis;
   }
 
   /**
-   * Takes over a run that an earlier coordinator has ordered. Once the worker has answered this
-   * coordinator, its higher epoch keeps orders of the earlier one from being carried out.
+   * Takes over a run that an earlier coordinator may have ordered just now. Its order may arrive
+   * after the worker has reported to this coordinator, and not all workers refuse orders of an
+   * earlier epoch; so a run that is not shown is stopped before the task is placed again.
    */
   void restored(long nowMillis) {
-    stage = Stage.UNCERTAIN;
-    orderSent = true;
-    orderedAtMillis = Long.MIN_VALUE / 2;
-    stopConfirmedAtMillis = nowMillis;
+    orderSent(nowMillis);
+    uncertain(nowMillis);
   }
 
   void uncertain(long nowMillis) {
     stage = Stage.UNCERTAIN;
-    uncertainSinceMillis = nowMillis;
+    uncertainSinceMillis = OptionalLong.of(nowMillis);
   }
 
-  long uncertainSinceMillis() {
-    return uncertainSinceMillis;
+  /** Returns the time since which it is not known whether the run has begun, if that is so. */
+  OptionalLong uncertainSinceMillis() {
+    return stage == Stage.UNCERTAIN ? uncertainSinceMillis : OptionalLong.empty();
+  }
+
+  /** Returns whether it was uncertain before a time whether the run has begun. */
+  boolean uncertainBefore(long atMillis) {
+    return isBefore(uncertainSinceMillis(), atMillis);
   }
 
   boolean stopWanted() {
@@ -127,21 +138,37 @@
     }
   }
 
-  long stopSentAtMillis() {
-    return stopSentAtMillis;
+  /** Returns whether a stop is on its way that was sent at most {@code millis} ago. */
+  boolean stopSentWithin(long nowMillis, long millis) {
+    return ElapsedTime.within(stopSentAtMillis, nowMillis, millis);
+  }
+
+  boolean stopSent() {
+    return stopSentAtMillis.isPresent();
   }
 
   void stopSent(long nowMillis) {
-    stopSentAtMillis = nowMillis;
+    stopSentAtMillis = OptionalLong.of(nowMillis);
+  }
+
+  boolean stopConfirmed() {
+    return stopConfirmedAtMillis.isPresent();
   }
 
-  /** Returns the time at which the worker confirmed that the run will not start any more. */
-  long stopConfirmedAtMillis() {
-    return stopConfirmedAtMillis;
+  /** Returns whether the worker confirmed before a time that the run will not start any more. */
+  boolean stopConfirmedBefore(long atMillis) {
+    return isBefore(stopConfirmedAtMillis, atMillis);
   }
 
   void stopConfirmed(long nowMillis) {
-    stopConfirmedAtMillis = Math.min(stopConfirmedAtMillis, nowMillis);
+    if (!stopConfirmed()) {
+      stopConfirmedAtMillis = OptionalLong.of(nowMillis);
+    }
+  }
+
+  /** Notes that the run is still present long after its stop was confirmed. */
+  void stopIneffective() {
+    stopConfirmedAtMillis = OptionalLong.empty();
   }
 
   void progress(int percent, String newCheckpoint, long nowMillis) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/RunEndHandler.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/RunEndHandler.java
@@ -17,7 +17,10 @@
     task.checkpoint(placement.checkpoint());
     task.checkpoint(checkpoint);
     state.release(placement);
-    if (task.step().job().phase().over()) {
+    if (kind == EndKind.DONE) {
+      placement.worker().succeeded();
+    }
+    if (task.step().job().phase().over() || task.done()) {
       return;
     }
     switch (kind) {
@@ -38,7 +41,6 @@
   }
 
   private void done(Placement placement, Moment now) {
-    placement.worker().succeeded();
     StepRun step = placement.task().step();
     if (step.spec().longRunning()) {
       again(placement, now);
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/SilenceDetector.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/SilenceDetector.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -29,11 +30,11 @@
     Map<String, Integer> countByZone = new HashMap<>();
     Map<String, Long> sinceByZone = new HashMap<>();
     for (Worker worker : workers) {
-      long sinceMillis = worker.silentSinceMillis(nowMillis, GRACE_MILLIS);
-      if (sinceMillis != Long.MAX_VALUE && worker.listing() != null) {
+      OptionalLong since = worker.silentSinceMillis(nowMillis, GRACE_MILLIS);
+      if (since.isPresent() && worker.listing() != null) {
         silent.add(worker);
         countByZone.merge(worker.listing().zone(), 1, Integer::sum);
-        sinceByZone.merge(worker.listing().zone(), sinceMillis, Math::min);
+        sinceByZone.merge(worker.listing().zone(), since.getAsLong(), Math::min);
       }
     }
     sinceByZone.forEach(
@@ -47,7 +48,7 @@
   /** Returns whether a worker gets no task for now. */
   boolean suspects(Worker worker) {
     Long zoneSince = silentSinceByZone.get(worker.listing().zone());
-    boolean zoneSilent = zoneSince != null && worker.lastAnswerAtMillis() < zoneSince;
+    boolean zoneSilent = zoneSince != null && !worker.answeredAfter(zoneSince - 1);
     return silent.contains(worker) || zoneSilent;
   }
 }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.cicadaford.model.Resources;
 
@@ -34,19 +35,19 @@
   private long reportedClockAtMillis;
   private boolean clockKnown;
   private long highestDeadlineMillis;
-  private long leaseOverAtMillis = Long.MIN_VALUE;
-  private long lastAnswerAtMillis = Long.MIN_VALUE / 2;
+  private OptionalLong leaseOverAtMillis = OptionalLong.empty();
+  private OptionalLong lastAnswerAtMillis = OptionalLong.empty();
   private long processedEnd;
   private long recordedEnd;
   private boolean renewalInFlight;
   private boolean lookWanted;
-  private long renewalDueMillis = Long.MAX_VALUE;
-  private long nextRenewalAtMillis;
+  private OptionalLong renewalDueMillis = OptionalLong.empty();
+  private OptionalLong nextRenewalAtMillis = OptionalLong.empty();
   private int failedRenewals;
   private final Set<String> failedJobs = new HashSet<>();
-  private long quarantinedUntilMillis = Long.MIN_VALUE;
+  private OptionalLong quarantinedUntilMillis = OptionalLong.empty();
   private long quarantineMillis;
-  private long pausedUntilMillis = Long.MIN_VALUE;
+  private OptionalLong pausedUntilMillis = OptionalLong.empty();
 
   Worker(String id, long incarnation) {
     this.id = id;
@@ -83,12 +84,12 @@
     incarnation = newIncarnation;
     clockKnown = false;
     highestDeadlineMillis = 0;
-    leaseOverAtMillis = Long.MIN_VALUE;
+    leaseOverAtMillis = OptionalLong.empty();
     processedEnd = 0;
     recordedEnd = 0;
     failedJobs.clear();
     quarantineMillis = 0;
-    quarantinedUntilMillis = Long.MIN_VALUE;
+    quarantinedUntilMillis = OptionalLong.empty();
   }
 
   Map<String, Placement> placements() {
@@ -132,27 +133,30 @@
   void deadlineSent(long deadlineMillis, double maxClockSlowdown) {
     highestDeadlineMillis = Math.max(highestDeadlineMillis, deadlineMillis);
     long remaining = highestDeadlineMillis - reportedClockMillis;
-    leaseOverAtMillis =
-        Math.max(
-            leaseOverAtMillis,
-            reportedClockAtMillis + (long) Math.ceil(remaining / (1 - maxClockSlowdown)));
+    leaseOverAt(reportedClockAtMillis + (long) Math.ceil(remaining / (1 - maxClockSlowdown)));
   }
 
-  /** Returns the time after which no run of this incarnation can be present any more. */
-  long leaseOverAtMillis() {
-    return leaseOverAtMillis;
+  /** Returns whether all leases of this incarnation have been over for {@code slackMillis}. */
+  boolean leaseOver(long nowMillis, long slackMillis) {
+    return leaseOverAtMillis.isEmpty()
+        || ElapsedTime.over(leaseOverAtMillis, nowMillis, slackMillis);
   }
 
+  /** Notes that a lease may last until a time. */
   void leaseOverAt(long atMillis) {
-    leaseOverAtMillis = Math.max(leaseOverAtMillis, atMillis);
+    leaseOverAtMillis = ElapsedTime.later(leaseOverAtMillis, atMillis);
   }
 
-  long lastAnswerAtMillis() {
-    return lastAnswerAtMillis;
+  boolean answeredWithin(long nowMillis, long millis) {
+    return ElapsedTime.within(lastAnswerAtMillis, nowMillis, millis);
+  }
+
+  boolean answeredAfter(long atMillis) {
+    return lastAnswerAtMillis.isPresent() && lastAnswerAtMillis.getAsLong() > atMillis;
   }
 
   void answered(long nowMillis) {
-    lastAnswerAtMillis = nowMillis;
+    lastAnswerAtMillis = OptionalLong.of(nowMillis);
     failedRenewals = 0;
   }
 
@@ -190,42 +194,56 @@
   void renewalSent(long dueMillis) {
     renewalInFlight = true;
     lookWanted = false;
-    renewalDueMillis = dueMillis;
+    renewalDueMillis = OptionalLong.of(dueMillis);
   }
 
   void renewalOver() {
     renewalInFlight = false;
-    renewalDueMillis = Long.MAX_VALUE;
+    renewalDueMillis = OptionalLong.empty();
   }
 
   /**
-   * Returns the time of the oldest sign that the worker does not answer, or {@code Long.MAX_VALUE}:
-   * an answer that is overdue by {@code graceMillis}.
+   * Returns the time of the oldest sign that the worker does not answer, if there is one: an answer
+   * that is overdue by {@code graceMillis}.
    */
-  long silentSinceMillis(long nowMillis, long graceMillis) {
-    long since = nowMillis - renewalDueMillis > graceMillis ? renewalDueMillis : Long.MAX_VALUE;
+  OptionalLong silentSinceMillis(long nowMillis, long graceMillis) {
+    OptionalLong since =
+        ElapsedTime.over(renewalDueMillis, nowMillis, graceMillis)
+            ? renewalDueMillis
+            : OptionalLong.empty();
     for (Placement placement : placements.values()) {
-      boolean open = placement.stage() == Placement.Stage.STARTING && placement.orderSent();
-      if (open && nowMillis - placement.orderedAtMillis() > graceMillis) {
-        since = Math.min(since, placement.orderedAtMillis());
-      }
+      boolean open =
+          placement.stage() == Placement.Stage.STARTING
+              && placement.orderSent()
+              && nowMillis - placement.orderedAtMillis() > graceMillis;
+      OptionalLong uncertainSince = placement.uncertainSinceMillis();
       boolean unanswered =
-          placement.stage() == Placement.Stage.UNCERTAIN
-              && placement.uncertainSinceMillis() != Long.MAX_VALUE
-              && placement.uncertainSinceMillis() > lastAnswerAtMillis;
-      if (unanswered) {
-        since = Math.min(since, placement.orderedAtMillis());
+          uncertainSince.isPresent() && !answeredAfter(uncertainSince.getAsLong() - 1);
+      if (open || unanswered) {
+        since = earlier(since, placement.orderedAtMillis());
       }
     }
     return since;
   }
 
-  long nextRenewalAtMillis() {
-    return nextRenewalAtMillis;
+  private static OptionalLong earlier(OptionalLong atMillis, long otherMillis) {
+    return OptionalLong.of(
+        atMillis.isPresent() ? Math.min(atMillis.getAsLong(), otherMillis) : otherMillis);
+  }
+
+  /** Returns whether the time of the next renewal is more than {@code lateMillis} ago. */
+  boolean renewalOverdue(long nowMillis, long lateMillis) {
+    return nextRenewalAtMillis.isEmpty()
+        || ElapsedTime.over(nextRenewalAtMillis, nowMillis, lateMillis);
+  }
+
+  /** Returns whether the next renewal has to wait. */
+  boolean renewalAhead(long nowMillis) {
+    return ElapsedTime.ahead(nextRenewalAtMillis, nowMillis);
   }
 
   void nextRenewalAtMillis(long atMillis) {
-    nextRenewalAtMillis = atMillis;
+    nextRenewalAtMillis = OptionalLong.of(atMillis);
   }
 
   int failedRenewals() {
@@ -249,17 +267,18 @@
           quarantineMillis == 0
               ? FIRST_QUARANTINE_MILLIS
               : Math.min(2 * quarantineMillis, MAX_QUARANTINE_MILLIS);
-      quarantinedUntilMillis = nowMillis + quarantineMillis;
+      quarantinedUntilMillis = OptionalLong.of(nowMillis + quarantineMillis);
     }
   }
 
   /** Keeps tasks away after the worker has turned down a start. */
   void turnedDown(long nowMillis) {
-    pausedUntilMillis = nowMillis + PAUSE_MILLIS;
+    pausedUntilMillis = OptionalLong.of(nowMillis + PAUSE_MILLIS);
   }
 
   boolean quarantined(long nowMillis) {
-    return nowMillis < quarantinedUntilMillis || nowMillis < pausedUntilMillis;
+    return ElapsedTime.ahead(quarantinedUntilMillis, nowMillis)
+        || ElapsedTime.ahead(pausedUntilMillis, nowMillis);
   }
 
   /** Returns the number of different jobs that failed since the last success. */
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -13,6 +13,12 @@
   /** Time after which an unanswered stop is sent again, in milliseconds. */
   private static final long STOP_AGAIN_MILLIS = 350;
 
+  /** Time after the confirmation of a stop in which the run ends; the platform states 400 ms. */
+  private static final long STOP_EFFECTIVE_MILLIS = 1_000;
+
+  /** Time for which a renewal waits until reported ends are stored, in milliseconds. */
+  private static final long RECORDING_MILLIS = 500;
+
   /** Time between attempts to reach a worker that does not answer, in milliseconds. */
   private static final long UNREACHABLE_RETRY_MILLIS = 300;
 
@@ -55,11 +61,7 @@
   /** Returns the worker that a stored placement names, which may not be listed any more. */
   Worker recovered(String id, long incarnation, long nowMillis) {
     Worker worker = state.workers().computeIfAbsent(id, key -> new Worker(key, incarnation));
-    CoordinatorSettings settings = state.settings();
-    worker.leaseOverAt(
-        nowMillis
-            + (long) Math.ceil(settings.maxLeaseMillis() / (1 - settings.maxClockSlowdown()))
-            + LEASE_SLACK_MILLIS);
+    worker.leaseOverAt(nowMillis + state.settings().earlierLeasesMillis());
     return worker;
   }
 
@@ -103,7 +105,7 @@
 
   boolean reachable(Worker worker, long nowMillis) {
     return worker.clockKnown()
-        && nowMillis - worker.lastAnswerAtMillis() <= state.settings().unreachableMillis();
+        && worker.answeredWithin(nowMillis, state.settings().unreachableMillis());
   }
 
   private void applyEnds(Worker worker, WorkerReport report, Moment now) {
@@ -132,6 +134,9 @@
       }
       placement.confirmed(now.steadyMillis());
       placement.progress(row.progressPercent(), row.checkpoint(), now.steadyMillis());
+      if (placement.stopConfirmedBefore(report.sentAtMillis() - STOP_EFFECTIVE_MILLIS)) {
+        placement.stopIneffective();
+      }
     }
     if (!report.complete()) {
       return;
@@ -163,15 +168,14 @@
   private void absent(Placement placement, WorkerReport report, Moment now) {
     switch (placement.stage()) {
       case RUNNING -> {
-        if (placement.confirmedAtMillis() < report.sentAtMillis()) {
+        if (placement.confirmedBefore(report.sentAtMillis())) {
           ends.lost(placement, now);
         }
       }
       case UNCERTAIN -> {
-        if (placement.stopConfirmedAtMillis() < report.sentAtMillis()) {
+        if (placement.stopConfirmedBefore(report.sentAtMillis())) {
           ends.lost(placement, now);
-        } else if (placement.uncertainSinceMillis() < report.sentAtMillis()
-            && !placement.stopWanted()) {
+        } else if (placement.uncertainBefore(report.sentAtMillis()) && !placement.stopSent()) {
           state.stop(placement, StopReason.UNCERTAIN, now.steadyMillis());
         }
       }
@@ -220,8 +224,8 @@
 
   private void expire(Worker worker, Moment now) {
     long nowMillis = now.steadyMillis();
-    boolean silent = nowMillis - worker.lastAnswerAtMillis() > state.settings().unreachableMillis();
-    if (!silent || nowMillis <= worker.leaseOverAtMillis() + LEASE_SLACK_MILLIS) {
+    boolean silent = !worker.answeredWithin(nowMillis, state.settings().unreachableMillis());
+    if (!silent || !worker.leaseOver(nowMillis, LEASE_SLACK_MILLIS)) {
       return;
     }
     for (Placement placement : List.copyOf(worker.placements().values())) {
@@ -237,9 +241,9 @@
   private void watch(Placement placement, Moment now) {
     long nowMillis = now.steadyMillis();
     if (placement.stopWanted()) {
-      boolean answered = placement.stopConfirmedAtMillis() != Long.MAX_VALUE;
-      boolean due = nowMillis - placement.stopSentAtMillis() > STOP_AGAIN_MILLIS;
-      if (placement.orderSent() && !answered && due) {
+      boolean due =
+          !placement.stopConfirmed() && !placement.stopSentWithin(nowMillis, STOP_AGAIN_MILLIS);
+      if (placement.orderSent() && due) {
         state.sendStop(placement, nowMillis);
       }
       return;
@@ -258,7 +262,7 @@
     }
     long allowedMillis = Math.max(state.settings().stallMillis(), spec.estimateMillis() / 2);
     boolean lookedSince =
-        placement.worker().lastAnswerAtMillis() > placement.progressAtMillis() + allowedMillis;
+        placement.worker().answeredAfter(placement.progressAtMillis() + allowedMillis);
     return lookedSince && nowMillis - placement.progressAtMillis() > allowedMillis;
   }
 
@@ -278,12 +282,12 @@
     if (worker.lookWanted()) {
       return true;
     }
-    if (worker.renewalInFlight() || nowMillis < worker.nextRenewalAtMillis()) {
+    if (worker.renewalInFlight() || worker.renewalAhead(nowMillis)) {
       return false;
     }
     boolean unrecorded = worker.recordedEnd() < worker.processedEnd();
     // Ends that are not stored yet would be reported again at once.
-    return !unrecorded || nowMillis > worker.nextRenewalAtMillis() + 500;
+    return !unrecorded || worker.renewalOverdue(nowMillis, RECORDING_MILLIS);
   }
 
   private Action.Renew renewal(Worker worker, long nowMillis) {
@@ -293,7 +297,7 @@
     boolean patient = sure && !unrecorded && !worker.lookWanted();
     long waitMillis = patient ? settings.renewalWaitMillis() : 0;
     long deadlineMillis = 0;
-    if (sure) {
+    if (sure && state.mayExtendLeases(nowMillis)) {
       // A worker that does not answer gets no longer lease, so that its end becomes certain.
       deadlineMillis = worker.clockAt(nowMillis) + settings.maxLeaseMillis();
       worker.deadlineSent(deadlineMillis, settings.maxClockSlowdown());
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorTest.java
@@ -135,6 +135,85 @@
     assertThat(cell.coordinator.job("cancel").orElseThrow().phase()).isEqualTo(JobPhase.CANCELLED);
   }
 
+  /**
+   * Guards against runs of a cancelled job that go on because the coordinator took them over: a
+   * stop of such a run counted as answered before it was sent, so a lost one was never repeated.
+   * Found on retorno-sul trouble-1 and trouble-2.
+   */
+  @Example
+  void cancelledRunThatWasTakenOverIsStoppedOnceItsWorkerCanBeReached() {
+    SimulatedCell cell = cell(21, 2);
+    SimulatedJobs.job("lasting", SimulatedJobs.lastingStep(3, 1_000));
+    cell.submit("lasting", "team", SimulatedJobs.specOf("lasting"));
+    cell.run(500);
+    cell.takeOver();
+    cell.run(500);
+    cell.workers.values().forEach(worker -> worker.reachable = false);
+    assertThat(cell.coordinator.cancel("lasting", cell.moment())).isTrue();
+    cell.run(1_000);
+    assertThat(cell.workers.values()).anySatisfy(worker -> assertThat(worker.runs).isNotEmpty());
+    cell.workers.values().forEach(worker -> worker.reachable = true);
+    cell.run(1_500);
+    assertThat(cell.workers.values()).allSatisfy(worker -> assertThat(worker.runs).isEmpty());
+  }
+
+  /**
+   * Guards against runs that go on when the coordinator is replaced between storing a cancellation
+   * and stopping them: the difference to the absent time of the first stop overflowed.
+   */
+  @Example
+  void cancelledRunIsStoppedByTheNextCoordinator() {
+    SimulatedCell cell = cell(22, 2);
+    SimulatedJobs.job("lasting2", SimulatedJobs.lastingStep(3, 1_000));
+    cell.submit("lasting2", "team", SimulatedJobs.specOf("lasting2"));
+    cell.run(500);
+    cell.workers.values().forEach(worker -> worker.reachable = false);
+    assertThat(cell.coordinator.cancel("lasting2", cell.moment())).isTrue();
+    cell.run(100);
+    cell.takeOver();
+    cell.workers.values().forEach(worker -> worker.reachable = true);
+    cell.run(1_500);
+    assertThat(cell.workers.values()).allSatisfy(worker -> assertThat(worker.runs).isEmpty());
+  }
+
+  /**
+   * Guards against a second run when workers do not check epochs and carry out a start of the
+   * earlier coordinator after they have reported to its successor.
+   */
+  @Property(tries = 25, seed = "4714")
+  void rulesHoldOverTakeoversWithoutFencing(
+      @ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    SimulatedCell cell = cell(seed, 4);
+    cell.workers.values().forEach(worker -> worker.fencing = false);
+    cell.faults = new SimulatedCell.Faults(0.05, 0.1, 0.02);
+    cell.lateOrderMillis = 900;
+    List<String> ids = new ArrayList<>();
+    for (int round = 0; round < 8; round++) {
+      ids.addAll(submitMix(cell, "unfenced" + seed + "-" + round + "-", 5));
+      cell.takeOver();
+      cell.run(cell.random.nextInt(1_000));
+    }
+    cell.run(40_000);
+    assertThat(cell.violations).isEmpty();
+    assertAllEnd(cell, ids.stream().filter(cell.accepted::containsKey).toList());
+  }
+
+  /**
+   * Guards against a coordinator that ends with an exception when the members of a gang in a job
+   * with due times are reported one after the other: the first one's end had dropped the steps.
+   */
+  @Example
+  void gangOfTimedJobEndsOnce() {
+    SimulatedCell cell = cell(23, 3);
+    JobSpec spec =
+        SimulatedJobs.timedJob(
+            "timed", 2, cell.moment().unixMillis(), SimulatedJobs.step(3, 9_000, 300, true));
+    cell.submit("timed", "team", spec);
+    cell.run(4_000);
+    assertThat(cell.coordinator.job("timed").orElseThrow().phase()).isEqualTo(JobPhase.COMPLETED);
+    assertThat(cell.violations).isEmpty();
+  }
+
   /**
    * Guards against tasks that wait for ever for a worker that never answers again. Found by the
    * hunt on givre-armor, mix --seed 659567512532: each attempt to renew moved the end of the lease.
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
@@ -50,6 +50,9 @@
   /** Number of the next calls for advice that name no worker. */
   int emptyAdvice;
 
+  /** Time after which a late order is carried out, or 0 to draw 2 to 12 s. */
+  long lateOrderMillis;
+
   long nowMillis = 1_000;
   Coordinator coordinator;
   private long epoch;
@@ -84,7 +87,7 @@
     store.forEach((key, value) -> records.add(new RecordWrite(key, value)));
     coordinator.restore(records, moment());
     coordinator.configure(config, Set.of());
-    coordinator.agentsChanged(Set.of("e1", "e2", "e3"));
+    coordinator.agentsChanged(Set.of("e1", "e2", "e3"), moment());
     list();
   }
 
@@ -115,6 +118,8 @@
     long endMillis = nowMillis + millis;
     while (nowMillis < endMillis) {
       nowMillis += STEP_MILLIS;
+      Map<String, Integer> gangs = presentByGang();
+      workers.values().forEach(worker -> worker.countGangs(gangs));
       workers.values().forEach(worker -> worker.pass(STEP_MILLIS, nowMillis));
       while (!events.isEmpty() && events.peek().atMillis() <= nowMillis) {
         events.poll().action().run();
@@ -122,12 +127,27 @@
       if (nowMillis % 300 == 0) {
         list();
       }
+      if (!storeDown) {
+        coordinator.roleConfirmed(nowMillis);
+      }
       coordinator.advance(moment());
       coordinator.takeActions().forEach(this::carryOut);
       append();
     }
   }
 
+  private Map<String, Integer> presentByGang() {
+    Map<String, Integer> present = new HashMap<>();
+    for (SimulatedWorker worker : workers.values()) {
+      for (SimulatedWorker.Run run : worker.runs.values()) {
+        if (run.gangSize > 1) {
+          present.merge(SimulatedWorker.gangOf(run), 1, Integer::sum);
+        }
+      }
+    }
+    return present;
+  }
+
   private void after(long delayMillis, Runnable action) {
     events.add(new Event(nowMillis + delayMillis, order++, action));
   }
@@ -182,7 +202,8 @@
     trace(order.task(), "order " + order.run() + " to " + worker.id + "/" + worker.incarnation);
     boolean late = random.nextDouble() < faults.lateOrder();
     boolean lost = late || random.nextDouble() < faults.lostAnswer();
-    long delayMillis = late ? 2_000 + random.nextInt(10_000) : 1 + random.nextInt(5);
+    long lateMillis = lateOrderMillis > 0 ? lateOrderMillis : 2_000 + random.nextInt(10_000);
+    long delayMillis = late ? lateMillis : 1 + random.nextInt(5);
     after(
         delayMillis,
         () -> {
@@ -214,9 +235,15 @@
     String[] name = order.task().split("\\.");
     StepSpec step = SimulatedJobs.specOf(name[0]).steps().get(Integer.parseInt(name[2]));
     boolean fails = random.nextDouble() < faults.failedRun();
+    long workMillis = step.longRunning() ? Long.MAX_VALUE : step.estimateMillis();
     SimulatedWorker.Run run =
         new SimulatedWorker.Run(
-            order.task(), order.run(), step.estimateMillis(), fails, step.reservation());
+            order.task(),
+            order.run(),
+            workMillis,
+            fails,
+            step.reservation(),
+            step.gang() ? step.taskCount() : 1);
     boolean known = worker.runs.containsKey(order.task());
     StartOutcome outcome = worker.start(run, sentEpoch, order.deadlineMillis());
     trace(
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedJobs.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedJobs.java
@@ -22,6 +22,21 @@
   }
 
   static StepSpec step(int count, long millicores, long millis, boolean gang, Integer... after) {
+    return step(count, millicores, millis, gang, false, after);
+  }
+
+  /** Returns a step whose tasks run until the job is cancelled. */
+  static StepSpec lastingStep(int count, long millicores) {
+    return step(count, millicores, 300, false, true);
+  }
+
+  private static StepSpec step(
+      int count,
+      long millicores,
+      long millis,
+      boolean gang,
+      boolean longRunning,
+      Integer... after) {
     return new StepSpec(
         count,
         new Resources(millicores, 100, 0),
@@ -34,7 +49,7 @@
         "",
         0,
         false,
-        false,
+        longRunning,
         "",
         0,
         false,
@@ -47,6 +62,13 @@
     return spec;
   }
 
+  /** Returns a job whose steps run {@code times} times, once a second. */
+  static JobSpec timedJob(String jobId, int times, long firstDueMillis, StepSpec... steps) {
+    JobSpec spec = new JobSpec("payload", List.of(steps), times, firstDueMillis, 1_000);
+    SPECS.put(jobId, spec);
+    return spec;
+  }
+
   static JobSpec specOf(String jobId) {
     return SPECS.get(jobId);
   }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedWorker.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedWorker.java
@@ -21,24 +21,45 @@
     final long workMillis;
     final boolean fails;
     final Resources reservation;
+    final int gangSize;
     long workedMillis;
+
+    /** Whether all members of the run's gang are present; a run without a gang always works. */
+    boolean complete;
+
     long stopAtMillis = Long.MAX_VALUE;
 
-    Run(String task, int number, long workMillis, boolean fails, Resources reservation) {
+    Run(
+        String task,
+        int number,
+        long workMillis,
+        boolean fails,
+        Resources reservation,
+        int gangSize) {
       this.task = task;
       this.number = number;
       this.workMillis = workMillis;
       this.fails = fails;
       this.reservation = reservation;
+      this.gangSize = gangSize;
     }
   }
 
+  /** Returns the step and run that the members of a gang share. */
+  static String gangOf(Run run) {
+    return run.task.substring(0, run.task.lastIndexOf('.')) + "/" + run.number;
+  }
+
   final String id;
   final String zone;
   final Resources capacity;
   final double clockRate;
   long incarnation;
   boolean up = true;
+
+  /** Whether orders of an earlier epoch than the highest one heard are refused. */
+  boolean fencing = true;
+
   boolean reachable = true;
   final Map<String, Run> runs = new LinkedHashMap<>();
   private final List<EndRow> ends = new ArrayList<>();
@@ -93,7 +114,7 @@
       }
     }
     for (Run run : List.copyOf(runs.values())) {
-      run.workedMillis += millis;
+      run.workedMillis += run.complete ? millis : 0;
       if (nowMillis >= run.stopAtMillis) {
         end(run, EndKind.STOPPED);
       } else if (run.workedMillis >= run.workMillis) {
@@ -102,18 +123,34 @@
     }
   }
 
+  /** Lets gangs work while all their members are present, and breaks those that lose one. */
+  void countGangs(Map<String, Integer> presentByGang) {
+    for (Run run : List.copyOf(runs.values())) {
+      boolean allPresent =
+          run.gangSize <= 1 || presentByGang.getOrDefault(gangOf(run), 0) >= run.gangSize;
+      if (run.complete && !allPresent) {
+        end(run, EndKind.BROKEN);
+      }
+      run.complete = allPresent;
+    }
+  }
+
   private void end(Run run, EndKind kind) {
     runs.remove(run.task);
     closedRuns.merge(run.task, run.number, Math::max);
     ends.add(new EndRow(++lastEnd, run.task, run.number, kind, ""));
   }
 
+  private boolean fenced(long epoch) {
+    return fencing && epoch < highestEpoch;
+  }
+
   /** Carries out a start; returns the outcome, and the run if it has begun. */
   StartOutcome start(Run run, long epoch, long deadlineMillis) {
-    if (epoch < highestEpoch) {
+    if (fenced(epoch)) {
       return StartOutcome.FENCED;
     }
-    highestEpoch = epoch;
+    highestEpoch = Math.max(highestEpoch, epoch);
     Run present = runs.get(run.task);
     if (present != null && present.number == run.number) {
       return StartOutcome.STARTED;
@@ -130,10 +167,10 @@
   }
 
   boolean stop(String task, int number, long epoch, long nowMillis) {
-    if (epoch < highestEpoch) {
+    if (fenced(epoch)) {
       return false;
     }
-    highestEpoch = epoch;
+    highestEpoch = Math.max(highestEpoch, epoch);
     Run present = runs.get(task);
     if (present != null && present.number == number) {
       present.stopAtMillis = Math.min(present.stopAtMillis, nowMillis + STOP_MILLIS);
@@ -150,10 +187,10 @@
 
   /** Returns the report, or null if the worker follows a higher epoch. */
   WorkerReport renew(long epoch, long acknowledged, long deadlineMillis, long sentAtMillis) {
-    if (epoch < highestEpoch) {
+    if (fenced(epoch)) {
       return null;
     }
-    highestEpoch = epoch;
+    highestEpoch = Math.max(highestEpoch, epoch);
     ends.removeIf(end -> end.number() <= acknowledged);
     if (deadlineMillis > 0) {
       extend(deadlineMillis);
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -9,6 +10,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.cicadaford.cell.CoordinatorSettings;
+import org.cicadaford.cell.ElapsedTime;
 import org.cicadaford.cell.Moment;
 import org.cicadaford.cell.RecordWrite;
 import org.cicadaford.wire.PeerException;
@@ -67,7 +69,7 @@
   private AdvisorPool advisors;
   private CoordinatorService coordinator;
   private ScheduledFuture<?> checks;
-  private long loadingSinceMillis = -1;
+  private OptionalLong loadingSinceMillis = OptionalLong.empty();
   private long loadingEpoch;
   private boolean stopping;
 
@@ -165,12 +167,12 @@
 
   /** Returns whether keys may be accepted: the configuration was confirmed recently. */
   public boolean keysFresh() {
-    return config.ageMillis(clock.get()) <= settings.keyFreshnessMillis();
+    return config.confirmedWithin(settings.keyFreshnessMillis(), clock.get());
   }
 
   /** Returns whether requests can be served here. */
   public boolean ready() {
-    boolean confirmed = config.ageMillis(clock.get()) <= READY_CONFIG_AGE_MILLIS;
+    boolean confirmed = config.confirmedWithin(READY_CONFIG_AGE_MILLIS, clock.get());
     return !stopping && confirmed && (coordinatorSound() || link.connected());
   }
 
@@ -218,7 +220,7 @@
   }
 
   private PeerMessage.Heartbeat heartbeat() {
-    boolean loading = loadingSinceMillis >= 0 && nowMillis() - loadingSinceMillis <= LOADING_MILLIS;
+    boolean loading = ElapsedTime.within(loadingSinceMillis, nowMillis(), LOADING_MILLIS);
     boolean sound = loading || (coordinator != null && coordinator.storing(UNSOUND_MILLIS));
     long epoch = coordinator != null ? coordinator.epoch() : loadingEpoch;
     return new PeerMessage.Heartbeat(
@@ -257,7 +259,7 @@
     if (!announced.vacant() && !own) {
       link.open(announced.address(), heartbeat -> heard(announced, heartbeat));
     }
-    if (own && coordinator == null && loadingSinceMillis < 0) {
+    if (own && coordinator == null && loadingSinceMillis.isEmpty()) {
       // An earlier process of this instance was the coordinator.
       candidate.election().coordinatorGone();
     }
@@ -308,7 +310,7 @@
     if (stopping) {
       return;
     }
-    loadingSinceMillis = nowMillis();
+    loadingSinceMillis = OptionalLong.of(nowMillis());
     loadingEpoch = epoch;
     Leadership own = new Leadership(epoch, settings.instanceId(), settings.peerAddress());
     store.announce(own);
@@ -317,7 +319,7 @@
         .whenComplete(
             (records, failure) -> {
               candidate.claimDone();
-              loadingSinceMillis = -1;
+              loadingSinceMillis = OptionalLong.empty();
               if (failure != null) {
                 LOGGER.warn("the records of epoch {} cannot be loaded: {}", epoch, failure);
                 return;
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/ConfigHolder.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/ConfigHolder.java
@@ -38,18 +38,8 @@
     return published.config().version() >= 0;
   }
 
-  /**
-   * Returns the age of the last confirmation in milliseconds.
-   *
-   * <p>The larger of both clocks counts: the steady one stands still while the instance is
-   * suspended, and the other one may have been set back.
-   */
-  public long ageMillis(Moment now) {
-    if (confirmedAt == null) {
-      return Long.MAX_VALUE;
-    }
-    return Math.max(
-        now.steadyMillis() - confirmedAt.steadyMillis(),
-        now.unixMillis() - confirmedAt.unixMillis());
+  /** Returns whether the configuration was confirmed at most {@code millis} ago. */
+  public boolean confirmedWithin(long millis, Moment now) {
+    return confirmedAt != null && now.millisSince(confirmedAt) <= millis;
   }
 }
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorCandidate.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorCandidate.java
@@ -1,8 +1,10 @@
 package org.cicadaford.coordinator;
 
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
+import org.cicadaford.cell.ElapsedTime;
 
 /**
  * Watches the journal while no coordinator is heard, and claims it as {@link ElectionPolicy} says.
@@ -38,7 +40,7 @@
   private final ElectionPolicy election = new ElectionPolicy();
   private final Random random = new Random();
   private boolean observing;
-  private long observedAtMillis = Long.MIN_VALUE / 2;
+  private OptionalLong observedAtMillis = OptionalLong.empty();
   private boolean claiming;
   private final long ownDelayMillis;
   private long claimDelayMillis;
@@ -102,19 +104,18 @@
     if (claiming) {
       return;
     }
-    boolean due = now - observedAtMillis >= OBSERVATION_INTERVAL_MILLIS;
+    boolean due = !ElapsedTime.within(observedAtMillis, now, OBSERVATION_INTERVAL_MILLIS);
     if (election.wantsObservation(now) && !observing && due) {
       observe(now);
     }
-    long end = mayClaim ? election.claimableEnd(now, claimDelayMillis) : -1;
-    if (end >= 0) {
-      claim(end);
+    if (mayClaim) {
+      election.claimableEnd(now, claimDelayMillis).ifPresent(this::claim);
     }
   }
 
   private void observe(long askedAtMillis) {
     observing = true;
-    observedAtMillis = askedAtMillis;
+    observedAtMillis = OptionalLong.of(askedAtMillis);
     store
         .journalEnd()
         .whenComplete(
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
@@ -80,9 +80,7 @@
       Runnable deposed) {
     this.epoch = epoch;
     this.coordinator = new Coordinator(settings);
-    this.journal =
-        new JournalWriter(
-            epoch, store, loop, () -> clock.get().steadyMillis(), metrics, this::replaced);
+    this.journal = new JournalWriter(epoch, store, loop, clock, metrics, this::replaced);
     this.sender =
         new OrderSender(
             epoch,
@@ -114,6 +112,7 @@
         "restored",
         "records=" + records.size() + " unreadable=" + unreadable);
     coordinator.configure(published.config(), published.zonesOut());
+    coordinator.roleConfirmed(journal.lastStoredAtMillis());
     running = true;
     rounds = loop.scheduleWithFixedDelay(this::round, 0, ROUND_MILLIS, TimeUnit.MILLISECONDS);
   }
@@ -240,7 +239,7 @@
     }
     try {
       Moment now = clock.get();
-      coordinator.agentsChanged(advisors.ids());
+      coordinator.agentsChanged(advisors.ids(), now);
       coordinator.advance(now);
       coordinator.takeActions().forEach(this::carryOut);
       store(now);
@@ -287,7 +286,7 @@
     }
     Optional<Batch> batch = coordinator.takeBatch();
     List<RecordWrite> writes = batch.map(Batch::writes).orElse(List.of());
-    Runnable whenStored = batch.isPresent() ? this::batchStored : this::queueRound;
+    Runnable whenStored = batch.isPresent() ? this::batchStored : this::heartbeatStored;
     if (!writes.isEmpty()) {
       journal.write(writes, whenStored);
     } else if (journal.heartbeatDue()) {
@@ -297,7 +296,18 @@
     }
   }
 
+  private void heartbeatStored() {
+    coordinator.roleConfirmed(journal.lastStoredAtMillis());
+    queueRound();
+  }
+
   private void batchStored() {
+    if (!sound()) {
+      // The answer was read long after the append, for example after a pause of this process, and
+      // another instance may have claimed the journal since. The next append tells.
+      journal.heartbeat(this::batchStored);
+      return;
+    }
     stored(clock.get());
     queueRound();
   }
@@ -310,6 +320,7 @@
   }
 
   private void stored(Moment now) {
+    coordinator.roleConfirmed(journal.lastStoredAtMillis());
     coordinator.stored(now);
     coordinator.takeActions().forEach(this::carryOut);
   }
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/ElectionPolicy.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/ElectionPolicy.java
@@ -1,5 +1,8 @@
 package org.cicadaford.coordinator;
 
+import java.util.OptionalLong;
+import org.cicadaford.cell.ElapsedTime;
+
 /**
  * Decides when an instance claims the role of the cell coordinator.
  *
@@ -26,18 +29,18 @@
    */
   static final long REFUSED_MILLIS = 250;
 
-  private long observedEnd = -1;
+  private OptionalLong observedEnd = OptionalLong.empty();
   private long unchangedSinceMillis;
   private long observationMillis;
-  private long lastSoundAtMillis = Long.MIN_VALUE / 2;
+  private OptionalLong lastSoundAtMillis = OptionalLong.empty();
   private boolean vacant = true;
   private boolean unsound;
   private boolean refused;
 
   /** Takes a sound answer of the coordinator. */
   public void coordinatorSound(long nowMillis) {
-    lastSoundAtMillis = nowMillis;
-    observedEnd = -1;
+    lastSoundAtMillis = OptionalLong.of(nowMillis);
+    observedEnd = OptionalLong.empty();
     vacant = false;
     unsound = false;
     refused = false;
@@ -70,43 +73,45 @@
   /** Takes an announcement. */
   public void announced(Leadership leadership, long nowMillis) {
     vacant = leadership.vacant();
-    observedEnd = -1;
+    observedEnd = OptionalLong.empty();
     unsound = false;
     refused = false;
     if (!vacant) {
-      lastSoundAtMillis = nowMillis;
+      lastSoundAtMillis = OptionalLong.of(nowMillis);
     }
   }
 
   /** Returns whether the journal's end should be observed now. */
   public boolean wantsObservation(long nowMillis) {
-    return vacant || unsound || nowMillis - lastSoundAtMillis >= SILENCE_MILLIS;
+    return vacant
+        || unsound
+        || !ElapsedTime.within(lastSoundAtMillis, nowMillis, SILENCE_MILLIS - 1);
   }
 
   /** Takes the journal's end as it was at some time between the two given ones. */
   public void observed(long end, long askedAtMillis, long answeredAtMillis) {
     observationMillis = answeredAtMillis - askedAtMillis;
-    if (end != observedEnd) {
-      observedEnd = end;
+    if (observedEnd.isEmpty() || end != observedEnd.getAsLong()) {
+      observedEnd = OptionalLong.of(end);
       unchangedSinceMillis = answeredAtMillis;
     }
   }
 
   /**
-   * Returns the end at which the journal may be claimed, or -1.
+   * Returns the end at which the journal may be claimed, if it may.
    *
    * <p>A store that answers slowly delays the appends of a coordinator that works, so the time of
    * an observation is added twice.
    *
    * @param delayMillis delay of this instance, which keeps instances from claiming together
    */
-  public long claimableEnd(long nowMillis, long delayMillis) {
-    if (observedEnd < 0 || !wantsObservation(nowMillis)) {
-      return -1;
+  public OptionalLong claimableEnd(long nowMillis, long delayMillis) {
+    if (observedEnd.isEmpty() || !wantsObservation(nowMillis)) {
+      return OptionalLong.empty();
     }
     long silenceMillis = refused ? REFUSED_MILLIS : ABANDONED_MILLIS;
     long abandonedMillis = vacant ? 0 : silenceMillis + 2 * observationMillis;
     long unchangedMillis = nowMillis - unchangedSinceMillis;
-    return unchangedMillis >= abandonedMillis + delayMillis ? observedEnd : -1;
+    return unchangedMillis >= abandonedMillis + delayMillis ? observedEnd : OptionalLong.empty();
   }
 }
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/JournalWriter.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/JournalWriter.java
@@ -1,9 +1,12 @@
 package org.cicadaford.coordinator;
 
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.cicadaford.cell.ElapsedTime;
+import org.cicadaford.cell.Moment;
 import org.cicadaford.cell.RecordWrite;
 
 /** Appends the batches of one epoch to the journal, one after the other, until each is stored. */
@@ -21,14 +24,14 @@
   private final long epoch;
   private final CellStore store;
   private final ScheduledExecutorService loop;
-  private final LongSupplier nowMillis;
+  private final Supplier<Moment> clock;
   private final CellMetrics metrics;
   private final Runnable fenced;
   private boolean running = true;
   private boolean open;
   private long sequence;
-  private long lastStoredAtMillis;
-  private long lastAppendAtMillis;
+  private Moment lastStoredAt;
+  private OptionalLong lastAppendAtMillis = OptionalLong.empty();
   private int failuresInARow;
 
   /**
@@ -40,16 +43,16 @@
       long epoch,
       CellStore store,
       ScheduledExecutorService loop,
-      LongSupplier nowMillis,
+      Supplier<Moment> clock,
       CellMetrics metrics,
       Runnable fenced) {
     this.epoch = epoch;
     this.store = store;
     this.loop = loop;
-    this.nowMillis = nowMillis;
+    this.clock = clock;
     this.metrics = metrics;
     this.fenced = fenced;
-    this.lastStoredAtMillis = nowMillis.getAsLong();
+    this.lastStoredAt = clock.get();
   }
 
   void stop() {
@@ -58,7 +61,7 @@
 
   /** Returns whether an append may begin now. */
   boolean free() {
-    return !open && nowMillis.getAsLong() - lastAppendAtMillis >= APPEND_INTERVAL_MILLIS;
+    return !open && !appendedWithin(APPEND_INTERVAL_MILLIS - 1);
   }
 
   boolean open() {
@@ -69,9 +72,21 @@
     return sequence;
   }
 
-  /** Returns the age of the newest append that was stored, counted from its sending. */
+  private boolean appendedWithin(long millis) {
+    return ElapsedTime.within(lastAppendAtMillis, clock.get().steadyMillis(), millis);
+  }
+
+  /**
+   * Returns the age of the newest append that was stored, counted from its sending. Time in which
+   * the instance was suspended counts, as another one may have claimed the journal meanwhile.
+   */
   long storedAgeMillis() {
-    return nowMillis.getAsLong() - lastStoredAtMillis;
+    return clock.get().millisSince(lastStoredAt);
+  }
+
+  /** Returns the steady time at which the newest append that was stored was sent. */
+  long lastStoredAtMillis() {
+    return lastStoredAt.steadyMillis();
   }
 
   /** Returns whether the store takes appends: none has failed again and one was stored lately. */
@@ -80,8 +95,7 @@
   }
 
   boolean heartbeatDue() {
-    long age = nowMillis.getAsLong() - lastAppendAtMillis;
-    return age >= ElectionPolicy.JOURNAL_HEARTBEAT_MILLIS;
+    return !appendedWithin(ElectionPolicy.JOURNAL_HEARTBEAT_MILLIS - 1);
   }
 
   /** Appends a record that shows only that the coordinator lives. */
@@ -97,17 +111,17 @@
   }
 
   private void attempt(List<RecordWrite> records, Runnable stored) {
-    long sentAtMillis = nowMillis.getAsLong();
-    lastAppendAtMillis = sentAtMillis;
+    Moment sentAt = clock.get();
+    lastAppendAtMillis = OptionalLong.of(sentAt.steadyMillis());
     store
         .append(epoch, sequence, records)
         .exceptionally(failure -> AppendOutcome.UNKNOWN)
-        .thenAccept(outcome -> answered(outcome, records, stored, sentAtMillis));
+        .thenAccept(outcome -> answered(outcome, records, stored, sentAt));
   }
 
   private void answered(
-      AppendOutcome outcome, List<RecordWrite> records, Runnable stored, long sentAtMillis) {
-    metrics.appended(outcome, nowMillis.getAsLong() - sentAtMillis);
+      AppendOutcome outcome, List<RecordWrite> records, Runnable stored, Moment sentAt) {
+    metrics.appended(outcome, clock.get().steadyMillis() - sentAt.steadyMillis());
     if (!running) {
       return;
     }
@@ -115,7 +129,7 @@
       case STORED -> {
         open = false;
         failuresInARow = 0;
-        lastStoredAtMillis = sentAtMillis;
+        lastStoredAt = sentAt;
         stored.run();
       }
       case FENCED -> {
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/ConfigHolderTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/ConfigHolderTest.java
@@ -37,9 +37,11 @@
   @Example
   void ageIsTheLargerOfBothClocks() {
     ConfigHolder holder = new ConfigHolder();
-    assertThat(holder.ageMillis(new Moment(0, 0))).isEqualTo(Long.MAX_VALUE);
+    assertThat(holder.confirmedWithin(1_000_000, new Moment(0, 0))).isFalse();
     holder.take(version(5), new Moment(1_000, 50_000));
-    assertThat(holder.ageMillis(new Moment(1_500, 58_000))).isEqualTo(8_000);
-    assertThat(holder.ageMillis(new Moment(4_000, 47_000))).isEqualTo(3_000);
+    assertThat(holder.confirmedWithin(8_000, new Moment(1_500, 58_000))).isTrue();
+    assertThat(holder.confirmedWithin(7_999, new Moment(1_500, 58_000))).isFalse();
+    assertThat(holder.confirmedWithin(3_000, new Moment(4_000, 47_000))).isTrue();
+    assertThat(holder.confirmedWithin(2_999, new Moment(4_000, 47_000))).isFalse();
   }
 }
--- /dev/null
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceTest.java
@@ -0,0 +1,225 @@
+package org.cicadaford.coordinator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import net.jqwik.api.Example;
+import org.cicadaford.cell.Action;
+import org.cicadaford.cell.AdvicePolicy;
+import org.cicadaford.cell.CellConfig;
+import org.cicadaford.cell.CoordinatorSettings;
+import org.cicadaford.cell.JobSpec;
+import org.cicadaford.cell.ListedWorker;
+import org.cicadaford.cell.Moment;
+import org.cicadaford.cell.Queue;
+import org.cicadaford.cell.RecordWrite;
+import org.cicadaford.cell.StartOutcome;
+import org.cicadaford.cell.StepSpec;
+import org.cicadaford.cell.TeamShare;
+import org.cicadaford.cell.WorkerReport;
+import org.cicadaford.model.Resources;
+import org.cicadaford.wire.PeerMessage;
+
+/** Tests what the service of an epoch sends while its role may have gone to another instance. */
+class CoordinatorServiceTest {
+
+  private static final Queue QUEUE =
+      new Queue("q", "h", "/q/", "svc", 0, 3, 2, 250, 3_000, false, AdvicePolicy.NONE);
+  private static final JobSpec SPEC = new JobSpec("payload", List.of(step()), 0, 0, 0);
+
+  private final EmbeddedChannel channel = new EmbeddedChannel();
+  private final Deque<CompletableFuture<AppendOutcome>> appends = new ArrayDeque<>();
+  private final List<Action.StartTask> starts = new ArrayList<>();
+  private final List<Action.Renew> renewals = new ArrayList<>();
+  private long steadyMillis = 10_000;
+  private long unixMillis = 1_700_000_000_000L;
+  private boolean storing = true;
+  private boolean deposed;
+
+  private static StepSpec step() {
+    Resources demand = new Resources(1_000, 100, 0);
+    return new StepSpec(
+        1, demand, 500, List.of(), false, false, false, "", "", 0, false, false, "", 0, false, 0);
+  }
+
+  private Moment now() {
+    return new Moment(steadyMillis, unixMillis);
+  }
+
+  private CellStore store() {
+    return new UnusedCellStore() {
+      @Override
+      public CompletableFuture<AppendOutcome> append(
+          long epoch, long sequence, List<RecordWrite> records) {
+        CompletableFuture<AppendOutcome> outcome = new CompletableFuture<>();
+        if (storing) {
+          return answer(5, () -> AppendOutcome.STORED);
+        }
+        appends.add(outcome);
+        return outcome;
+      }
+    };
+  }
+
+  private WorkerOrders orders() {
+    return new WorkerOrders() {
+      @Override
+      public CompletableFuture<StartAnswer> start(Action.StartTask order, long epoch) {
+        starts.add(order);
+        return answer(5, () -> new StartAnswer(StartOutcome.STARTED, steadyMillis, ""));
+      }
+
+      @Override
+      public CompletableFuture<Boolean> stop(Action.StopTask order, long epoch) {
+        return answer(5, () -> true);
+      }
+
+      @Override
+      public CompletableFuture<RenewalAnswer> renew(
+          Action.Renew order, long epoch, long nowMillis) {
+        renewals.add(order);
+        return answer(5 + order.waitMillis(), () -> report(nowMillis));
+      }
+    };
+  }
+
+  private <T> CompletableFuture<T> answer(long afterMillis, Supplier<T> value) {
+    CompletableFuture<T> answer = new CompletableFuture<>();
+    channel
+        .eventLoop()
+        .schedule(() -> answer.complete(value.get()), afterMillis, TimeUnit.MILLISECONDS);
+    return answer;
+  }
+
+  private WorkerOrders.RenewalAnswer report(long sentAtMillis) {
+    WorkerReport report =
+        new WorkerReport("w", 1, steadyMillis, sentAtMillis, List.of(), List.of(), true);
+    return new WorkerOrders.RenewalAnswer(
+        WorkerOrders.RenewalOutcome.REPORTED, Optional.of(report));
+  }
+
+  private static CellDirectory directory() {
+    return new CellDirectory() {
+      @Override
+      public CompletableFuture<Published> published(long waitMillis) {
+        return new CompletableFuture<>();
+      }
+
+      @Override
+      public CompletableFuture<List<ListedWorker>> workers() {
+        Resources capacity = new Resources(8_000, 8_000, 0);
+        return CompletableFuture.completedFuture(
+            List.of(
+                new ListedWorker("w", 1, "svc", "w:1", "z", false, capacity, Set.of(), "rack")));
+      }
+    };
+  }
+
+  private CoordinatorService service() {
+    channel.freezeTime();
+    PeerMessage.Hello self = new PeerMessage.Hello("e1", "z");
+    CellMetrics metrics = new CellMetrics();
+    AdvisorPool advisors =
+        new AdvisorPool(
+            self,
+            (step, workers, timeout) -> new CompletableFuture<>(),
+            CellSettings.ADVISERS,
+            channel.eventLoop(),
+            channel.eventLoop(),
+            () -> null,
+            () -> steadyMillis);
+    CoordinatorService service =
+        new CoordinatorService(
+            7,
+            CoordinatorSettings.forPlatform(6_000, 60_000),
+            store(),
+            orders(),
+            advisors,
+            directory(),
+            channel.eventLoop(),
+            this::now,
+            metrics,
+            new DecisionLog(metrics, () -> steadyMillis),
+            () -> deposed = true);
+    CellConfig config =
+        new CellConfig(1, List.of(QUEUE), List.of(new TeamShare("t", Set.of(), 0, Resources.NONE)));
+    service.start(List.of(), new CellDirectory.Published(config, Set.of()));
+    return service;
+  }
+
+  private void pass(long millis) {
+    for (long passed = 0; passed < millis; passed += 5) {
+      steadyMillis += 5;
+      unixMillis += 5;
+      channel.advanceTimeBy(5, TimeUnit.MILLISECONDS);
+      channel.runPendingTasks();
+    }
+  }
+
+  /** Guards against starts by a coordinator that was replaced while its process was paused. */
+  @Example
+  void processThatWasPausedStartsNothingBeforeItsRoleIsConfirmed() {
+    CoordinatorService service = service();
+    pass(200);
+    storing = false;
+    service.submit("job", QUEUE, "t", SPEC);
+    pass(50);
+    assertThat(appends).isNotEmpty();
+    steadyMillis += 4_000;
+    unixMillis += 4_000;
+    CompletableFuture<AppendOutcome> placed = appends.removeLast();
+    placed.complete(AppendOutcome.STORED);
+    pass(50);
+    assertThat(starts).isEmpty();
+    assertThat(appends).isNotEmpty();
+    appends.removeLast().complete(AppendOutcome.FENCED);
+    assertThat(deposed).isTrue();
+    assertThat(starts).isEmpty();
+  }
+
+  /** Guards against the same after a suspension, which the steady clock does not count. */
+  @Example
+  void processThatWasSuspendedStartsNothingBeforeItsRoleIsConfirmed() {
+    CoordinatorService service = service();
+    pass(200);
+    storing = false;
+    service.submit("job", QUEUE, "t", SPEC);
+    pass(50);
+    unixMillis += 4_000;
+    appends.removeLast().complete(AppendOutcome.STORED);
+    pass(50);
+    assertThat(starts).isEmpty();
+    storing = true;
+    appends.removeLast().complete(AppendOutcome.STORED);
+    pass(50);
+    assertThat(starts).hasSize(1);
+  }
+
+  /**
+   * Guards against leases that a coordinator without the store extends for ever: its successor
+   * could never be sure that the runs of a worker that it cannot reach have ended.
+   */
+  @Example
+  void leasesAreExtendedForABoundedTimeWithoutTheStore() {
+    service();
+    pass(500);
+    storing = false;
+    pass(2_500);
+    renewals.clear();
+    pass(1_200);
+    assertThat(renewals).isNotEmpty().allMatch(renewal -> renewal.deadlineMillis() > 0);
+    pass(2_000);
+    renewals.clear();
+    pass(1_200);
+    assertThat(renewals).isNotEmpty().allMatch(renewal -> renewal.deadlineMillis() == 0);
+  }
+}
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/ElectionPolicyTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/ElectionPolicyTest.java
@@ -24,7 +24,7 @@
       long end = now / ElectionPolicy.JOURNAL_HEARTBEAT_MILLIS;
       policy.coordinatorUnsound();
       policy.observed(end, now, now + 5);
-      assertThat(policy.claimableEnd(now + 5, 0)).isEqualTo(-1);
+      assertThat(policy.claimableEnd(now + 5, 0)).isEmpty();
     }
   }
 
@@ -36,8 +36,8 @@
     assertThat(policy.wantsObservation(now - 1)).isFalse();
     assertThat(policy.wantsObservation(now)).isTrue();
     policy.observed(41, now, now);
-    assertThat(policy.claimableEnd(now + ElectionPolicy.ABANDONED_MILLIS - 1, 0)).isEqualTo(-1);
-    assertThat(policy.claimableEnd(now + ElectionPolicy.ABANDONED_MILLIS, 0)).isEqualTo(41);
+    assertThat(policy.claimableEnd(now + ElectionPolicy.ABANDONED_MILLIS - 1, 0)).isEmpty();
+    assertThat(policy.claimableEnd(now + ElectionPolicy.ABANDONED_MILLIS, 0)).hasValue(41);
   }
 
   /** Guards against waiting for a coordinator that has resigned or was restarted. */
@@ -46,9 +46,9 @@
     ElectionPolicy policy = following();
     policy.coordinatorGone();
     policy.observed(41, 10, 12);
-    assertThat(policy.claimableEnd(12, 0)).isEqualTo(41);
-    assertThat(policy.claimableEnd(12, 30)).isEqualTo(-1);
-    assertThat(policy.claimableEnd(42, 30)).isEqualTo(41);
+    assertThat(policy.claimableEnd(12, 0)).hasValue(41);
+    assertThat(policy.claimableEnd(12, 30)).isEmpty();
+    assertThat(policy.claimableEnd(42, 30)).hasValue(41);
   }
 
   /** Guards against a slow store making a working coordinator look dead. */
@@ -58,8 +58,8 @@
     policy.coordinatorUnsound();
     policy.observed(41, 0, 240);
     long needed = 240 + ElectionPolicy.ABANDONED_MILLIS + 2 * 240;
-    assertThat(policy.claimableEnd(needed - 1, 0)).isEqualTo(-1);
-    assertThat(policy.claimableEnd(needed, 0)).isEqualTo(41);
+    assertThat(policy.claimableEnd(needed - 1, 0)).isEmpty();
+    assertThat(policy.claimableEnd(needed, 0)).hasValue(41);
   }
 
   /**
@@ -71,12 +71,12 @@
     ElectionPolicy policy = following();
     policy.coordinatorGone();
     policy.observed(10, 1_000, 1_005);
-    assertThat(policy.claimableEnd(1_005, 0)).isEqualTo(10);
+    assertThat(policy.claimableEnd(1_005, 0)).hasValue(10);
     policy.claimLost(1_020);
     policy.observed(11, 1_025, 1_030);
-    assertThat(policy.claimableEnd(1_060, 0)).isEqualTo(-1);
+    assertThat(policy.claimableEnd(1_060, 0)).isEmpty();
     policy.observed(11, 1_500, 1_505);
-    assertThat(policy.claimableEnd(1_700, 0)).as("given up in the end").isEqualTo(11);
+    assertThat(policy.claimableEnd(1_700, 0)).as("given up in the end").hasValue(11);
   }
 
   /**
@@ -88,10 +88,10 @@
     ElectionPolicy policy = following();
     policy.coordinatorRefused();
     policy.observed(10, 1_000, 1_005);
-    assertThat(policy.claimableEnd(1_200, 0)).as("it may append still").isEqualTo(-1);
+    assertThat(policy.claimableEnd(1_200, 0)).as("it may append still").isEmpty();
     policy.observed(11, 1_200, 1_205);
-    assertThat(policy.claimableEnd(1_300, 0)).as("it has appended").isEqualTo(-1);
+    assertThat(policy.claimableEnd(1_300, 0)).as("it has appended").isEmpty();
     policy.observed(11, 1_460, 1_465);
-    assertThat(policy.claimableEnd(1_470, 0)).isEqualTo(11);
+    assertThat(policy.claimableEnd(1_470, 0)).hasValue(11);
   }
 }
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/JournalWriterTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/JournalWriterTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
+import org.cicadaford.cell.Moment;
 import org.cicadaford.cell.RecordWrite;
 
 /** Tests that each batch takes effect once, and that a replaced coordinator stops. */
@@ -34,7 +35,12 @@
           }
         };
     return new JournalWriter(
-        3, store, channel.eventLoop(), () -> nowMillis, new CellMetrics(), () -> fencedCount++);
+        3,
+        store,
+        channel.eventLoop(),
+        () -> new Moment(nowMillis, nowMillis),
+        new CellMetrics(),
+        () -> fencedCount++);
   }
 
   private void pass(long millis) {
