--- a/cicadaford-bench/src/main/java/org/cicadaford/bench/BenchMain.java
+++ b/cicadaford-bench/src/main/java/org/cicadaford/bench/BenchMain.java
@@ -48,10 +48,17 @@
   @Option(
       names = "--parts",
       split = ",",
-      defaultValue = "simulation,lent,outage,slopes,rebuild,jmh",
+      defaultValue = "simulation,lent,outage,slopes,rebuild,cell,jmh",
       description = "Parts to run: ${DEFAULT-VALUE}.")
   private List<String> parts;
 
+  @Option(
+      names = "--cell-workers",
+      split = ",",
+      defaultValue = "30,60,250,1000,5800",
+      description = "Sizes of the cell for the part cell: ${DEFAULT-VALUE}.")
+  private List<Integer> cellWorkers;
+
   private final StringBuilder markdown = new StringBuilder("# Scheduler benchmark\n\n");
 
   /** Runs the benchmark and exits with its status. */
@@ -78,6 +85,9 @@
     if (parts.contains("rebuild")) {
       measureRebuild();
     }
+    if (parts.contains("cell")) {
+      measureCell();
+    }
     Files.writeString(out.resolve("results.md"), markdown);
     if (parts.contains("jmh")) {
       new Runner(
@@ -90,6 +100,28 @@
     return 0;
   }
 
+  private void measureCell() throws IOException {
+    ResultWriter table =
+        new ResultWriter(
+            "Cell coordinator by workers, load in proportion",
+            "workers",
+            "running tasks",
+            "starts/s",
+            "us/event",
+            "cores",
+            "journal bytes/start");
+    for (CellLoadMeasurement.Point point : CellLoadMeasurement.measure(cellWorkers, seed)) {
+      table.add(
+          point.workers(),
+          point.runningTasks(),
+          point.startsPerSecond(),
+          point.microsPerEvent(),
+          point.cores(),
+          point.journalBytesPerStart());
+    }
+    publish(table, "cell");
+  }
+
   private void publish(ResultWriter table, String name) throws IOException {
     System.out.println(table.toMarkdown());
     markdown.append(table.toMarkdown());
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/AdviceDesk.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/AdviceDesk.java
@@ -1,12 +1,11 @@
 package org.cicadaford.cell;
 
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
  * Spreads calls for placement advice over the instances of the cell.
@@ -36,10 +35,30 @@
   private static final long RETRY_MILLIS = 50;
 
   /** A call that has not been answered. */
-  private record OpenCall(StepRun step, String agent, List<String> asked, long expectedEndMillis) {}
+  private record OpenCall(StepRun step, Agent agent, List<String> asked, long expectedEndMillis) {}
+
+  /** An instance that makes calls, one after the other. */
+  private static final class Agent implements Comparable<Agent> {
+    private final String id;
+    private boolean shortOnly;
+    private long busyUntilMillis;
+
+    private Agent(String id, long nowMillis) {
+      this.id = id;
+      this.busyUntilMillis = nowMillis;
+    }
+
+    @Override
+    public int compareTo(Agent other) {
+      int order = Long.compare(busyUntilMillis, other.busyUntilMillis);
+      return order != 0 ? order : id.compareTo(other.id);
+    }
+  }
 
   private final CellState state;
-  private final TreeMap<String, Long> busyUntilByAgent = new TreeMap<>();
+  private final TreeMap<String, Agent> agentsById = new TreeMap<>();
+  private final TreeSet<Agent> forShortCalls = new TreeSet<>();
+  private final TreeSet<Agent> forAllCalls = new TreeSet<>();
   private final Map<Long, OpenCall> openCalls = new HashMap<>();
   private long nextCallId;
 
@@ -49,55 +68,77 @@
 
   /** Takes the instances that can make calls now. */
   void agents(Set<String> instanceIds, long nowMillis) {
-    busyUntilByAgent.keySet().retainAll(instanceIds);
-    instanceIds.forEach(id -> busyUntilByAgent.putIfAbsent(id, nowMillis));
+    if (instanceIds.equals(agentsById.keySet())) {
+      return;
+    }
+    agentsById.keySet().retainAll(instanceIds);
+    instanceIds.forEach(id -> agentsById.computeIfAbsent(id, key -> new Agent(key, nowMillis)));
+    forShortCalls.clear();
+    forAllCalls.clear();
+    int shortOnly =
+        agentsById.size() > 1 ? Math.max(1, agentsById.size() / INSTANCES_PER_SHORT_CALLER) : 0;
+    for (Agent agent : agentsById.values()) {
+      agent.shortOnly = shortOnly-- > 0;
+      pool(agent).add(agent);
+    }
+  }
+
+  private TreeSet<Agent> pool(Agent agent) {
+    return agent.shortOnly ? forShortCalls : forAllCalls;
+  }
+
+  private void busyUntil(Agent agent, long untilMillis) {
+    boolean known = pool(agent).remove(agent);
+    agent.busyUntilMillis = untilMillis;
+    if (known) {
+      pool(agent).add(agent);
+    }
   }
 
   /**
-   * Asks for advice on a step, unless a call is open or no instance is free.
+   * Asks for advice on a step; returns false if no instance is free.
    *
-   * @param workers workers to name, best first
+   * @param workers workers to name
    */
-  void ask(StepRun step, AdvicePolicy policy, List<Worker> workers, long nowMillis) {
-    if (step.adviceInFlight() || workers.isEmpty() || nowMillis < step.adviceRetryAtMillis()) {
-      return;
-    }
+  boolean ask(StepRun step, AdvicePolicy policy, List<Worker> workers, long nowMillis) {
     long callMillis = policy.callMillis(workers.size());
-    String agent = freeAgent(callMillis, nowMillis);
+    Agent agent = freeAgent(isShort(callMillis), nowMillis);
     if (agent == null) {
-      return;
+      return false;
     }
-    long startMillis = Math.max(nowMillis, busyUntilByAgent.get(agent));
-    long endMillis = startMillis + callMillis;
-    busyUntilByAgent.put(agent, endMillis);
+    long endMillis = Math.max(nowMillis, agent.busyUntilMillis) + callMillis;
+    busyUntil(agent, endMillis);
     List<String> asked = workers.stream().map(Worker::id).toList();
     long callId = ++nextCallId;
     openCalls.put(callId, new OpenCall(step, agent, asked, endMillis));
     step.adviceInFlight(true);
     long timeoutMillis = endMillis - nowMillis + ANSWER_SLACK_MILLIS;
-    state.actions().add(new Action.AskAdvice(callId, agent, step.name(), asked, timeoutMillis));
+    state.actions().add(new Action.AskAdvice(callId, agent.id, step.name(), asked, timeoutMillis));
+    return true;
   }
 
-  private String freeAgent(long callMillis, long nowMillis) {
-    boolean shortCall = callMillis <= SHORT_CALL_MILLIS;
-    int reserved =
-        busyUntilByAgent.size() > 1
-            ? Math.max(1, busyUntilByAgent.size() / INSTANCES_PER_SHORT_CALLER)
-            : 0;
-    long latestMillis = shortCall ? nowMillis + SHORT_BACKLOG_MILLIS : nowMillis;
-    String best = null;
-    int position = 0;
-    for (Map.Entry<String, Long> agent : busyUntilByAgent.entrySet()) {
-      boolean allowed = shortCall || position >= reserved;
-      position++;
-      if (!allowed || agent.getValue() > latestMillis) {
-        continue;
-      }
-      if (best == null || agent.getValue() < busyUntilByAgent.get(best)) {
-        best = agent.getKey();
-      }
+  private static boolean isShort(long callMillis) {
+    return callMillis <= SHORT_CALL_MILLIS;
+  }
+
+  /** Returns whether calls of a policy are short even if they name {@code workerCount} workers. */
+  static boolean isShort(AdvicePolicy policy, int workerCount) {
+    return isShort(policy.callMillis(workerCount));
+  }
+
+  /** Returns whether an instance can make a short or a long call now. */
+  boolean hasFree(boolean shortCall, long nowMillis) {
+    return freeAgent(shortCall, nowMillis) != null;
+  }
+
+  private Agent freeAgent(boolean shortCall, long nowMillis) {
+    Agent best = forAllCalls.isEmpty() ? null : forAllCalls.first();
+    if (shortCall && !forShortCalls.isEmpty()) {
+      Agent other = forShortCalls.first();
+      best = best == null || other.compareTo(best) < 0 ? other : best;
     }
-    return best;
+    long latestMillis = shortCall ? nowMillis + SHORT_BACKLOG_MILLIS : nowMillis;
+    return best != null && best.busyUntilMillis <= latestMillis ? best : null;
   }
 
   /** Takes the tickets that a call has returned. */
@@ -114,16 +155,21 @@
       String ticket = tickets.get(workerId);
       if (ticket == null) {
         step.tickets().remove(workerId);
+        state.waiting().forbid(step, workerId);
         step.advisedAgainst().add(workerId);
       } else if (worker != null) {
         step.tickets()
             .put(workerId, new Ticket(ticket, worker.incarnation(), nowMillis + validMillis));
+        state.waiting().permit(step, workerId);
       }
     }
     state.consider(step);
   }
 
-  /** Takes the failure of a call. */
+  /**
+   * Takes the failure of a call. Its instance stays busy until the call's expected end, as the
+   * service may still be at work on it.
+   */
   void failed(long callId, long nowMillis) {
     OpenCall call = openCalls.remove(callId);
     if (call == null) {
@@ -135,29 +181,8 @@
   }
 
   private void freed(OpenCall call, long nowMillis) {
-    busyUntilByAgent.computeIfPresent(
-        call.agent(),
-        (agent, busyUntil) -> busyUntil <= call.expectedEndMillis() ? nowMillis : busyUntil);
-  }
-
-  /**
-   * Returns the workers to name for a step: those that are known to be good, then those not asked
-   * yet, and none that it is advised against.
-   */
-  List<Worker> toName(StepRun step, List<Worker> candidates, int limit) {
-    Set<String> known = new HashSet<>(step.tickets().keySet());
-    List<Worker> named = new ArrayList<>();
-    for (Worker worker : candidates) {
-      if (known.contains(worker.id()) && named.size() < limit) {
-        named.add(worker);
-      }
-    }
-    for (Worker worker : candidates) {
-      boolean open = !known.contains(worker.id()) && !step.advisedAgainst().contains(worker.id());
-      if (open && named.size() < limit) {
-        named.add(worker);
-      }
+    if (call.agent().busyUntilMillis <= call.expectedEndMillis()) {
+      busyUntil(call.agent(), nowMillis);
     }
-    return named;
   }
 }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
@@ -1,6 +1,8 @@
 package org.cicadaford.cell;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -22,7 +24,14 @@
   private final Map<String, Worker> workers = new LinkedHashMap<>();
   private final Map<String, Resources> usageByTeam = new HashMap<>();
   private final Set<Job> timedJobs = new LinkedHashSet<>();
-  private final Set<StepRun> ready = new LinkedHashSet<>();
+  private final WaitingSteps waiting = new WaitingSteps();
+  private final Set<Worker> touched = new LinkedHashSet<>();
+  private final Set<Worker> unrecorded = new LinkedHashSet<>();
+  private final Set<Placement> stopping = new LinkedHashSet<>();
+  private final Set<Worker> renewalChecks = new LinkedHashSet<>();
+  private final Map<String, Integer> pendingByQueue = new HashMap<>();
+  private final Deque<Job> ended = new ArrayDeque<>();
+  private int pendingCount;
   private final Set<Job> changed = new LinkedHashSet<>();
   private final List<RecordWrite> deletions = new ArrayList<>();
   private final List<Action> afterwards = new ArrayList<>();
@@ -30,7 +39,6 @@
   private final List<Action> actions = new ArrayList<>();
   private CellConfig config = CellConfig.EMPTY;
   private Set<String> zonesOut = Set.of();
-  private boolean planWanted;
   private OptionalLong roleConfirmedAtMillis = OptionalLong.empty();
 
   CellState(CoordinatorSettings settings) {
@@ -69,11 +77,13 @@
     if (job == null) {
       return Optional.empty();
     }
-    return job.occurrences().values().stream()
-        .flatMap(List::stream)
-        .flatMap(step -> step.tasks().stream())
-        .filter(task -> task.name().equals(name))
-        .findFirst();
+    try {
+      return job.task(
+          Integer.parseInt(parts[1]), Integer.parseInt(parts[2]), Integer.parseInt(parts[3]));
+    } catch (NumberFormatException e) {
+      // A name that this cell never gave names no task.
+      return Optional.empty();
+    }
   }
 
   Map<String, Worker> workers() {
@@ -86,7 +96,9 @@
 
   void config(CellConfig newConfig) {
     config = newConfig;
-    planWanted = true;
+    List<StepRun> steps = List.copyOf(waiting.all());
+    steps.forEach(waiting::remove);
+    steps.forEach(this::await);
   }
 
   Set<String> zonesOut() {
@@ -95,7 +107,7 @@
 
   void zonesOut(Set<String> zones) {
     zonesOut = Set.copyOf(zones);
-    planWanted = true;
+    workers.values().forEach(this::touch);
   }
 
   /** Returns the queue as configured now, or as of the job's acceptance if it was removed. */
@@ -103,28 +115,96 @@
     return config.queue(job.queue().name()).orElse(job.queue());
   }
 
+  /** Has the next round check whether the renewal of a worker is due. */
+  void checkRenewal(Worker worker) {
+    renewalChecks.add(worker);
+  }
+
+  /** Returns the workers whose renewal may be due, once. */
+  List<Worker> takeRenewalChecks() {
+    List<Worker> taken = List.copyOf(renewalChecks);
+    renewalChecks.clear();
+    return taken;
+  }
+
+  /** Asks for a report of a worker at once. */
+  void look(Worker worker) {
+    worker.wantLook();
+    checkRenewal(worker);
+  }
+
+  /** Notes that a job is stored in a phase. */
+  void stored(Job job, JobPhase phase) {
+    countPending(job, -1);
+    boolean ends = phase.over() && !(job.stored() && job.storedPhase().over());
+    job.stored(phase);
+    countPending(job, 1);
+    if (ends) {
+      ended.add(job);
+    }
+  }
+
+  private void countPending(Job job, int change) {
+    if (job.stored() && job.storedPhase() == JobPhase.PENDING) {
+      pendingByQueue.merge(job.queueName(), change, Integer::sum);
+      pendingCount += change;
+    }
+  }
+
+  /** Returns the number of stored jobs without a start. */
+  int pendingCount() {
+    return pendingCount;
+  }
+
+  /** Returns the number of stored jobs of a queue without a start. */
+  int pendingCount(String queueName) {
+    return pendingByQueue.getOrDefault(queueName, 0);
+  }
+
+  /** Returns the ended jobs that are kept, in the order in which their end was stored. */
+  Deque<Job> ended() {
+    return ended;
+  }
+
   /** Returns the steps that may have tasks to place. */
-  Set<StepRun> ready() {
-    return ready;
+  WaitingSteps waiting() {
+    return waiting;
+  }
+
+  private void await(StepRun step) {
+    Queue queue = queueOf(step.job());
+    waiting.add(step, queue.service(), queue.advice().needed());
+  }
+
+  /** Notes that room, state or reachability of a worker may have changed. */
+  void touch(Worker worker) {
+    touched.add(worker);
+  }
+
+  /** Returns the workers that were touched, once. */
+  List<Worker> takeTouched() {
+    List<Worker> taken = List.copyOf(touched);
+    touched.clear();
+    return taken;
+  }
+
+  boolean anyTouched() {
+    return !touched.isEmpty();
+  }
+
+  /** Returns the workers that have reported ends whose effects are not stored yet. */
+  Set<Worker> unrecorded() {
+    return unrecorded;
   }
 
   /** Marks a step as having tasks to place, if it is unblocked and its job goes on. */
   void consider(StepRun step) {
     Job job = step.job();
     if (!job.phase().over() && step.startable() && job.unblocked(step)) {
-      ready.add(step);
-      planWanted = true;
+      await(step);
     }
   }
 
-  boolean planWanted() {
-    return planWanted;
-  }
-
-  void planWanted(boolean wanted) {
-    planWanted = wanted;
-  }
-
   /** Marks a job as changed, so that its progress is stored with the next batch. */
   void change(Job job) {
     changed.add(job);
@@ -162,6 +242,7 @@
     task.place(placement);
     task.lastRun(placement.run());
     placement.worker().add(placement);
+    touch(placement.worker());
     count(task, 1);
   }
 
@@ -172,11 +253,13 @@
       return;
     }
     task.place(null);
+    stopping.remove(placement);
     placement.worker().remove(placement);
     count(task, -1);
     task.step().job().dropIdle(task.step().occurrence());
     change(task.step().job());
-    planWanted = true;
+    touch(placement.worker());
+    waiting.usageFell(task.step().job().team());
   }
 
   private void count(Task task, int sign) {
@@ -184,9 +267,20 @@
     usageByTeam.merge(task.step().job().team(), demand, Resources::plus);
   }
 
+  /** Returns the placements whose runs are to be stopped. */
+  Set<Placement> stopping() {
+    return stopping;
+  }
+
+  /** Notes that a run is to be stopped; the order is sent with the next round of upkeep. */
+  void wantStop(Placement placement, StopReason reason) {
+    placement.wantStop(reason);
+    stopping.add(placement);
+  }
+
   /** Orders a run to be stopped, or withdraws it if its start was not sent yet. */
   void stop(Placement placement, StopReason reason, long nowMillis) {
-    placement.wantStop(reason);
+    wantStop(placement, reason);
     if (placement.stage() == Placement.Stage.STARTING && !placement.orderSent()) {
       return;
     }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -1,13 +1,13 @@
 package org.cicadaford.cell;
 
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.function.Predicate;
 
 /**
  * Decides for a whole cell: takes jobs, places their tasks, follows workers and records results.
@@ -19,7 +19,7 @@
 public final class Coordinator {
 
   /** Time between two rounds of upkeep, in milliseconds. */
-  private static final long UPKEEP_MILLIS = 50;
+  private static final long UPKEEP_MILLIS = 25;
 
   /** Ends of a worker up to a number, whose effects are part of the batch being stored. */
   private record RecordedEnds(Worker worker, long incarnation, long number) {
@@ -56,14 +56,14 @@
     ends = new RunEndHandler(state);
     monitor = new WorkerMonitor(state, ends);
     advice = new AdviceDesk(state);
-    planner = new PlacementPlanner(state, advice, monitor);
+    UsableWorkers usable = new UsableWorkers(state);
+    planner = new PlacementPlanner(state, usable, new AdvicePlanner(state, usable, advice));
     starts = new StartIssuer(state, ends);
   }
 
   /** Rebuilds the state from stored records; returns the keys of those that are unreadable. */
   public List<String> restore(List<RecordWrite> records, Moment now) {
     List<String> unreadable = new JobRestorer(state, monitor).restore(records, now);
-    state.planWanted(true);
     return unreadable;
   }
 
@@ -91,7 +91,6 @@
   /** Takes the instances that can ask for advice. */
   public void agentsChanged(Set<String> instanceIds, Moment now) {
     advice.agents(instanceIds, now.steadyMillis());
-    state.planWanted(true);
   }
 
   /** Takes a submission. */
@@ -105,7 +104,7 @@
       state.afterwards().add(new Action.ConfirmSubmission(jobId));
       return new AdmissionDecision.Storing();
     }
-    if (countPending(job -> true) >= AdmissionPolicy.MAX_PENDING_JOBS) {
+    if (state.pendingCount() >= AdmissionPolicy.MAX_PENDING_JOBS) {
       return new AdmissionDecision.Refused(
           "too many jobs are waiting", AdmissionPolicy.RETRY_AFTER_MILLIS);
     }
@@ -119,7 +118,6 @@
       state.timedJobs().add(job);
     }
     beginDue(job, now);
-    state.planWanted(true);
     return new AdmissionDecision.Storing();
   }
 
@@ -132,7 +130,7 @@
     if (!job.phase().over()) {
       ends.end(job, JobPhase.CANCELLED, now);
       for (Placement placement : job.placements()) {
-        placement.wantStop(StopReason.CANCELLED);
+        state.wantStop(placement, StopReason.CANCELLED);
       }
     }
     state.change(job);
@@ -151,18 +149,7 @@
 
   /** Returns the number of accepted jobs of a queue without a start. */
   public int pendingCount(String queueName) {
-    return countPending(job -> job.queueName().equals(queueName));
-  }
-
-  private int countPending(Predicate<Job> counted) {
-    int count = 0;
-    for (Job job : state.jobs().values()) {
-      boolean pending = job.stored() && job.storedPhase() == JobPhase.PENDING;
-      if (pending && counted.test(job)) {
-        count++;
-      }
-    }
-    return count;
+    return state.pendingCount(queueName);
   }
 
   /** Takes the answer to an order to start a task. */
@@ -185,6 +172,7 @@
       }
       case BAD_TICKET -> {
         placement.task().step().tickets().remove(workerId);
+        state.waiting().forbid(placement.task().step(), workerId);
         ends.lost(placement, now);
       }
       case NO_ROOM, NOT_STARTED -> {
@@ -195,7 +183,7 @@
         // The order may be carried out or on its way. The next report tells whether the run is
         // there; if not, it is stopped before it is placed again.
         placement.uncertain(nowMillis);
-        placement.worker().wantLook();
+        state.look(placement.worker());
       }
       default -> throw new IllegalStateException("unknown outcome " + outcome);
     }
@@ -210,7 +198,7 @@
         placement.uncertain(now.steadyMillis());
       }
       if (placement.stage() == Placement.Stage.UNCERTAIN) {
-        placement.worker().wantLook();
+        state.look(placement.worker());
       }
     }
   }
@@ -249,24 +237,28 @@
       monitor.tick(now);
       state.timedJobs().removeIf(job -> job.phase().over());
       state.timedJobs().forEach(job -> beginDue(job, now));
-      state.planWanted(true);
+      planner.tick(now);
+      planner.plan(now);
+    } else if (planner.wanted()) {
+      planner.plan(now);
     }
     if (!ElapsedTime.ahead(nextRemovalMillis, now.steadyMillis())) {
       nextRemovalMillis = OptionalLong.of(now.steadyMillis() + REMOVAL_MILLIS);
-      List.copyOf(state.jobs().values()).forEach(job -> removeExpired(job, now));
-    }
-    if (state.planWanted()) {
-      planner.plan(now);
+      removeExpired(now);
     }
-    state.actions().addAll(monitor.dueRenewals(now));
+    state.actions().addAll(monitor.dueRenewals(state.takeRenewalChecks(), now));
   }
 
-  private void removeExpired(Job job, Moment now) {
-    if (!job.phase().over()) {
-      return;
-    }
-    boolean expired = now.unixMillis() - job.endedAtMillis() > state.settings().keepEndedMillis();
-    if (expired && job.stored() && job.placements().isEmpty()) {
+  private void removeExpired(Moment now) {
+    long keptMillis = state.settings().keepEndedMillis();
+    Deque<Job> ended = state.ended();
+    while (!ended.isEmpty() && now.unixMillis() - ended.peek().endedAtMillis() > keptMillis) {
+      Job job = ended.poll();
+      if (!job.placements().isEmpty()) {
+        // Its last run is not over yet; the job is looked at again after the others.
+        ended.add(job);
+        return;
+      }
       state.jobs().remove(job.id());
       state.changed().remove(job);
       state.deletions().add(JobRecords.progressDeletion(job));
@@ -287,7 +279,7 @@
   public Optional<Batch> takeBatch() {
     boolean nothing =
         state.changed().isEmpty() && state.deletions().isEmpty() && state.afterwards().isEmpty();
-    if (batchOpen || (nothing && !endsToRecord())) {
+    if (batchOpen || (nothing && state.unrecorded().isEmpty())) {
       return Optional.empty();
     }
     List<RecordWrite> writes = new ArrayList<>(state.deletions());
@@ -305,11 +297,10 @@
     }
     storingActions.addAll(state.afterwards());
     storingStarts.addAll(state.startsAfterwards());
-    for (Worker worker : state.workers().values()) {
-      if (worker.recordedEnd() < worker.processedEnd()) {
-        storingEnds.add(new RecordedEnds(worker, worker.incarnation(), worker.processedEnd()));
-      }
+    for (Worker worker : state.unrecorded()) {
+      storingEnds.add(new RecordedEnds(worker, worker.incarnation(), worker.processedEnd()));
     }
+    state.unrecorded().clear();
     state.changed().clear();
     state.deletions().clear();
     state.afterwards().clear();
@@ -318,23 +309,13 @@
     return Optional.of(new Batch(writes, List.copyOf(storingActions)));
   }
 
-  private boolean endsToRecord() {
-    for (Worker worker : state.workers().values()) {
-      if (worker.recordedEnd() < worker.processedEnd()) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   /** Takes the confirmation that the last batch is stored. */
   public void stored(Moment now) {
     batchOpen = false;
     for (int index = 0; index < storing.size(); index++) {
       Job job = storing.get(index);
       boolean ended = storingPhases.get(index).over() && !job.storedPhase().over();
-      job.markStored();
-      job.storedPhase(storingPhases.get(index));
+      state.stored(job, storingPhases.get(index));
       if (ended) {
         long ageMillis = now.unixMillis() - job.definition().acceptedAtMillis();
         state.actions().add(new Action.ReportEnd(job.id(), job.phase(), ageMillis));
@@ -345,7 +326,10 @@
         job.placements().forEach(placement -> stopOnce(placement, now));
       }
     }
-    storingEnds.forEach(RecordedEnds::apply);
+    for (RecordedEnds recorded : storingEnds) {
+      recorded.apply();
+      state.checkRenewal(recorded.worker());
+    }
     storingStarts.forEach(placement -> starts.issue(placement, now));
     state.actions().addAll(storingActions);
     storing.clear();
@@ -372,7 +356,7 @@
   public Map<String, Long> counts() {
     Map<String, Long> counts = new HashMap<>();
     counts.put("jobs", (long) state.jobs().size());
-    counts.put("ready_steps", (long) state.ready().size());
+    counts.put("ready_steps", (long) state.waiting().all().size());
     counts.put("workers", (long) state.workers().size());
     return counts;
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Job.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Job.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.TreeSet;
 
@@ -69,16 +70,13 @@
     return storedPhase;
   }
 
-  void storedPhase(JobPhase newPhase) {
-    storedPhase = newPhase;
-  }
-
   boolean stored() {
     return stored;
   }
 
-  void markStored() {
+  void stored(JobPhase newPhase) {
     stored = true;
+    storedPhase = newPhase;
   }
 
   /** Returns whether the stored definition is not needed any more and was not dropped yet. */
@@ -106,6 +104,16 @@
     return doneOccurrences;
   }
 
+  /** Returns a task of an occurrence that has begun and is not over. */
+  Optional<Task> task(int occurrence, int step, int index) {
+    List<StepRun> steps = occurrences.get(occurrence);
+    boolean known = steps != null && step >= 0 && step < steps.size();
+    if (!known || index < 0 || index >= steps.get(step).tasks().size()) {
+      return Optional.empty();
+    }
+    return Optional.of(steps.get(step).tasks().get(index));
+  }
+
   /** Creates the steps of an occurrence and returns them. */
   List<StepRun> begin(int occurrence) {
     List<StepRun> steps = new ArrayList<>();
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
@@ -38,12 +38,11 @@
           }
         });
     for (Job job : state.jobs().values()) {
-      job.markStored();
       JobProgress progress = progressById.get(job.id());
       if (progress != null) {
         apply(job, progress, now);
       }
-      job.storedPhase(job.phase());
+      state.stored(job, job.phase());
       if (job.definitionDroppable()) {
         state.change(job);
       }
@@ -101,9 +100,9 @@
     placement.restored(nowMillis);
     state.place(placement);
     if (task.step().job().phase().over()) {
-      placement.wantStop(StopReason.CANCELLED);
+      state.wantStop(placement, StopReason.CANCELLED);
     } else if (task.done()) {
-      placement.wantStop(StopReason.DONE_BEFORE);
+      state.wantStop(placement, StopReason.DONE_BEFORE);
     }
   }
 }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
@@ -83,6 +83,7 @@
 
   void confirmed(long nowMillis) {
     if (stage != Stage.RUNNING) {
+      worker.settled(this);
       stage = Stage.RUNNING;
       confirmedAtMillis = OptionalLong.of(nowMillis);
       progressAtMillis = nowMillis;
@@ -94,8 +95,12 @@
     return isBefore(confirmedAtMillis, atMillis);
   }
 
-  private static boolean isBefore(OptionalLong eventMillis, long atMillis) {
-    return eventMillis.isPresent() && eventMillis.getAsLong() < atMillis;
+  /**
+   * Returns whether an event came before an order was sent. One that came in the same millisecond
+   * counts: the worker acted before it answered, so before an order that is sent then arrives.
+   */
+  private static boolean isBefore(OptionalLong eventMillis, long sentAtMillis) {
+    return eventMillis.isPresent() && eventMillis.getAsLong() <= sentAtMillis;
   }
 
   /**
@@ -110,6 +115,7 @@
 
   void uncertain(long nowMillis) {
     stage = Stage.UNCERTAIN;
+    worker.unsettled(this);
     uncertainSinceMillis = OptionalLong.of(nowMillis);
   }
 
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.cicadaford.model.Resources;
@@ -14,239 +15,187 @@
  * second, gangs that take several workers at once, and bursts that double one kind of work. Urgent
  * queues go first, then work within its team's share, then the oldest. A gang for which there is no
  * room reserves workers, so that smaller work of less urgent queues does not hold it up for ever.
+ *
+ * <p>A step is tried when something that it waits for has changed, see {@link WaitingSteps}.
  */
 final class PlacementPlanner {
 
-  /** Time that is left of a ticket when its renewal arrives, in milliseconds. */
-  private static final long RENEWAL_MARGIN_MILLIS = 250;
-
-  /** Time after which all workers are asked about again when none may run a step. */
-  private static final long ASK_AGAIN_MILLIS = 1_000;
-
   /** Time between two reports on a step that waits, in milliseconds. */
   private static final long REPORT_MILLIS = 3_000;
 
-  /** Room that is reserved for a waiting gang, as a multiple of what it needs. */
-  private static final int RESERVATION_FACTOR = 2;
+  /** Time after which a waiting step is tried again without an event, in milliseconds. */
+  private static final long TRY_AGAIN_MILLIS = 250;
+
+  /** Penalties of a worker for a task, see {@link #penalty}. */
+  private static final int HAS_FAILED_TASK = 4;
 
-  /** Largest part of the workers that is reserved. */
-  private static final double MAX_RESERVED_PART = 0.5;
+  private static final int HAS_FAILED_OTHERS = 2;
+  private static final int FAR_FROM_DATA = 1;
 
-  private static final Comparator<StepRun> ORDER =
-      Comparator.<StepRun>comparingInt(step -> step.job().queue().priority())
-          .thenComparing(step -> step.job().definition().excess())
-          .thenComparingLong(step -> step.job().definition().acceptedAtMillis())
-          .thenComparing(StepRun::name);
+  /** Steps that found no room in this round, by what they share. */
+  private record Demand(String service, String label, int priority) {}
 
   private final CellState state;
-  private final AdviceDesk advice;
-  private final WorkerMonitor monitor;
+  private final UsableWorkers usable;
+  private final AdvicePlanner advice;
+  private final GangReservations reservations = new GangReservations();
+  private final Map<Demand, Resources> withoutRoom = new HashMap<>();
 
-  PlacementPlanner(CellState state, AdviceDesk advice, WorkerMonitor monitor) {
+  PlacementPlanner(CellState state, UsableWorkers usable, AdvicePlanner advice) {
     this.state = state;
+    this.usable = usable;
     this.advice = advice;
-    this.monitor = monitor;
   }
 
-  /** Places what can be placed now and asks for the advice that is missing. */
-  void plan(Moment now) {
-    state.planWanted(false);
-    state.ready().removeIf(step -> step.job().phase().over() || !step.startable());
-    List<StepRun> steps = new ArrayList<>(state.ready());
-    steps.sort(ORDER);
-    Map<String, List<Worker>> usableByService = new HashMap<>();
-    Reservation reservation = new Reservation();
-    for (StepRun step : steps) {
-      String service = state.queueOf(step.job()).service();
-      List<Worker> usable =
-          usableByService.computeIfAbsent(service, name -> usableWorkers(name, now.steadyMillis()));
-      place(step, usable, reservation, now);
-    }
-  }
-
-  private List<Worker> usableWorkers(String service, long nowMillis) {
-    List<Worker> usable = new ArrayList<>();
-    SilenceDetector silence = new SilenceDetector(state.workers().values(), nowMillis);
-    for (Worker worker : state.workers().values()) {
-      if (usable(worker, service, nowMillis) && !silence.suspects(worker)) {
-        usable.add(worker);
+  /** Looks at everything that time alone changes. */
+  void tick(Moment now) {
+    usable.tick(now.steadyMillis());
+    state.waiting().tick(now.steadyMillis());
+    reserve(now);
+    for (StepRun step : state.waiting().all()) {
+      if (step.reportDue(now.steadyMillis(), REPORT_MILLIS)) {
+        report(step, now);
       }
     }
-    usable.sort(
-        Comparator.comparingLong((Worker worker) -> -worker.free().processorsMillicores())
-            .thenComparing(Worker::id));
-    return usable;
   }
 
-  private boolean usable(Worker worker, String service, long nowMillis) {
-    ListedWorker listing = worker.listing();
-    return worker.listed()
-        && listing.incarnation() == worker.incarnation()
-        && !listing.draining()
-        && listing.service().equals(service)
-        && !state.zonesOut().contains(listing.zone())
-        && monitor.reachable(worker, nowMillis)
-        && !worker.quarantined(nowMillis);
-  }
-
-  private void place(StepRun step, List<Worker> usable, Reservation reservation, Moment now) {
-    StepSpec spec = step.spec();
-    List<Worker> labelled = new ArrayList<>();
-    for (Worker worker : usable) {
-      if (spec.requiredLabel().isEmpty()
-          || worker.listing().labels().contains(spec.requiredLabel())) {
-        labelled.add(worker);
-      }
-    }
-    int priority = step.job().queue().priority();
-    List<Worker> candidates =
-        labelled.stream().filter(worker -> !reservation.holds(worker, priority)).toList();
-    boolean placed =
-        spec.gang() ? placeGang(step, candidates, now) : placeTasks(step, candidates, now);
-    if (step.startable() && step.reportDue(now.steadyMillis(), REPORT_MILLIS)) {
-      report(step, labelled, candidates, now);
-    }
-    if (!placed) {
-      askAdvice(step, labelled, now);
-      if (spec.gang()) {
-        reservation.offer(step, labelled);
-      }
+  /** Places what can be placed since the last call, and asks for the advice that is missing. */
+  void plan(Moment now) {
+    long nowMillis = now.steadyMillis();
+    state.takeTouched().forEach(worker -> usable.refresh(worker, nowMillis));
+    usable.takeWidened().forEach(state.waiting()::roomOn);
+    withoutRoom.clear();
+    for (StepRun step : state.waiting().takeDue()) {
+      attempt(step, now);
     }
+    advice.askQueued(now);
   }
 
-  /** Tells why a step waits, so that the cause can be found in the logs. */
-  private void report(StepRun step, List<Worker> labelled, List<Worker> candidates, Moment now) {
-    Resources demand = step.spec().reservation();
-    long withRoom = labelled.stream().filter(w -> demand.fitsIn(w.free())).count();
-    long good = labelled.stream().filter(w -> step.tickets().containsKey(w.id())).count();
-    long valid = labelled.stream().filter(w -> permitted(step, w, now)).count();
-    String inputs =
-        "usable="
-            + labelled.size()
-            + " unreserved="
-            + candidates.size()
-            + " with_room="
-            + withRoom
-            + " advised="
-            + good
-            + " ticket_valid="
-            + valid
-            + " advised_against="
-            + step.advisedAgainst().size()
-            + " asking="
-            + step.adviceInFlight()
-            + " within_limit="
-            + withinLimit(step, 1);
-    state.actions().add(new Action.ReportWaiting(step.name(), inputs));
+  /** Returns whether there is something to place or to look at. */
+  boolean wanted() {
+    return state.anyTouched() || usable.anyWidened() || state.waiting().anyDue();
   }
 
-  /**
-   * Asks for the advice that a waiting step lacks.
-   *
-   * <p>The first call names all workers, so that the good ones are known whatever room they have
-   * now. Tickets of the good ones are renewed before they end while the step waits for room.
-   */
-  private void askAdvice(StepRun step, List<Worker> labelled, Moment now) {
-    AdvicePolicy policy = state.queueOf(step.job()).advice();
-    if (!policy.needed() || step.adviceInFlight()) {
+  private void attempt(StepRun step, Moment now) {
+    if (step.job().phase().over() || !step.startable()) {
+      state.waiting().remove(step);
       return;
     }
-    int limit = state.settings().adviceWorkerCount();
-    boolean first = step.tickets().isEmpty() && step.advisedAgainst().isEmpty();
-    List<Worker> named = first ? labelled : toRenew(step, policy, labelled, now);
-    if (named.isEmpty()) {
-      named = unknownWithRoom(step, labelled);
+    step.nextTryMillis(now.steadyMillis() + TRY_AGAIN_MILLIS);
+    if (step.spec().gang()) {
+      placeGang(step, now);
+    } else {
+      placeTasks(step, now);
     }
-    boolean noneKnown = labelled.stream().noneMatch(w -> step.tickets().containsKey(w.id()));
-    if (named.isEmpty() && noneKnown && now.steadyMillis() >= step.adviceRetryAtMillis()) {
-      // No worker is left that may run the step, so the earlier advice is not relied on.
-      step.advisedAgainst().clear();
-      step.adviceRetryAtMillis(now.steadyMillis() + ASK_AGAIN_MILLIS);
+    if (!step.startable()) {
+      state.waiting().remove(step);
+    } else if (withinLimit(step, step.spec().gang() ? step.tasks().size() : 1)) {
+      advice.consider(step, now);
+    } else {
+      state.waiting().limited(step);
     }
-    advice.ask(step, policy, advice.toName(step, named, limit), now.steadyMillis());
   }
 
-  private static List<Worker> toRenew(
-      StepRun step, AdvicePolicy policy, List<Worker> labelled, Moment now) {
-    List<Worker> good = new ArrayList<>();
-    for (Worker worker : labelled) {
-      if (step.tickets().containsKey(worker.id())) {
-        good.add(worker);
+  /** Places tasks one by one, as many as there is room for. */
+  private void placeTasks(StepRun step, Moment now) {
+    List<Worker> permitted = advised(step) ? permitted(step, now) : List.of();
+    for (Task task : step.waitingTasks()) {
+      if (!withinLimit(step, 1)) {
+        return;
       }
+      Worker best = advised(step) ? bestOf(permitted, task) : bestOfAll(task);
+      if (best == null) {
+        return;
+      }
+      start(task, best, task.lastRun() + 1, now);
     }
-    long answerMillis = now.steadyMillis() + policy.callMillis(good.size()) + RENEWAL_MARGIN_MILLIS;
-    boolean renewed = good.stream().anyMatch(w -> step.ticketFor(w, answerMillis) != null);
-    return renewed ? List.of() : good;
   }
 
-  private static List<Worker> unknownWithRoom(StepRun step, List<Worker> labelled) {
-    Resources demand = step.spec().reservation();
-    return labelled.stream()
-        .filter(worker -> !step.tickets().containsKey(worker.id()))
-        .filter(worker -> !step.advisedAgainst().contains(worker.id()))
-        .filter(worker -> demand.fitsIn(worker.free()))
-        .toList();
-  }
-
-  private long neededUntil(Moment now) {
-    return now.steadyMillis() + state.settings().ticketMarginMillis();
-  }
-
-  private boolean permitted(StepRun step, Worker worker, Moment now) {
-    return !state.queueOf(step.job()).advice().needed()
-        || step.ticketFor(worker, neededUntil(now)) != null;
+  private Worker bestOf(List<Worker> candidates, Task task) {
+    Worker best = null;
+    for (Worker worker : candidates) {
+      if (fits(task, worker) && (best == null || better(task, worker, best))) {
+        best = worker;
+      }
+    }
+    return best;
   }
 
-  /** Places tasks one by one; returns whether none is left. */
-  private boolean placeTasks(StepRun step, List<Worker> candidates, Moment now) {
-    for (Task task : step.waitingTasks()) {
-      if (!withinLimit(step, 1)) {
-        return true;
-      }
-      Worker best = null;
-      for (Worker worker : candidates) {
-        if (fits(task, worker, step.placedOn(worker), worker.free(), now)
-            && (best == null || better(task, worker, best))) {
-          best = worker;
-        }
-      }
-      if (best == null) {
-        return false;
+  private Worker bestOfAll(Task task) {
+    StepRun step = task.step();
+    StepSpec spec = step.spec();
+    String service = service(step);
+    int priority = step.job().queue().priority();
+    Demand demand = new Demand(service, spec.requiredLabel(), priority);
+    Resources failed = withoutRoom.get(demand);
+    if (failed != null && failed.fitsIn(spec.reservation())) {
+      return null;
+    }
+    boolean picky = !spec.dataRack().isEmpty() || !task.failedOn().isEmpty();
+    int worst = HAS_FAILED_TASK + HAS_FAILED_OTHERS + FAR_FROM_DATA;
+    for (int allowed = picky || task.failedCount() > 0 ? 0 : worst; allowed <= worst; allowed++) {
+      int limit = allowed;
+      Worker best =
+          usable.bestFit(
+              service,
+              spec.requiredLabel(),
+              spec.reservation(),
+              worker -> open(task, worker, priority) && penalty(task, worker) <= limit);
+      if (best != null) {
+        return best;
       }
-      start(task, best, task.lastRun() + 1, now);
     }
-    return true;
+    if (spec.maxTasksPerWorker() <= 0) {
+      withoutRoom.put(demand, spec.reservation());
+    }
+    return null;
   }
 
-  /** Places all tasks of a gang or none; returns whether it is placed or over its team's limit. */
-  private boolean placeGang(StepRun step, List<Worker> candidates, Moment now) {
+  private boolean open(Task task, Worker worker, int priority) {
+    return !reservations.holds(worker, priority) && fits(task, worker);
+  }
+
+  /** Places all tasks of a gang or none. */
+  private void placeGang(StepRun step, Moment now) {
     if (!withinLimit(step, step.tasks().size())) {
-      return true;
+      return;
     }
+    List<Worker> candidates = gangCandidates(step, now);
     List<Worker> chosen = null;
     if (step.spec().rackLocal()) {
-      chosen = chooseInOneRack(step, candidates, now);
+      chosen = chooseInOneRack(step, candidates);
     }
     if (chosen == null) {
-      chosen = choose(step, candidates, now);
+      chosen = choose(step, candidates);
     }
     if (chosen == null) {
-      return false;
+      return;
     }
     int run = step.nextGangRun();
     for (Task task : step.tasks()) {
       start(task, chosen.get(task.index()), run, now);
     }
-    return true;
   }
 
-  private List<Worker> chooseInOneRack(StepRun step, List<Worker> candidates, Moment now) {
-    Map<String, List<Worker>> racks = new HashMap<>();
+  private List<Worker> gangCandidates(StepRun step, Moment now) {
+    Task first = step.tasks().getFirst();
+    if (advised(step)) {
+      return permitted(step, now).stream().filter(worker -> fits(first, worker)).toList();
+    }
+    int priority = step.job().queue().priority();
+    // Each worker holds a member or more, so a gang needs no more workers than it has members.
+    int limit = step.spec().rackLocal() ? Integer.MAX_VALUE : step.tasks().size();
+    return usable.largest(
+        service(step), step.spec().requiredLabel(), limit, worker -> open(first, worker, priority));
+  }
+
+  private List<Worker> chooseInOneRack(StepRun step, List<Worker> candidates) {
+    Map<String, List<Worker>> racks = new LinkedHashMap<>();
     for (Worker worker : candidates) {
       racks.computeIfAbsent(worker.listing().rack(), rack -> new ArrayList<>()).add(worker);
     }
     for (List<Worker> rack : racks.values()) {
-      List<Worker> chosen = choose(step, rack, now);
+      List<Worker> chosen = choose(step, rack);
       if (chosen != null) {
         return chosen;
       }
@@ -254,43 +203,70 @@
     return null;
   }
 
-  private List<Worker> choose(StepRun step, List<Worker> candidates, Moment now) {
-    Map<Worker, Resources> free = new HashMap<>();
-    Map<Worker, Long> placed = new HashMap<>();
+  /** Fills the candidates one after the other, those with the least free processors first. */
+  private static List<Worker> choose(StepRun step, List<Worker> candidates) {
+    Task first = step.tasks().getFirst();
+    List<Worker> inOrder = new ArrayList<>(candidates);
+    inOrder.sort(
+        Comparator.comparingInt((Worker worker) -> penalty(first, worker))
+            .thenComparingLong(worker -> worker.free().processorsMillicores())
+            .thenComparing(Worker::id));
+    Resources demand = step.spec().reservation();
+    int limit = step.spec().maxTasksPerWorker();
     List<Worker> chosen = new ArrayList<>();
-    for (Task task : step.tasks()) {
-      Worker best = null;
-      for (Worker worker : candidates) {
-        Resources left = free.getOrDefault(worker, worker.free());
-        if (fits(task, worker, placed.getOrDefault(worker, 0L), left, now)
-            && (best == null || better(task, worker, best))) {
-          best = worker;
-        }
+    for (Worker worker : inOrder) {
+      Resources left = worker.free();
+      int placed = 0;
+      while (chosen.size() < step.tasks().size()
+          && demand.fitsIn(left)
+          && (limit <= 0 || placed < limit)) {
+        chosen.add(worker);
+        left = left.minus(demand);
+        placed++;
       }
-      if (best == null) {
-        return null;
+    }
+    return chosen.size() == step.tasks().size() ? chosen : null;
+  }
+
+  private String service(StepRun step) {
+    return state.queueOf(step.job()).service();
+  }
+
+  private boolean advised(StepRun step) {
+    return state.queueOf(step.job()).advice().needed();
+  }
+
+  /** Returns the workers for which the step holds a valid ticket and which are not reserved. */
+  private List<Worker> permitted(StepRun step, Moment now) {
+    String service = service(step);
+    int priority = step.job().queue().priority();
+    long untilMillis = now.steadyMillis() + state.settings().ticketMarginMillis();
+    List<Worker> permitted = new ArrayList<>();
+    for (String workerId : step.tickets().keySet()) {
+      Worker worker = state.workers().get(workerId);
+      if (worker != null
+          && usable.contains(worker, service)
+          && !reservations.holds(worker, priority)
+          && step.ticketFor(worker, untilMillis) != null) {
+        permitted.add(worker);
       }
-      chosen.add(best);
-      free.put(best, free.getOrDefault(best, best.free()).minus(step.spec().reservation()));
-      placed.merge(best, 1L, Long::sum);
     }
-    return chosen;
+    return permitted;
   }
 
-  private boolean fits(Task task, Worker worker, long placedThere, Resources free, Moment now) {
-    StepSpec spec = task.step().spec();
-    boolean spread = spec.maxTasksPerWorker() <= 0 || placedThere < spec.maxTasksPerWorker();
+  private static boolean fits(Task task, Worker worker) {
+    StepRun step = task.step();
+    int limit = step.spec().maxTasksPerWorker();
     // After several failures in a row a worker has to prove itself with one step at a time.
     boolean trusted =
         worker.failuresInARow() < Worker.FAILURES_BEFORE_QUARANTINE
             || worker.placements().isEmpty();
-    return spread
-        && trusted
-        && spec.reservation().fitsIn(free)
-        && permitted(task.step(), worker, now);
+    return trusted
+        && (limit <= 0 || step.placedOn(worker) < limit)
+        && step.spec().reservation().fitsIn(worker.free());
   }
 
-  private boolean better(Task task, Worker worker, Worker best) {
+  private static boolean better(Task task, Worker worker, Worker best) {
     int difference = Integer.compare(penalty(task, worker), penalty(task, best));
     if (difference != 0) {
       return difference < 0;
@@ -302,13 +278,13 @@
     String dataRack = task.step().spec().dataRack();
     int penalty = 0;
     if (task.failedOn().contains(worker.id())) {
-      penalty += 4;
+      penalty += HAS_FAILED_TASK;
     }
     if (task.failedCount() > 0 && worker.failuresInARow() > 0) {
-      penalty += 2;
+      penalty += HAS_FAILED_OTHERS;
     }
     if (!dataRack.isEmpty() && !dataRack.equals(worker.listing().rack())) {
-      penalty += 1;
+      penalty += FAR_FROM_DATA;
     }
     return penalty;
   }
@@ -327,6 +303,7 @@
     Placement placement =
         new Placement(task, run, worker, worker.incarnation(), now.steadyMillis());
     state.place(placement);
+    usable.refresh(worker, now.steadyMillis());
     state.startsAfterwards().add(placement);
     Job job = task.step().job();
     if (job.phase() == JobPhase.PENDING) {
@@ -335,36 +312,58 @@
     state.change(job);
   }
 
-  /** Workers kept for gangs that found no room, from steps of less urgent queues. */
-  private static final class Reservation {
-
-    private final Map<Worker, Integer> priorityByWorker = new HashMap<>();
-
-    /** Returns whether a worker is kept from steps of queues with {@code priority}. */
-    boolean holds(Worker worker, int priority) {
-      return priority > priorityByWorker.getOrDefault(worker, Integer.MAX_VALUE);
+  /** Reserves workers for the gangs that wait for room, and opens those reserved no more. */
+  private void reserve(Moment now) {
+    List<StepRun> waiting = new ArrayList<>();
+    for (StepRun step : state.waiting().all()) {
+      if (step.spec().gang() && withinLimit(step, step.tasks().size())) {
+        waiting.add(step);
+      }
     }
+    waiting.sort(WaitingSteps.ORDER);
+    Map<StepRun, List<Worker>> gangs = new LinkedHashMap<>();
+    waiting.forEach(step -> gangs.put(step, reservable(step)));
+    reservations.reserve(gangs, usable.count()).forEach(usable::widen);
+  }
 
-    void offer(StepRun step, List<Worker> candidates) {
-      int missing = RESERVATION_FACTOR * step.tasks().size();
-      for (Worker worker : candidates) {
-        boolean full = priorityByWorker.size() >= candidates.size() * MAX_RESERVED_PART;
-        if (missing <= 0 || full) {
-          return;
-        }
-        boolean good = step.tickets().isEmpty() || step.tickets().containsKey(worker.id());
-        if (good && !priorityByWorker.containsKey(worker)) {
-          priorityByWorker.put(worker, step.job().queue().priority());
-          missing -= slots(step, worker);
-        }
+  private List<Worker> reservable(StepRun step) {
+    if (!advised(step)) {
+      return usable.largest(
+          service(step), step.spec().requiredLabel(), step.tasks().size(), worker -> true);
+    }
+    List<Worker> permitted = new ArrayList<>();
+    for (String workerId : step.tickets().keySet()) {
+      Worker worker = state.workers().get(workerId);
+      if (worker != null && usable.contains(worker, service(step))) {
+        permitted.add(worker);
       }
     }
+    permitted.sort(
+        Comparator.comparingLong((Worker worker) -> -worker.free().processorsMillicores())
+            .thenComparing(Worker::id));
+    return permitted;
+  }
 
-    private static int slots(StepRun step, Worker worker) {
-      long needed = step.spec().reservation().processorsMillicores();
-      long capacity = worker.listing().capacity().processorsMillicores();
-      long slots = needed <= 0 ? 1 : capacity / needed;
-      return (int) Math.max(1, Math.min(slots, step.tasks().size()));
-    }
+  /** Tells why a step waits, so that the cause can be found in the logs. */
+  private void report(StepRun step, Moment now) {
+    Resources demand = step.spec().reservation();
+    List<Worker> known = reservable(step);
+    long withRoom = known.stream().filter(worker -> demand.fitsIn(worker.free())).count();
+    String inputs =
+        "usable="
+            + usable.count()
+            + " known="
+            + known.size()
+            + " with_room="
+            + withRoom
+            + " ticket_valid="
+            + (advised(step) ? permitted(step, now).size() : 0)
+            + " advised_against="
+            + step.advisedAgainst().size()
+            + " asking="
+            + step.adviceInFlight()
+            + " within_limit="
+            + withinLimit(step, 1);
+    state.actions().add(new Action.ReportWaiting(step.name(), inputs));
   }
 }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/RunEndHandler.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/RunEndHandler.java
@@ -132,6 +132,7 @@
 
   /** Ends a job; what still runs of it is stopped by the caller. */
   void end(Job job, JobPhase phase, Moment now) {
+    job.occurrences().values().forEach(steps -> steps.forEach(state.waiting()::remove));
     job.phase(phase);
     job.endedAtMillis(now.unixMillis());
     state.change(job);
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/SilenceDetector.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/SilenceDetector.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -23,6 +24,9 @@
   /** Silent workers of a zone from which the zone is taken as cut off. */
   private static final int SILENT_WORKERS_OF_ZONE = 2;
 
+  /** Suspects no worker. */
+  static final SilenceDetector NONE = new SilenceDetector(List.of(), 0);
+
   private final Set<Worker> silent = new HashSet<>();
   private final Map<String, Long> silentSinceByZone = new HashMap<>();
 
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
@@ -1,10 +1,12 @@
 package org.cicadaford.cell;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /** One step of a job in one occurrence, with its tasks and the advice on it. */
@@ -17,9 +19,14 @@
   private final List<Task> tasks = new ArrayList<>();
   private final Map<String, Ticket> tickets = new HashMap<>();
   private final Set<String> advisedAgainst = new HashSet<>();
+  private final BitSet waiting = new BitSet();
+  private final BitSet done = new BitSet();
+  private final Map<Worker, Integer> placedByWorker = new HashMap<>();
+  private int placedCount;
   private boolean adviceInFlight;
-  private long adviceRetryAtMillis;
-  private long nextReportMillis;
+  private OptionalLong adviceRetryAtMillis = OptionalLong.empty();
+  private OptionalLong nextReportMillis = OptionalLong.empty();
+  private OptionalLong nextTryMillis = OptionalLong.empty();
   private int countedFailureRun;
 
   StepRun(Job job, int occurrence, int index) {
@@ -30,6 +37,26 @@
     for (int task = 0; task < spec().taskCount(); task++) {
       tasks.add(new Task(this, task));
     }
+    waiting.set(0, tasks.size());
+  }
+
+  /** Takes note of a task that is waiting, or done, from now on. */
+  void changed(Task task) {
+    waiting.set(task.index(), task.waiting());
+    done.set(task.index(), task.done());
+  }
+
+  /** Takes note of where a task is placed. */
+  void placementChanged(Task task, Placement before, Placement after) {
+    if (before != null) {
+      placedCount--;
+      placedByWorker.merge(before.worker(), -1, (count, less) -> count == 1 ? null : count - 1);
+    }
+    if (after != null) {
+      placedCount++;
+      placedByWorker.merge(after.worker(), 1, Integer::sum);
+    }
+    changed(task);
   }
 
   Job job() {
@@ -58,25 +85,20 @@
   }
 
   boolean done() {
-    return tasks.stream().allMatch(Task::done);
+    return done.cardinality() == tasks.size();
   }
 
   List<Task> waitingTasks() {
-    return tasks.stream().filter(Task::waiting).toList();
+    return waiting.stream().mapToObj(tasks::get).toList();
   }
 
   /** Returns whether the step can be given to workers: for a gang only when no member is left. */
   boolean startable() {
-    if (!spec().gang()) {
-      return tasks.stream().anyMatch(Task::waiting);
-    }
-    return !done() && tasks.stream().allMatch(task -> task.placement() == null);
+    return spec().gang() ? !done() && placedCount == 0 : !waiting.isEmpty();
   }
 
-  long placedOn(Worker worker) {
-    return tasks.stream()
-        .filter(task -> task.placement() != null && task.placement().worker() == worker)
-        .count();
+  int placedOn(Worker worker) {
+    return placedByWorker.getOrDefault(worker, 0);
   }
 
   /** Returns the run number that the next start of a gang carries. */
@@ -105,14 +127,21 @@
 
   /** Returns whether the step has waited for a while since it was first tried or last reported. */
   boolean reportDue(long nowMillis, long intervalMillis) {
-    if (nextReportMillis == 0) {
-      nextReportMillis = nowMillis + intervalMillis;
-    }
-    if (nowMillis < nextReportMillis) {
+    boolean first = nextReportMillis.isEmpty();
+    if (ElapsedTime.ahead(nextReportMillis, nowMillis)) {
       return false;
     }
-    nextReportMillis = nowMillis + intervalMillis;
-    return true;
+    nextReportMillis = OptionalLong.of(nowMillis + intervalMillis);
+    return !first;
+  }
+
+  /** Returns whether the step is to be tried again without an event. */
+  boolean tryDue(long nowMillis) {
+    return !ElapsedTime.ahead(nextTryMillis, nowMillis);
+  }
+
+  void nextTryMillis(long atMillis) {
+    nextTryMillis = OptionalLong.of(atMillis);
   }
 
   boolean adviceInFlight() {
@@ -123,12 +152,13 @@
     adviceInFlight = inFlight;
   }
 
-  long adviceRetryAtMillis() {
-    return adviceRetryAtMillis;
+  /** Returns whether no call for advice may be made yet, since one has failed or was empty. */
+  boolean adviceDelayed(long nowMillis) {
+    return ElapsedTime.ahead(adviceRetryAtMillis, nowMillis);
   }
 
   void adviceRetryAtMillis(long atMillis) {
-    adviceRetryAtMillis = atMillis;
+    adviceRetryAtMillis = OptionalLong.of(atMillis);
   }
 
   /** Returns whether the failure of a gang's run is counted for the first time. */
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Task.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Task.java
@@ -41,6 +41,7 @@
 
   void markDone() {
     done = true;
+    step.changed(this);
   }
 
   int lastRun() {
@@ -79,7 +80,9 @@
   }
 
   void place(Placement newPlacement) {
+    Placement old = placement;
     placement = newPlacement;
+    step.placementChanged(this, old, newPlacement);
   }
 
   /** Returns whether the task needs a run and has none. */
--- /dev/null
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/UsableWorkers.java
@@ -0,0 +1,175 @@
+package org.cicadaford.cell;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.cicadaford.model.Resources;
+import org.cicadaford.model.capacity.FreeCapacityTree;
+
+/** Workers that may get tasks now, by service, label and free room. */
+final class UsableWorkers {
+
+  /** Label under which all workers of a service are found. */
+  private static final String ANY_LABEL = "";
+
+  /** Workers of a service that have a label. */
+  private record Pool(String service, String label) {}
+
+  /** A worker as it is filed in the trees. */
+  private record Filed(ListedWorker listing, long millicores, long mebibytes) {}
+
+  private final CellState state;
+  private final Map<Pool, FreeCapacityTree<Worker>> trees = new HashMap<>();
+  private final Map<Worker, Filed> filedByWorker = new HashMap<>();
+  private final Set<Worker> widened = new LinkedHashSet<>();
+  private SilenceDetector silence = SilenceDetector.NONE;
+
+  UsableWorkers(CellState state) {
+    this.state = state;
+  }
+
+  /** Looks at all workers again, as time alone makes some usable and others not. */
+  void tick(long nowMillis) {
+    silence = new SilenceDetector(state.workers().values(), nowMillis);
+    for (Worker worker : state.workers().values()) {
+      refresh(worker, nowMillis);
+    }
+    filedByWorker
+        .keySet()
+        .removeIf(worker -> state.workers().get(worker.id()) != worker && unfile(worker));
+  }
+
+  private boolean unfile(Worker worker) {
+    Filed filed = filedByWorker.get(worker);
+    pools(filed.listing())
+        .forEach(pool -> trees.get(pool).remove(worker, filed.millicores(), filed.mebibytes()));
+    return true;
+  }
+
+  /** Files a worker anew after something about it has changed. */
+  void refresh(Worker worker, long nowMillis) {
+    Filed before = filedByWorker.get(worker);
+    Filed after = usable(worker, nowMillis) ? filed(worker) : null;
+    if (same(before, after)) {
+      return;
+    }
+    if (before != null) {
+      unfile(worker);
+      filedByWorker.remove(worker);
+    }
+    if (after != null) {
+      for (Pool pool : pools(after.listing())) {
+        trees
+            .computeIfAbsent(pool, key -> new FreeCapacityTree<>(Worker::id))
+            .insert(worker, after.millicores(), after.mebibytes());
+      }
+      filedByWorker.put(worker, after);
+      if (before == null || hasMoreRoom(before, after)) {
+        widened.add(worker);
+      }
+    }
+  }
+
+  private static boolean same(Filed before, Filed after) {
+    if (before == null || after == null) {
+      return before == after;
+    }
+    return before.listing() == after.listing()
+        && before.millicores() == after.millicores()
+        && before.mebibytes() == after.mebibytes();
+  }
+
+  private static boolean hasMoreRoom(Filed before, Filed after) {
+    return after.millicores() > before.millicores()
+        || after.mebibytes() > before.mebibytes()
+        || after.listing() != before.listing();
+  }
+
+  private static Filed filed(Worker worker) {
+    Resources free = worker.free();
+    return new Filed(worker.listing(), free.processorsMillicores(), free.memoryMebibytes());
+  }
+
+  private static List<Pool> pools(ListedWorker listing) {
+    List<Pool> pools = new ArrayList<>();
+    pools.add(new Pool(listing.service(), ANY_LABEL));
+    listing.labels().forEach(label -> pools.add(new Pool(listing.service(), label)));
+    return pools;
+  }
+
+  private boolean usable(Worker worker, long nowMillis) {
+    ListedWorker listing = worker.listing();
+    return worker.listed()
+        && listing.incarnation() == worker.incarnation()
+        && !listing.draining()
+        && !state.zonesOut().contains(listing.zone())
+        && worker.reachable(nowMillis, state.settings().unreachableMillis())
+        && !worker.quarantined(nowMillis)
+        && !silence.suspects(worker);
+  }
+
+  /** Returns the workers that have become usable or have more room, once. */
+  List<Worker> takeWidened() {
+    List<Worker> taken = new ArrayList<>(widened);
+    widened.clear();
+    taken.removeIf(worker -> !contains(worker));
+    return taken;
+  }
+
+  boolean anyWidened() {
+    return !widened.isEmpty();
+  }
+
+  /** Notes that steps may be placed on a worker that were kept off before. */
+  void widen(Worker worker) {
+    widened.add(worker);
+  }
+
+  /** Returns the number of workers that may get tasks. */
+  int count() {
+    return filedByWorker.size();
+  }
+
+  private boolean contains(Worker worker) {
+    return filedByWorker.containsKey(worker);
+  }
+
+  /** Returns whether a worker may get tasks and belongs to a service. */
+  boolean contains(Worker worker, String service) {
+    Filed filed = filedByWorker.get(worker);
+    return filed != null && filed.listing().service().equals(service);
+  }
+
+  /** Returns the allowed worker with the least free room that holds {@code demand}, or null. */
+  Worker bestFit(String service, String label, Resources demand, Predicate<Worker> allowed) {
+    FreeCapacityTree<Worker> tree = trees.get(new Pool(service, label));
+    if (tree == null) {
+      return null;
+    }
+    return tree.smallest(
+        demand.processorsMillicores(),
+        demand.memoryMebibytes(),
+        worker -> demand.fitsIn(worker.free()) && allowed.test(worker));
+  }
+
+  /** Returns up to {@code limit} allowed workers, those with the most free processors first. */
+  List<Worker> largest(String service, String label, int limit, Predicate<Worker> allowed) {
+    List<Worker> found = new ArrayList<>();
+    FreeCapacityTree<Worker> tree = trees.get(new Pool(service, label));
+    if (tree == null || limit <= 0) {
+      return found;
+    }
+    tree.visitLargestFirst(
+        worker -> {
+          if (allowed.test(worker)) {
+            found.add(worker);
+          }
+          return found.size() < limit;
+        });
+    return found;
+  }
+}
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -31,6 +32,7 @@
   private boolean listed;
   private Resources used = Resources.NONE;
   private final Map<String, Placement> placements = new HashMap<>();
+  private final Set<Placement> unsettled = new LinkedHashSet<>();
   private long reportedClockMillis;
   private long reportedClockAtMillis;
   private boolean clockKnown;
@@ -99,12 +101,25 @@
   void add(Placement placement) {
     placements.put(placement.task().name(), placement);
     used = used.plus(placement.reservation());
+    if (placement.stage() != Placement.Stage.RUNNING) {
+      unsettled(placement);
+    }
+  }
+
+  /** Notes that it is open whether a run has begun. */
+  void unsettled(Placement placement) {
+    unsettled.add(placement);
+  }
+
+  void settled(Placement placement) {
+    unsettled.remove(placement);
   }
 
   void remove(Placement placement) {
     if (placements.remove(placement.task().name(), placement)) {
       used = used.minus(placement.reservation());
     }
+    unsettled.remove(placement);
   }
 
   Resources free() {
@@ -147,6 +162,11 @@
     leaseOverAtMillis = ElapsedTime.later(leaseOverAtMillis, atMillis);
   }
 
+  /** Returns whether the worker has answered lately, so that its clock is known. */
+  boolean reachable(long nowMillis, long unreachableMillis) {
+    return clockKnown && answeredWithin(nowMillis, unreachableMillis);
+  }
+
   boolean answeredWithin(long nowMillis, long millis) {
     return ElapsedTime.within(lastAnswerAtMillis, nowMillis, millis);
   }
@@ -211,7 +231,7 @@
         ElapsedTime.over(renewalDueMillis, nowMillis, graceMillis)
             ? renewalDueMillis
             : OptionalLong.empty();
-    for (Placement placement : placements.values()) {
+    for (Placement placement : unsettled) {
       boolean open =
           placement.stage() == Placement.Stage.STARTING
               && placement.orderSent()
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -55,7 +55,7 @@
         worker.unlist();
       }
     }
-    state.planWanted(true);
+    state.workers().values().forEach(state::touch);
   }
 
   /** Returns the worker that a stored placement names, which may not be listed any more. */
@@ -92,20 +92,13 @@
     if (report.incarnation() > worker.incarnation()) {
       reincarnated(worker, report.incarnation(), now);
     }
-    boolean wasUnreachable = !reachable(worker, now.steadyMillis());
     worker.answered(now.steadyMillis());
     worker.clock(report.clockMillis(), now.steadyMillis());
     worker.nextRenewalAtMillis(now.steadyMillis());
+    state.checkRenewal(worker);
     applyEnds(worker, report, now);
     applyRunning(worker, report, now);
-    if (wasUnreachable) {
-      state.planWanted(true);
-    }
-  }
-
-  boolean reachable(Worker worker, long nowMillis) {
-    return worker.clockKnown()
-        && worker.answeredWithin(nowMillis, state.settings().unreachableMillis());
+    state.touch(worker);
   }
 
   private void applyEnds(Worker worker, WorkerReport report, Moment now) {
@@ -114,6 +107,7 @@
         continue;
       }
       worker.processedEnd(end.number());
+      state.unrecorded().add(worker);
       Placement placement = worker.placements().get(end.task());
       if (placement != null && placement.run() == end.run()) {
         ends.ended(placement, end.kind(), end.checkpoint(), now);
@@ -137,6 +131,7 @@
       if (placement.stopConfirmedBefore(report.sentAtMillis() - STOP_EFFECTIVE_MILLIS)) {
         placement.stopIneffective();
       }
+      stopIfStalled(placement, now);
     }
     if (!report.complete()) {
       return;
@@ -194,6 +189,8 @@
     }
     worker.renewalOver();
     worker.renewalFailed();
+    state.checkRenewal(worker);
+    state.touch(worker);
     worker.nextRenewalAtMillis(
         worker.failedRenewals() > 1
             ? now.steadyMillis() + UNREACHABLE_RETRY_MILLIS
@@ -212,14 +209,13 @@
     List<Worker> forgotten = new ArrayList<>();
     for (Worker worker : state.workers().values()) {
       expire(worker, now);
-      for (Placement placement : List.copyOf(worker.placements().values())) {
-        watch(placement, now);
-      }
+      state.checkRenewal(worker);
       if (!worker.listed() && worker.placements().isEmpty() && !worker.renewalInFlight()) {
         forgotten.add(worker);
       }
     }
     forgotten.forEach(worker -> state.workers().remove(worker.id()));
+    List.copyOf(state.stopping()).forEach(placement -> repeatStop(placement, now));
   }
 
   private void expire(Worker worker, Moment now) {
@@ -238,17 +234,18 @@
     }
   }
 
-  private void watch(Placement placement, Moment now) {
+  private void repeatStop(Placement placement, Moment now) {
     long nowMillis = now.steadyMillis();
-    if (placement.stopWanted()) {
-      boolean due =
-          !placement.stopConfirmed() && !placement.stopSentWithin(nowMillis, STOP_AGAIN_MILLIS);
-      if (placement.orderSent() && due) {
-        state.sendStop(placement, nowMillis);
-      }
-      return;
+    boolean due =
+        !placement.stopConfirmed() && !placement.stopSentWithin(nowMillis, STOP_AGAIN_MILLIS);
+    if (placement.orderSent() && due) {
+      state.sendStop(placement, nowMillis);
     }
-    if (stalled(placement, nowMillis)) {
+  }
+
+  private void stopIfStalled(Placement placement, Moment now) {
+    long nowMillis = now.steadyMillis();
+    if (!placement.stopWanted() && stalled(placement, nowMillis)) {
       placement.worker().failed(placement.task().step().job().id(), nowMillis);
       placement.task().failedOn().add(placement.worker().id());
       state.stop(placement, StopReason.STALLED, nowMillis);
@@ -266,10 +263,10 @@
     return lookedSince && nowMillis - placement.progressAtMillis() > allowedMillis;
   }
 
-  /** Returns the renewals that are due. */
-  List<Action.Renew> dueRenewals(Moment now) {
+  /** Returns the renewals of the given workers that are due. */
+  List<Action.Renew> dueRenewals(List<Worker> workers, Moment now) {
     List<Action.Renew> due = new ArrayList<>();
-    for (Worker worker : state.workers().values()) {
+    for (Worker worker : workers) {
       boolean wanted = worker.listed() || !worker.placements().isEmpty();
       if (wanted && worker.listing() != null && renewalDue(worker, now.steadyMillis())) {
         due.add(renewal(worker, now.steadyMillis()));
--- /dev/null
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/PlacementPlannerTest.java
@@ -0,0 +1,255 @@
+package org.cicadaford.cell;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.cicadaford.model.Resources;
+
+/** Tests that steps are tried again when, and only when, something they wait for has changed. */
+class PlacementPlannerTest {
+
+  private static final List<String> LABELS = List.of("", "a", "b");
+  private static final AdvicePolicy ADVICE = new AdvicePolicy(20, 1, 2_500);
+
+  private final CellState state = new CellState(CoordinatorSettings.forPlatform(6_000, 60_000));
+  private final AdviceDesk desk = new AdviceDesk(state);
+  private final UsableWorkers usable = new UsableWorkers(state);
+  private final PlacementPlanner planner =
+      new PlacementPlanner(state, usable, new AdvicePlanner(state, usable, desk));
+  private final RunEndHandler ends = new RunEndHandler(state);
+  private final Map<String, Set<String>> permittedByStep = new HashMap<>();
+  private long nowMillis = 1_000;
+  private int jobCount;
+
+  private Moment now() {
+    return new Moment(nowMillis, nowMillis);
+  }
+
+  private void configure(long version, long limitMillicores) {
+    List<Queue> queues = new ArrayList<>();
+    for (int priority = 0; priority < 3; priority++) {
+      queues.add(queue("plain" + priority, priority, AdvicePolicy.NONE));
+      queues.add(queue("advised" + priority, priority, ADVICE));
+    }
+    TeamShare limited = new TeamShare("t0", Set.of(), 0, new Resources(limitMillicores, 0, 0));
+    TeamShare open = new TeamShare("t1", Set.of(), 0, Resources.NONE);
+    state.config(new CellConfig(version, queues, List.of(limited, open)));
+  }
+
+  private static Queue queue(String name, int priority, AdvicePolicy advice) {
+    return new Queue(name, "h", "/" + name, "svc", priority, 4, 2, 250, 3_000, false, advice);
+  }
+
+  private Worker addWorker(int index, long millicores, boolean draining) {
+    String id = "w" + index;
+    Worker worker = state.workers().computeIfAbsent(id, key -> new Worker(key, 1));
+    worker.list(
+        new ListedWorker(
+            id,
+            1,
+            "svc",
+            "a:" + index,
+            "zone",
+            draining,
+            new Resources(millicores, 10_000, 0),
+            Set.of(LABELS.get(1 + index % 2), "rack" + index % 3),
+            "rack" + index % 3));
+    worker.answered(nowMillis);
+    worker.clock(nowMillis, nowMillis);
+    state.touch(worker);
+    return worker;
+  }
+
+  private Job addJob(String queue, String team, StepSpec step) {
+    JobSpec spec = new JobSpec("payload", List.of(step), 0, 0, 0);
+    String id = "job" + jobCount++;
+    Job job =
+        new Job(
+            new JobDefinition(
+                id, state.config().queue(queue).orElseThrow(), team, nowMillis, false, spec));
+    state.jobs().put(id, job);
+    job.begin(0).forEach(state::consider);
+    return job;
+  }
+
+  private static StepSpec step(
+      int count, long millicores, boolean gang, String label, String dataRack, int spread) {
+    return new StepSpec(
+        count,
+        new Resources(millicores, 100, 0),
+        300,
+        List.of(),
+        false,
+        gang,
+        false,
+        label,
+        dataRack,
+        spread,
+        false,
+        false,
+        "",
+        0,
+        false,
+        0);
+  }
+
+  private void plan() {
+    planner.plan(now());
+    for (Action action : List.copyOf(state.actions())) {
+      if (action instanceof Action.AskAdvice ask) {
+        Map<String, String> tickets = new HashMap<>();
+        Set<String> permitted = permittedByStep.computeIfAbsent(ask.step(), key -> draw(ask));
+        ask.workerIds().stream()
+            .filter(permitted::contains)
+            .forEach(id -> tickets.put(id, "t" + id));
+        desk.answered(ask.callId(), tickets, 2_500, nowMillis);
+      }
+    }
+    state.actions().clear();
+    planner.plan(now());
+  }
+
+  private static Set<String> draw(Action.AskAdvice ask) {
+    Set<String> permitted = new HashSet<>(ask.workerIds());
+    permitted.removeIf(id -> (ask.step() + id).hashCode() % 3 == 0);
+    return permitted;
+  }
+
+  /** Returns a worker that a waiting task could run on now, found by looking at all of them. */
+  private Worker roomFor(Task task) {
+    StepRun step = task.step();
+    StepSpec spec = step.spec();
+    Resources more = spec.demand();
+    boolean withinLimit =
+        state
+            .config()
+            .team(step.job().team())
+            .orElseThrow()
+            .allows(state.usageOf(step.job().team()).plus(more));
+    for (Worker worker : state.workers().values()) {
+      boolean labelled =
+          spec.requiredLabel().isEmpty()
+              || worker.listing().labels().contains(spec.requiredLabel());
+      boolean spread =
+          spec.maxTasksPerWorker() == 0 || step.placedOn(worker) < spec.maxTasksPerWorker();
+      boolean permitted =
+          !step.job().queue().advice().needed()
+              || step.ticketFor(worker, nowMillis + state.settings().ticketMarginMillis()) != null;
+      if (withinLimit
+          && labelled
+          && spread
+          && permitted
+          && !worker.listing().draining()
+          && !worker.quarantined(nowMillis)
+          && (worker.failuresInARow() < Worker.FAILURES_BEFORE_QUARANTINE
+              || worker.placements().isEmpty())
+          && spec.reservation().fitsIn(worker.free())) {
+        return worker;
+      }
+    }
+    return null;
+  }
+
+  /** Guards against work that waits while there is room, as no event has had it tried again. */
+  @Property(tries = 60, seed = "4801")
+  void nothingWaitsWhileThereIsRoom(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    Random random = new Random(seed);
+    configure(1, 12_000);
+    desk.agents(Set.of("e1", "e2", "e3", "e4"), nowMillis);
+    for (int round = 0; round < 120; round++) {
+      nowMillis += random.nextInt(40);
+      change(random, round);
+      state.workers().values().forEach(worker -> worker.answered(nowMillis));
+      if (round % 3 > 0) {
+        plan();
+        continue;
+      }
+      planner.tick(now());
+      plan();
+      for (Worker worker : state.workers().values()) {
+        assertThat(worker.free().processorsMillicores()).isNotNegative();
+      }
+      for (StepRun step : state.waiting().all()) {
+        for (Task task : step.waitingTasks()) {
+          assertThat(roomFor(task)).as(task.name() + " seed " + seed).isNull();
+        }
+      }
+    }
+  }
+
+  private void change(Random random, int round) {
+    switch (random.nextInt(8)) {
+      case 0 -> addWorker(random.nextInt(12), 8_000, random.nextInt(4) == 0);
+      case 1 -> configure(round + 2, 6_000 + 2_000L * random.nextInt(6));
+      case 2, 3, 4 -> {
+        List<Placement> placed = new ArrayList<>();
+        state.workers().values().forEach(worker -> placed.addAll(worker.placements().values()));
+        if (!placed.isEmpty()) {
+          EndKind kind = random.nextInt(5) == 0 ? EndKind.FAILED : EndKind.DONE;
+          ends.ended(placed.get(random.nextInt(placed.size())), kind, "", now());
+        }
+      }
+      default -> {
+        String queue = (random.nextBoolean() ? "plain" : "advised") + random.nextInt(3);
+        String label = LABELS.get(random.nextInt(3));
+        String rack = random.nextInt(3) == 0 ? "rack" + random.nextInt(3) : "";
+        int spread = random.nextInt(4) == 0 ? 1 : 0;
+        long millicores = 500 + 500L * random.nextInt(8);
+        addJob(
+            queue,
+            "t" + random.nextInt(2),
+            step(1 + random.nextInt(5), millicores, false, label, rack, spread));
+      }
+    }
+  }
+
+  /** Guards against gangs that never run, since smaller work takes each bit of room first. */
+  @Example
+  void waitingGangKeepsWorkersFromLessUrgentWork() {
+    configure(1, 0);
+    for (int index = 0; index < 4; index++) {
+      addWorker(index, 8_000, false);
+    }
+    Job filling = addJob("plain2", "t1", step(8, 4_000, false, "", "", 0));
+    plan();
+    assertThat(filling.placements()).hasSize(8);
+    Job gang = addJob("plain1", "t1", step(2, 8_000, true, "", "", 0));
+    Job more = addJob("plain2", "t1", step(4, 4_000, false, "", "", 0));
+    plan();
+    planner.tick(now());
+    for (Placement placement : filling.placements()) {
+      ends.ended(placement, EndKind.DONE, "", now());
+      plan();
+    }
+    assertThat(gang.placements()).hasSize(2);
+    assertThat(more.placements()).hasSize(4);
+  }
+
+  /** Guards against a plan that tries the whole backlog at each event. */
+  @Example
+  void eventWithoutRoomTriesNothing() {
+    configure(1, 0);
+    Worker worker = addWorker(0, 1_000, false);
+    addJob("plain0", "t1", step(1, 1_000, false, "", "", 0));
+    plan();
+    for (int index = 0; index < 50; index++) {
+      addJob("plain1", "t1", step(1, 1_000, false, "", "", 0));
+    }
+    plan();
+    assertThat(planner.wanted()).isFalse();
+    state.touch(worker);
+    planner.plan(now());
+    assertThat(state.waiting().anyDue()).isFalse();
+    assertThat(state.waiting().all()).hasSize(50);
+  }
+}
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
@@ -214,10 +214,11 @@
               arrives ? carryOutStart(worker, order, sentEpoch) : StartOutcome.UNKNOWN;
           if (!lost && arrives) {
             after(2, () -> answerStart(sender, order, outcome, worker));
+          } else if (!late) {
+            after(300, () -> answerStart(sender, order, StartOutcome.UNKNOWN, null));
           }
         });
-    boolean answerable = worker.up && worker.reachable;
-    if (lost || !answerable) {
+    if (late) {
       after(300, () -> answerStart(sender, order, StartOutcome.UNKNOWN, null));
     }
   }
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
@@ -17,6 +18,7 @@
 import org.cicadaford.cell.Batch;
 import org.cicadaford.cell.Coordinator;
 import org.cicadaford.cell.CoordinatorSettings;
+import org.cicadaford.cell.ElapsedTime;
 import org.cicadaford.cell.JobPhase;
 import org.cicadaford.cell.JobSpec;
 import org.cicadaford.cell.JobView;
@@ -42,6 +44,9 @@
   /** Time between two readings of the list of workers, in milliseconds. */
   private static final long WORKER_LIST_MILLIS = 300;
 
+  /** Time between two looks at the instances that can call the advice service. */
+  private static final long ADVISORS_MILLIS = 50;
+
   private final long epoch;
   private final Coordinator coordinator;
   private final OrderSender sender;
@@ -58,7 +63,8 @@
   private ScheduledFuture<?> rounds;
   private boolean running;
   private boolean roundQueued;
-  private long nextWorkerListMillis;
+  private OptionalLong nextWorkerListMillis = OptionalLong.empty();
+  private OptionalLong nextAdvisorsMillis = OptionalLong.empty();
   private boolean workerListOpen;
 
   /**
@@ -239,7 +245,10 @@
     }
     try {
       Moment now = clock.get();
-      coordinator.agentsChanged(advisors.ids(), now);
+      if (!ElapsedTime.ahead(nextAdvisorsMillis, now.steadyMillis())) {
+        nextAdvisorsMillis = OptionalLong.of(now.steadyMillis() + ADVISORS_MILLIS);
+        coordinator.agentsChanged(advisors.ids(), now);
+      }
       coordinator.advance(now);
       coordinator.takeActions().forEach(this::carryOut);
       store(now);
@@ -256,7 +265,7 @@
   }
 
   private void readWorkers(Moment now) {
-    if (workerListOpen || now.steadyMillis() < nextWorkerListMillis) {
+    if (workerListOpen || ElapsedTime.ahead(nextWorkerListMillis, now.steadyMillis())) {
       return;
     }
     workerListOpen = true;
@@ -266,7 +275,7 @@
             (workers, failure) -> {
               Moment later = clock.get();
               workerListOpen = false;
-              nextWorkerListMillis = later.steadyMillis() + WORKER_LIST_MILLIS;
+              nextWorkerListMillis = OptionalLong.of(later.steadyMillis() + WORKER_LIST_MILLIS);
               if (failure == null && running) {
                 coordinator.workersListed(workers, later);
                 queueRound();
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerIndex.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerIndex.java
@@ -15,6 +15,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.cicadaford.decision.WaitingIndex.SizeClass;
 import org.cicadaford.model.Resources;
+import org.cicadaford.model.capacity.FreeCapacityTree;
 
 /**
  * Workers of a zone by free capacity. Follows the recorded state and takes off what the present
@@ -26,11 +27,11 @@
   private final double headroomFraction;
   private final UniformRandomProvider random;
   private final Map<String, WorkerSlot> slotsById = new TreeMap<>();
-  private final FreeCapacityTree plainTree = new FreeCapacityTree();
-  private final FreeCapacityTree spareTree = new FreeCapacityTree();
-  private final FreeCapacityTree headroomTree = new FreeCapacityTree();
-  private final FreeCapacityTree reservedTree = new FreeCapacityTree();
-  private final Map<Integer, FreeCapacityTree> acceleratorTrees = new TreeMap<>();
+  private final FreeCapacityTree<WorkerSlot> plainTree = newTree();
+  private final FreeCapacityTree<WorkerSlot> spareTree = newTree();
+  private final FreeCapacityTree<WorkerSlot> headroomTree = newTree();
+  private final FreeCapacityTree<WorkerSlot> reservedTree = newTree();
+  private final Map<Integer, FreeCapacityTree<WorkerSlot>> acceleratorTrees = new TreeMap<>();
   private final Map<String, WorkerSlot> quarantinedById = new TreeMap<>();
   private final Set<WorkerSlot> touched = new HashSet<>();
   private final Map<SizeClass, Resources> withoutRoom = new HashMap<>();
@@ -48,6 +49,10 @@
     this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
   }
 
+  private static FreeCapacityTree<WorkerSlot> newTree() {
+    return new FreeCapacityTree<>(slot -> slot.workerId);
+  }
+
   /** Follows the recorded state and drops the tentative placements of the last decision. */
   void sync(OwnerInputs inputs, long nowMillis) {
     boolean listChanged = followList(inputs.listedWorkers(), nowMillis);
@@ -151,8 +156,7 @@
       slot.moveTo(headroomTree, null);
     } else if (slot.hasAccelerators()) {
       int freeCount = slot.free().acceleratorCount();
-      slot.moveTo(
-          acceleratorTrees.computeIfAbsent(freeCount, n -> new FreeCapacityTree()), spareTree);
+      slot.moveTo(acceleratorTrees.computeIfAbsent(freeCount, n -> newTree()), spareTree);
     } else {
       slot.moveTo(plainTree, null);
     }
@@ -228,7 +232,7 @@
   }
 
   private WorkerSlot findAccelerators(Resources size, Predicate<WorkerSlot> allowed) {
-    for (Map.Entry<Integer, FreeCapacityTree> entry : acceleratorTrees.entrySet()) {
+    for (Map.Entry<Integer, FreeCapacityTree<WorkerSlot>> entry : acceleratorTrees.entrySet()) {
       if (entry.getKey() >= size.acceleratorCount()) {
         WorkerSlot found = smallest(entry.getValue(), size, allowed);
         if (found != null) {
@@ -240,7 +244,7 @@
   }
 
   private static WorkerSlot smallest(
-      FreeCapacityTree tree, Resources size, Predicate<WorkerSlot> allowed) {
+      FreeCapacityTree<WorkerSlot> tree, Resources size, Predicate<WorkerSlot> allowed) {
     return tree.smallest(size.processorsMillicores(), size.memoryMebibytes(), allowed);
   }
 
@@ -270,7 +274,7 @@
    */
   SizeClass mostFree(boolean urgent, boolean accelerated) {
     boolean all = !(policy instanceof PlacementPolicy.BestFit);
-    List<FreeCapacityTree> trees = new ArrayList<>(List.of(plainTree, spareTree));
+    List<FreeCapacityTree<WorkerSlot>> trees = new ArrayList<>(List.of(plainTree, spareTree));
     if (accelerated || all) {
       trees.addAll(acceleratorTrees.values());
     }
@@ -279,7 +283,7 @@
     }
     long millicores = 0;
     long mebibytes = 0;
-    for (FreeCapacityTree tree : trees) {
+    for (FreeCapacityTree<WorkerSlot> tree : trees) {
       millicores = Math.max(millicores, tree.mostMillicores());
       mebibytes = Math.max(mebibytes, tree.mostMebibytes());
     }
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerSlot.java
+++ b/cicadaford-decision/src/main/java/org/cicadaford/decision/WorkerSlot.java
@@ -1,6 +1,7 @@
 package org.cicadaford.decision;
 
 import org.cicadaford.model.Resources;
+import org.cicadaford.model.capacity.FreeCapacityTree;
 
 /** A worker as the scheduler sees it within a decision, with tentative placements taken off. */
 final class WorkerSlot {
@@ -13,7 +14,7 @@
   private static final int KEPT_ACCELERATORS = 1;
 
   /** Place of the slot in a tree, kept so that it can be removed after its amounts changed. */
-  record TreeEntry(FreeCapacityTree tree, long millicores, long mebibytes) {}
+  record TreeEntry(FreeCapacityTree<WorkerSlot> tree, long millicores, long mebibytes) {}
 
   final String workerId;
   private WorkerStatus status;
@@ -116,12 +117,12 @@
   }
 
   /** Moves the slot to other trees; either may be null. */
-  void moveTo(FreeCapacityTree mainTree, FreeCapacityTree spareTree) {
+  void moveTo(FreeCapacityTree<WorkerSlot> mainTree, FreeCapacityTree<WorkerSlot> spareTree) {
     mainEntry = move(mainEntry, mainTree, free);
     spareEntry = move(spareEntry, spareTree, spareTree == null ? free : spare());
   }
 
-  private TreeEntry move(TreeEntry entry, FreeCapacityTree tree, Resources amounts) {
+  private TreeEntry move(TreeEntry entry, FreeCapacityTree<WorkerSlot> tree, Resources amounts) {
     long millicores = amounts.processorsMillicores();
     long mebibytes = amounts.memoryMebibytes();
     if (entry != null) {
--- a/cicadaford-decision/src/main/java/org/cicadaford/decision/FreeCapacityTree.java
+++ b/cicadaford-model/src/main/java/org/cicadaford/model/capacity/FreeCapacityTree.java
@@ -1,5 +1,6 @@
-package org.cicadaford.decision;
+package org.cicadaford.model.capacity;
 
+import java.util.function.Function;
 import java.util.function.Predicate;
 
 /**
@@ -7,32 +8,36 @@
  * fit is found in logarithmic time.
  *
  * <p>A treap whose priorities come from the workers' ids; its shape is the same for every reader.
+ *
+ * @param <T> what stands for a worker
  */
-final class FreeCapacityTree {
+public final class FreeCapacityTree<T> {
 
-  private static final class Node {
-    private final WorkerSlot slot;
+  private static final class Node<T> {
+    private final T worker;
+    private final String id;
     private final long millicores;
     private final long mebibytes;
     private final int priority;
     private long mostMebibytes;
-    private Node left;
-    private Node right;
+    private Node<T> left;
+    private Node<T> right;
 
-    private Node(WorkerSlot slot, long millicores, long mebibytes) {
-      this.slot = slot;
+    private Node(T worker, String id, long millicores, long mebibytes) {
+      this.worker = worker;
+      this.id = id;
       this.millicores = millicores;
       this.mebibytes = mebibytes;
-      this.priority = mix(slot.workerId.hashCode());
+      this.priority = mix(id.hashCode());
       this.mostMebibytes = mebibytes;
     }
 
-    private int compareTo(Node other) {
+    private int compareTo(Node<T> other) {
       int order = Long.compare(millicores, other.millicores);
       if (order == 0) {
         order = Long.compare(mebibytes, other.mebibytes);
       }
-      return order != 0 ? order : slot.workerId.compareTo(other.slot.workerId);
+      return order != 0 ? order : id.compareTo(other.id);
     }
 
     private void refresh() {
@@ -46,24 +51,35 @@
     }
   }
 
-  private Node root;
+  private final Function<T, String> idOf;
+  private Node<T> root;
+
+  /** Creates an empty tree of workers that {@code idOf} names. */
+  public FreeCapacityTree(Function<T, String> idOf) {
+    this.idOf = idOf;
+  }
 
   /** Spreads the bits of a hash, which for consecutive ids differ only in the lowest ones. */
-  static int mix(int hash) {
+  public static int mix(int hash) {
     int mixed = hash * 0x9E3779B9;
     mixed = (mixed ^ (mixed >>> 15)) * 0x85EBCA6B;
     return mixed ^ (mixed >>> 13);
   }
 
-  void insert(WorkerSlot slot, long millicores, long mebibytes) {
-    root = insert(root, new Node(slot, millicores, mebibytes));
+  /** Adds a worker with its free amounts. */
+  public void insert(T worker, long millicores, long mebibytes) {
+    root = insert(root, node(worker, millicores, mebibytes));
+  }
+
+  private Node<T> node(T worker, long millicores, long mebibytes) {
+    return new Node<>(worker, idOf.apply(worker), millicores, mebibytes);
   }
 
-  private static Node insert(Node node, Node added) {
+  private static <T> Node<T> insert(Node<T> node, Node<T> added) {
     if (node == null) {
       return added;
     }
-    Node top = node;
+    Node<T> top = node;
     if (added.compareTo(node) < 0) {
       node.left = insert(node.left, added);
       if (node.left.priority > node.priority) {
@@ -85,11 +101,12 @@
     return top;
   }
 
-  void remove(WorkerSlot slot, long millicores, long mebibytes) {
-    root = remove(root, new Node(slot, millicores, mebibytes));
+  /** Removes a worker; the amounts are those that it was added with. */
+  public void remove(T worker, long millicores, long mebibytes) {
+    root = remove(root, node(worker, millicores, mebibytes));
   }
 
-  private static Node remove(Node node, Node removed) {
+  private static <T> Node<T> remove(Node<T> node, Node<T> removed) {
     if (node == null) {
       return null;
     }
@@ -106,11 +123,11 @@
     return node;
   }
 
-  private static Node merge(Node left, Node right) {
+  private static <T> Node<T> merge(Node<T> left, Node<T> right) {
     if (left == null || right == null) {
       return left == null ? right : left;
     }
-    Node top;
+    Node<T> top;
     if (left.priority > right.priority) {
       left.right = merge(left.right, right);
       top = left;
@@ -123,8 +140,8 @@
   }
 
   /** Returns the most free processors of any worker, in millicores; 0 without workers. */
-  long mostMillicores() {
-    Node node = root;
+  public long mostMillicores() {
+    Node<T> node = root;
     while (node != null && node.right != null) {
       node = node.right;
     }
@@ -132,29 +149,44 @@
   }
 
   /** Returns the most free memory of any worker, in mebibytes; 0 without workers. */
-  long mostMebibytes() {
+  public long mostMebibytes() {
     return root == null ? 0 : root.mostMebibytes;
   }
 
   /** Returns the allowed worker with the least free processors that has room, or null. */
-  WorkerSlot smallest(long millicores, long mebibytes, Predicate<WorkerSlot> allowed) {
+  public T smallest(long millicores, long mebibytes, Predicate<T> allowed) {
     return smallest(root, millicores, mebibytes, allowed);
   }
 
-  private static WorkerSlot smallest(
-      Node node, long millicores, long mebibytes, Predicate<WorkerSlot> allowed) {
+  private static <T> T smallest(
+      Node<T> node, long millicores, long mebibytes, Predicate<T> allowed) {
     if (node == null || node.mostMebibytes < mebibytes) {
       return null;
     }
     if (node.millicores >= millicores) {
-      WorkerSlot found = smallest(node.left, millicores, mebibytes, allowed);
+      T found = smallest(node.left, millicores, mebibytes, allowed);
       if (found != null) {
         return found;
       }
-      if (node.mebibytes >= mebibytes && allowed.test(node.slot)) {
-        return node.slot;
+      if (node.mebibytes >= mebibytes && allowed.test(node.worker)) {
+        return node.worker;
       }
     }
     return smallest(node.right, millicores, mebibytes, allowed);
   }
+
+  /**
+   * Visits the workers from the one with the most free processors on, until {@code visitor} returns
+   * false.
+   */
+  public void visitLargestFirst(Predicate<T> visitor) {
+    visitLargestFirst(root, visitor);
+  }
+
+  private static <T> boolean visitLargestFirst(Node<T> node, Predicate<T> visitor) {
+    return node == null
+        || visitLargestFirst(node.right, visitor)
+            && visitor.test(node.worker)
+            && visitLargestFirst(node.left, visitor);
+  }
 }
