Report a step that waits after 0.4 s, with the number of its tasks

Cause: urgent jobs that are late by a second were not explained by the log, as a waiting step was reported only after 3 s. Run: tests of cicadaford-cell.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
@@ -20,6 +20,9 @@
  */
 final class PlacementPlanner {
 
+  /** Time for which a step waits before that is reported, in milliseconds; most start in 0.1 s. */
+  private static final long FIRST_REPORT_MILLIS = 400;
+
   /** Time between two reports on a step that waits, in milliseconds. */
   private static final long REPORT_MILLIS = 3_000;
 
@@ -53,7 +56,7 @@
     state.waiting().tick(now.steadyMillis());
     reserve(now);
     for (StepRun step : state.waiting().all()) {
-      if (step.reportDue(now.steadyMillis(), REPORT_MILLIS)) {
+      if (step.reportDue(now.steadyMillis(), FIRST_REPORT_MILLIS, REPORT_MILLIS)) {
         report(step, now);
       }
     }
@@ -350,7 +353,11 @@
     List<Worker> known = reservable(step);
     long withRoom = known.stream().filter(worker -> demand.fitsIn(worker.free())).count();
     String inputs =
-        "usable="
+        "waiting_tasks="
+            + step.waitingTasks().size()
+            + " gang="
+            + step.spec().gang()
+            + " usable="
             + usable.count()
             + " known="
             + known.size()
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
@@ -126,12 +126,12 @@
   }
 
   /** Returns whether the step has waited for a while since it was first tried or last reported. */
-  boolean reportDue(long nowMillis, long intervalMillis) {
-    boolean first = nextReportMillis.isEmpty();
+  boolean reportDue(long nowMillis, long firstMillis, long intervalMillis) {
     if (ElapsedTime.ahead(nextReportMillis, nowMillis)) {
       return false;
     }
-    nextReportMillis = OptionalLong.of(nowMillis + intervalMillis);
+    boolean first = nextReportMillis.isEmpty();
+    nextReportMillis = OptionalLong.of(nowMillis + (first ? firstMillis : intervalMillis));
     return !first;
   }
 
