Name as many workers for advice as a step needs, and never more than the service takes

Tests, both failing before: callsForAdviceNameAtMostAHundredWorkers and wideGangFindsItsWorkersWithinTwoCalls (the second in virtual time: a gang of 75 with a third of 260 workers permitted starts within 1.8 s).

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/AdviceDesk.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/AdviceDesk.java
@@ -34,6 +34,15 @@
   /** Time after which a step asks again when a call has failed, in milliseconds. */
   private static final long RETRY_MILLIS = 50;
 
+  /** Part of the workers that is taken as good before the first answer. */
+  private static final double FIRST_GOOD_SHARE = 0.5;
+
+  /** Least part that is assumed, so that a step for which none was good asks on. */
+  private static final double LEAST_GOOD_SHARE = 0.05;
+
+  /** Weight of a new answer in the learnt part; about ten answers count. */
+  private static final double LEARNING_RATE = 0.1;
+
   /** A call that has not been answered. */
   private record OpenCall(StepRun step, Agent agent, List<String> asked, long expectedEndMillis) {}
 
@@ -60,6 +69,7 @@
   private final TreeSet<Agent> forShortCalls = new TreeSet<>();
   private final TreeSet<Agent> forAllCalls = new TreeSet<>();
   private final Map<Long, OpenCall> openCalls = new HashMap<>();
+  private final Map<String, Double> goodShareByQueue = new HashMap<>();
   private long nextCallId;
 
   AdviceDesk(CellState state) {
@@ -150,6 +160,7 @@
     freed(call, nowMillis);
     StepRun step = call.step();
     step.adviceInFlight(false);
+    learn(step.job().queueName(), call.asked().size(), tickets.size());
     for (String workerId : call.asked()) {
       Worker worker = state.workers().get(workerId);
       String ticket = tickets.get(workerId);
@@ -166,6 +177,16 @@
     state.consider(step);
   }
 
+  /** Returns the part of the workers named for a queue that may run its steps, as learnt so far. */
+  double goodShare(String queue) {
+    return goodShareByQueue.getOrDefault(queue, FIRST_GOOD_SHARE);
+  }
+
+  private void learn(String queue, int asked, int good) {
+    double share = Math.max(LEAST_GOOD_SHARE, (double) good / asked);
+    goodShareByQueue.merge(queue, share, (old, now) -> old + LEARNING_RATE * (now - old));
+  }
+
   /**
    * Takes the failure of a call. Its instance stays busy until the call's expected end, as the
    * service may still be at work on it.
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/AdvicePlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/AdvicePlanner.java
@@ -1,6 +1,7 @@
 package org.cicadaford.cell;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.TreeSet;
 import java.util.function.Predicate;
@@ -15,6 +16,15 @@
   /** Time after which all workers are asked about again when none may run a step. */
   private static final long ASK_AGAIN_MILLIS = 1_000;
 
+  /** Largest number of workers in a call; from the platform's protocol. */
+  private static final int MAX_WORKERS = 100;
+
+  /** Room that advice is to find, as a multiple of what the waiting tasks need. */
+  private static final double RESERVE_FACTOR = 1.5;
+
+  /** Tickets that are kept valid while a step waits and no good worker has room. */
+  private static final int KEPT_TICKETS = 10;
+
   private final CellState state;
   private final UsableWorkers usable;
   private final AdviceDesk desk;
@@ -67,26 +77,64 @@
     }
   }
 
+  /**
+   * Returns the workers to name: enough for the waiting tasks to find room with a reserve, as other
+   * steps compete for it. Good workers whose tickets end are named again, others are tried.
+   */
   private List<Worker> toName(StepRun step, AdvicePolicy policy, long nowMillis) {
-    int limit = state.settings().adviceWorkerCount();
+    double wantedSlots = RESERVE_FACTOR * tasksToPlace(step);
     boolean first = step.tickets().isEmpty() && step.advisedAgainst().isEmpty();
     if (first) {
-      return unknown(step, limit, worker -> true);
+      return unknown(step, wantedSlots, 0, worker -> true);
     }
+    Resources demand = step.spec().reservation();
     List<Worker> good = known(step);
-    if (!good.isEmpty() && !validAtAnswer(step, policy, good, nowMillis)) {
-      return good;
+    long answerMillis = nowMillis + policy.callMillis(good.size()) + RENEWAL_MARGIN_MILLIS;
+    List<Worker> stale = new ArrayList<>();
+    double validSlots = 0;
+    for (Worker worker : good) {
+      if (step.ticketFor(worker, answerMillis) == null) {
+        stale.add(worker);
+      } else {
+        validSlots += slots(step, worker);
+      }
+    }
+    if (validSlots >= wantedSlots) {
+      return List.of();
+    }
+    List<Worker> named = new ArrayList<>();
+    double slots = validSlots;
+    for (Worker worker : stale) {
+      if (slots < wantedSlots && named.size() < MAX_WORKERS && demand.fitsIn(worker.free())) {
+        named.add(worker);
+        slots += slots(step, worker);
+      }
+    }
+    if (slots < wantedSlots) {
+      named.addAll(unknown(step, wantedSlots - slots, named.size(), w -> demand.fitsIn(w.free())));
     }
-    Resources demand = step.spec().reservation();
-    List<Worker> named = unknown(step, limit, worker -> demand.fitsIn(worker.free()));
     if (named.isEmpty() && good.isEmpty()) {
       // No worker is left that may run the step, so the earlier advice is not relied on.
       step.advisedAgainst().clear();
       step.adviceRetryAtMillis(nowMillis + ASK_AGAIN_MILLIS);
     }
+    boolean allStale = validSlots == 0 && stale.size() == good.size();
+    if (named.isEmpty() && allStale) {
+      // There is no room now; a few tickets are kept valid for the time when there is.
+      named.addAll(stale.subList(0, Math.min(stale.size(), KEPT_TICKETS)));
+    }
     return named;
   }
 
+  private static int tasksToPlace(StepRun step) {
+    return step.spec().gang() ? step.tasks().size() : step.waitingTasks().size();
+  }
+
+  private static int slots(StepRun step, Worker worker) {
+    return step.spec().slotsIn(worker.free());
+  }
+
+  /** Returns the workers with a ticket that may get tasks now, those with the most room first. */
   private List<Worker> known(StepRun step) {
     String service = state.queueOf(step.job()).service();
     List<Worker> good = new ArrayList<>();
@@ -96,23 +144,33 @@
         good.add(worker);
       }
     }
+    good.sort(
+        Comparator.comparingLong((Worker worker) -> -worker.free().processorsMillicores())
+            .thenComparing(Worker::id));
     return good;
   }
 
-  private static boolean validAtAnswer(
-      StepRun step, AdvicePolicy policy, List<Worker> good, long nowMillis) {
-    long answerMillis = nowMillis + policy.callMillis(good.size()) + RENEWAL_MARGIN_MILLIS;
-    return good.stream().anyMatch(worker -> step.ticketFor(worker, answerMillis) != null);
-  }
-
-  private List<Worker> unknown(StepRun step, int limit, Predicate<Worker> allowed) {
-    return usable.largest(
+  private List<Worker> unknown(
+      StepRun step, double wantedSlots, int alreadyNamed, Predicate<Worker> allowed) {
+    List<Worker> found = new ArrayList<>();
+    double[] expected = {0};
+    double goodShare = desk.goodShare(step.job().queueName());
+    int least = state.settings().adviceWorkerCount() - alreadyNamed;
+    usable.visitLargest(
         state.queueOf(step.job()).service(),
         step.spec().requiredLabel(),
-        limit,
-        worker ->
-            !step.tickets().containsKey(worker.id())
-                && !step.advisedAgainst().contains(worker.id())
-                && allowed.test(worker));
+        worker -> {
+          boolean open =
+              !step.tickets().containsKey(worker.id())
+                  && !step.advisedAgainst().contains(worker.id())
+                  && allowed.test(worker);
+          if (open) {
+            found.add(worker);
+            expected[0] += goodShare * slots(step, worker);
+          }
+          boolean enough = found.size() >= least && expected[0] >= wantedSlots;
+          return !enough && found.size() + alreadyNamed < MAX_WORKERS;
+        });
+    return found;
   }
 }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/GangReservations.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/GangReservations.java
@@ -63,9 +63,6 @@
   }
 
   private static int slots(StepRun step, Worker worker) {
-    long needed = step.spec().reservation().processorsMillicores();
-    long capacity = worker.listing().capacity().processorsMillicores();
-    long slots = needed <= 0 ? 1 : capacity / needed;
-    return (int) Math.max(1, Math.min(slots, step.tasks().size()));
+    return Math.max(1, step.spec().slotsIn(worker.listing().capacity()));
   }
 }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StepSpec.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StepSpec.java
@@ -41,6 +41,19 @@
     boolean fills,
     int maxUnavailable) {
 
+  /** Returns how many tasks have room in {@code free} on one worker. */
+  int slotsIn(Resources free) {
+    Resources each = reservation();
+    int most = maxTasksPerWorker > 0 ? Math.min(maxTasksPerWorker, taskCount) : taskCount;
+    int slots = 0;
+    Resources left = free;
+    while (slots < most && each.fitsIn(left)) {
+      left = left.minus(each);
+      slots++;
+    }
+    return slots;
+  }
+
   /** Returns what a task takes from a worker's capacity. */
   public Resources reservation() {
     if (!fills) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/UsableWorkers.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/UsableWorkers.java
@@ -159,17 +159,25 @@
   /** Returns up to {@code limit} allowed workers, those with the most free processors first. */
   List<Worker> largest(String service, String label, int limit, Predicate<Worker> allowed) {
     List<Worker> found = new ArrayList<>();
-    FreeCapacityTree<Worker> tree = trees.get(new Pool(service, label));
-    if (tree == null || limit <= 0) {
-      return found;
+    if (limit > 0) {
+      visitLargest(
+          service,
+          label,
+          worker -> {
+            if (allowed.test(worker)) {
+              found.add(worker);
+            }
+            return found.size() < limit;
+          });
     }
-    tree.visitLargestFirst(
-        worker -> {
-          if (allowed.test(worker)) {
-            found.add(worker);
-          }
-          return found.size() < limit;
-        });
     return found;
   }
+
+  /** Visits workers, those with the most free processors first, until one returns false. */
+  void visitLargest(String service, String label, Predicate<Worker> visitor) {
+    FreeCapacityTree<Worker> tree = trees.get(new Pool(service, label));
+    if (tree != null) {
+      tree.visitLargestFirst(visitor);
+    }
+  }
 }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorTest.java
@@ -268,6 +268,37 @@
     assertThat(cell.coordinator.job("advised").orElseThrow().phase()).isEqualTo(JobPhase.COMPLETED);
   }
 
+  /**
+   * Guards against a wide gang whose first tickets end before enough workers are known, as each
+   * call names as few as for a single task.
+   */
+  @Example
+  void wideGangFindsItsWorkersWithinTwoCalls() {
+    SimulatedCell cell =
+        new SimulatedCell(
+            24, SimulatedJobs.config(Resources.NONE, new AdvicePolicy(400, 5.8, 2_500)), 260);
+    cell.goodShare = 0.35;
+    SimulatedJobs.job("wide", SimulatedJobs.step(75, 7_500, 1_000, true));
+    cell.submit("wide", "team", SimulatedJobs.specOf("wide"));
+    cell.run(1_800);
+    assertThat(cell.starts).isEqualTo(75);
+  }
+
+  /**
+   * Guards against a step that waits for ever because its renewal names more workers than the
+   * service takes. Found on trouble-3 of shonarpata-sched-large (LOST).
+   */
+  @Example
+  void callsForAdviceNameAtMostAHundredWorkers() {
+    SimulatedCell cell =
+        new SimulatedCell(
+            25, SimulatedJobs.config(Resources.NONE, new AdvicePolicy(20, 0.3, 800)), 300);
+    SimulatedJobs.job("many", SimulatedJobs.step(900, 15_000, 4_000, false));
+    cell.submit("many", "team", SimulatedJobs.specOf("many"));
+    cell.run(20_000);
+    assertThat(cell.coordinator.job("many").orElseThrow().phase()).isEqualTo(JobPhase.COMPLETED);
+  }
+
   /**
    * Guards against a task that waits for ever since all workers have failed others: a task that has
    * failed itself was kept from workers with failures in a row, even while they were idle.
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
@@ -50,6 +50,9 @@
   /** Number of the next calls for advice that name no worker. */
   int emptyAdvice;
 
+  /** Part of the workers that advice permits; which ones follows from the ids. */
+  double goodShare = 1;
+
   /** Time after which a late order is carried out, or 0 to draw 2 to 12 s. */
   long lateOrderMillis;
 
@@ -363,16 +366,28 @@
     }
   }
 
+  private boolean isGood(String step, String workerId) {
+    // Spread, as neighbouring seeds draw nearly the same first number.
+    long seed = 0x9E3779B97F4A7C15L * (step + workerId).hashCode();
+    return new Random(seed).nextDouble() < goodShare;
+  }
+
   private void advise(Action.AskAdvice ask, Coordinator sender) {
     after(
-        30,
+        config.queue("q").orElseThrow().advice().callMillis(ask.workerIds().size()),
         () -> {
           if (sender == coordinator) {
             Map<String, String> tickets = new HashMap<>();
+            if (ask.workerIds().size() > SimulatedJobs.MAX_ADVISED_WORKERS) {
+              sender.adviceFailed(ask.callId(), moment());
+              return;
+            }
             if (emptyAdvice > 0) {
               emptyAdvice--;
             } else {
-              ask.workerIds().forEach(id -> tickets.put(id, "t"));
+              ask.workerIds().stream()
+                  .filter(id -> isGood(ask.step(), id))
+                  .forEach(id -> tickets.put(id, "t"));
             }
             sender.adviceAnswered(ask.callId(), tickets, 2_500, moment());
           }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedJobs.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedJobs.java
@@ -11,6 +11,9 @@
 
   static final int MAX_ATTEMPTS = 4;
 
+  /** Most workers that a call for advice may name; the service refuses longer ones. */
+  static final int MAX_ADVISED_WORKERS = 100;
+
   private static final Map<String, JobSpec> SPECS = new HashMap<>();
 
   private SimulatedJobs() {}
