Ask for advice as soon as workers have reported

Change: steps that had nobody to name are tried again when a worker becomes usable; in the first 150 ms they wait until half of the listed workers are, as a call that names the first few is lost time.

Test, failing before: adviceIsAskedAsSoonAsWorkersHaveReported.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/AdvicePlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/AdvicePlanner.java
@@ -16,6 +16,12 @@
   /** Time after which all workers are asked about again when none may run a step. */
   private static final long ASK_AGAIN_MILLIS = 1_000;
 
+  /**
+   * Time for which a step waits for workers to report to a new coordinator, in milliseconds; a call
+   * that names only the first ones finds too few.
+   */
+  private static final long CONTACT_MILLIS = 150;
+
   /** Largest number of workers in a call; from the platform's protocol. */
   private static final int MAX_WORKERS = 100;
 
@@ -49,6 +55,11 @@
     if (!policy.needed() || step.adviceInFlight() || step.adviceDelayed(nowMillis)) {
       return;
     }
+    boolean early = step.triedFirstWithin(nowMillis, CONTACT_MILLIS);
+    if (early && !usable.mostAreKnown()) {
+      state.waiting().withoutWorkers(step);
+      return;
+    }
     boolean shortCall = AdviceDesk.isShort(policy, state.settings().adviceWorkerCount());
     TreeSet<StepRun> queue = shortCall ? queuedForShortCalls : queuedForLongCalls;
     queue.remove(step);
@@ -57,7 +68,9 @@
       return;
     }
     List<Worker> named = toName(step, policy, nowMillis);
-    if (!named.isEmpty() && !desk.ask(step, policy, named, nowMillis)) {
+    if (named.isEmpty()) {
+      state.waiting().withoutWorkers(step);
+    } else if (!desk.ask(step, policy, named, nowMillis)) {
       queue.add(step);
     }
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
@@ -67,6 +67,9 @@
     long nowMillis = now.steadyMillis();
     state.takeTouched().forEach(worker -> usable.refresh(worker, nowMillis));
     usable.takeWidened().forEach(state.waiting()::roomOn);
+    if (usable.takeGrown()) {
+      state.waiting().workersAppeared();
+    }
     withoutRoom.clear();
     for (StepRun step : state.waiting().takeDue()) {
       attempt(step, now);
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
@@ -26,6 +26,7 @@
   private boolean adviceInFlight;
   private OptionalLong adviceRetryAtMillis = OptionalLong.empty();
   private OptionalLong nextReportMillis = OptionalLong.empty();
+  private OptionalLong firstTryMillis = OptionalLong.empty();
   private OptionalLong nextTryMillis = OptionalLong.empty();
   private int countedFailureRun;
 
@@ -135,6 +136,14 @@
     return !first;
   }
 
+  /** Returns whether the first attempt to place a task was at most {@code millis} ago. */
+  boolean triedFirstWithin(long nowMillis, long millis) {
+    if (firstTryMillis.isEmpty()) {
+      firstTryMillis = OptionalLong.of(nowMillis);
+    }
+    return ElapsedTime.within(firstTryMillis, nowMillis, millis);
+  }
+
   /** Returns whether the step is to be tried again without an event. */
   boolean tryDue(long nowMillis) {
     return !ElapsedTime.ahead(nextTryMillis, nowMillis);
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/UsableWorkers.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/UsableWorkers.java
@@ -26,6 +26,8 @@
   private final Map<Pool, FreeCapacityTree<Worker>> trees = new HashMap<>();
   private final Map<Worker, Filed> filedByWorker = new HashMap<>();
   private final Set<Worker> widened = new LinkedHashSet<>();
+  private boolean grown;
+  private int listedCount;
   private SilenceDetector silence = SilenceDetector.NONE;
 
   UsableWorkers(CellState state) {
@@ -35,8 +37,10 @@
   /** Looks at all workers again, as time alone makes some usable and others not. */
   void tick(long nowMillis) {
     silence = new SilenceDetector(state.workers().values(), nowMillis);
+    listedCount = 0;
     for (Worker worker : state.workers().values()) {
       refresh(worker, nowMillis);
+      listedCount += worker.listed() ? 1 : 0;
     }
     filedByWorker
         .keySet()
@@ -68,6 +72,7 @@
             .insert(worker, after.millicores(), after.mebibytes());
       }
       filedByWorker.put(worker, after);
+      grown |= before == null;
       if (before == null || hasMoreRoom(before, after)) {
         widened.add(worker);
       }
@@ -120,6 +125,18 @@
     return taken;
   }
 
+  /** Returns whether a worker has become usable since the last call. */
+  boolean takeGrown() {
+    boolean taken = grown;
+    grown = false;
+    return taken;
+  }
+
+  /** Returns whether at least half of the listed workers may get tasks. */
+  boolean mostAreKnown() {
+    return 2 * count() >= listedCount;
+  }
+
   boolean anyWidened() {
     return !widened.isEmpty();
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WaitingSteps.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WaitingSteps.java
@@ -29,6 +29,7 @@
   private final Map<String, Set<StepRun>> byPermittedWorker = new HashMap<>();
   private final Map<String, Set<StepRun>> unrestrictedByService = new HashMap<>();
   private final Map<String, Set<StepRun>> limitedByTeam = new HashMap<>();
+  private final Set<StepRun> withoutWorkers = new LinkedHashSet<>();
 
   /**
    * Adds a step, or has it tried again.
@@ -64,6 +65,7 @@
     step.tickets().keySet().forEach(workerId -> removeFrom(byPermittedWorker, workerId, step));
     unrestrictedByService.values().forEach(waiting -> waiting.remove(step));
     removeFrom(limitedByTeam, step.job().team(), step);
+    withoutWorkers.remove(step);
   }
 
   /** Notes that a step may not run on a worker any more. */
@@ -78,6 +80,17 @@
     }
   }
 
+  /** Notes that a step waits for workers on which advice can be asked. */
+  void withoutWorkers(StepRun step) {
+    withoutWorkers.add(step);
+  }
+
+  /** Has the steps tried again that wait for workers on which advice can be asked. */
+  void workersAppeared() {
+    due.addAll(withoutWorkers);
+    withoutWorkers.clear();
+  }
+
   /** Notes that a step waits for its team's usage to fall. */
   void limited(StepRun step) {
     limitedByTeam.computeIfAbsent(step.job().team(), key -> new LinkedHashSet<>()).add(step);
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorTest.java
@@ -274,16 +274,29 @@
    */
   @Example
   void wideGangFindsItsWorkersWithinTwoCalls() {
-    SimulatedCell cell =
-        new SimulatedCell(
-            24, SimulatedJobs.config(Resources.NONE, new AdvicePolicy(400, 5.8, 2_500)), 260);
+    AdvicePolicy advice = new AdvicePolicy(400, 5.8, 2_500);
+    SimulatedCell cell = new SimulatedCell(24, SimulatedJobs.config(Resources.NONE, advice), 260);
     cell.goodShare = 0.35;
     SimulatedJobs.job("wide", SimulatedJobs.step(75, 7_500, 1_000, true));
     cell.submit("wide", "team", SimulatedJobs.specOf("wide"));
-    cell.run(1_800);
+    cell.run(2 * advice.callMillis(SimulatedJobs.MAX_ADVISED_WORKERS) + 150);
     assertThat(cell.starts).isEqualTo(75);
   }
 
+  /**
+   * Guards against urgent work that waits a quarter of a second after each takeover: its first
+   * attempt came before the workers had reported, and nothing had it tried again.
+   */
+  @Example
+  void adviceIsAskedAsSoonAsWorkersHaveReported() {
+    AdvicePolicy advice = new AdvicePolicy(20, 0.3, 2_500);
+    SimulatedCell cell = new SimulatedCell(26, SimulatedJobs.config(Resources.NONE, advice), 40);
+    SimulatedJobs.job("first", SimulatedJobs.step(2, 1_000, 300, false));
+    cell.submit("first", "team", SimulatedJobs.specOf("first"));
+    cell.run(20 + advice.callMillis(30) + 60);
+    assertThat(cell.starts).isEqualTo(2);
+  }
+
   /**
    * Guards against a step that waits for ever because its renewal names more workers than the
    * service takes. Found on trouble-3 of shonarpata-sched-large (LOST).
