--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
@@ -44,6 +44,12 @@
   /** Time in which the records must be loaded after a claim, in milliseconds. */
   private static final long LOADING_MILLIS = 4_000;
 
+  /** Time that an instance that is not fit leaves to the others to claim, in milliseconds. */
+  private static final long UNFIT_DELAY_MILLIS = 500;
+
+  /** Time that a fit instance leaves to the standbys, in milliseconds; they need 100. */
+  private static final long NO_STANDBY_DELAY_MILLIS = 120;
+
   /** Longest time that a stopping coordinator waits for its open append, in milliseconds. */
   private static final long HAND_OVER_MILLIS = 400;
 
@@ -65,8 +71,9 @@
   private final CoordinatorCandidate candidate;
   private final CellClient client;
   private final CoordinatorLink link;
+  private final StandbyFollower standby;
   private Leadership leadership = Leadership.NONE;
-  private AdvisorPool advisors;
+  private HelperPool helpers;
   private CoordinatorService coordinator;
   private ScheduledFuture<?> checks;
   private OptionalLong loadingSinceMillis = OptionalLong.empty();
@@ -96,16 +103,24 @@
             PeerAddress.parse(settings.peerAddress()),
             CellSettings.PEERS,
             self,
-            (peer, message) -> answer(message),
+            this::answer,
+            loop);
+    this.standby = new StandbyFollower(store, directory, loop, settings.fit());
+    this.link =
+        new CoordinatorLink(
+            self,
+            settings.peerAddress(),
+            settings.fit(),
+            this::heartbeat,
+            standby::designated,
             loop);
-    this.link = new CoordinatorLink(self, settings.peerAddress(), this::heartbeat, loop);
     this.configFollower =
         new ConfigFollower(directory, config, loop, clock, log, this::configChanged);
     this.leadershipFollower = new LeadershipFollower(store, loop, this::announced);
     this.client = new CellClient(this::route, loop, this::nowMillis);
     this.candidate =
         new CoordinatorCandidate(
-            store, this::nowMillis, metrics, log, settings.claimDelayMillis(), this::load);
+            store, this::nowMillis, metrics, log, this::claimDelayMillis, this::load);
   }
 
   /**
@@ -119,6 +134,7 @@
         () -> {
           configFollower.start();
           leadershipFollower.start();
+          standby.start();
           checkAgainLater();
         });
   }
@@ -155,6 +171,7 @@
     }
     configFollower.stop();
     leadershipFollower.stop();
+    standby.stop();
     endCoordinator("stopped");
     link.close();
     server.stop();
@@ -196,20 +213,24 @@
     return link.forward(message);
   }
 
-  private CompletableFuture<PeerMessage> answer(PeerMessage message) {
+  private CompletableFuture<PeerMessage> answer(PeerMessage.Hello peer, PeerMessage message) {
     return switch (message) {
       case PeerMessage.Heartbeat heartbeat -> CompletableFuture.completedFuture(heartbeat());
-      case PeerMessage.AdvisorOffer offer -> {
-        if (advisors != null) {
-          advisors.offered(offer);
-        }
-        yield CompletableFuture.completedFuture(heartbeat());
-      }
-      case PeerMessage.AdviceRequest request -> AdvisorPool.answer(advice, request);
+      case PeerMessage.HelperOffer offer ->
+          CompletableFuture.completedFuture(answerOffer(peer, offer));
+      case PeerMessage.AdviceRequest request -> HelperPool.answer(advice, request);
       default -> answerRequest(message);
     };
   }
 
+  private PeerMessage answerOffer(PeerMessage.Hello peer, PeerMessage.HelperOffer offer) {
+    if (helpers == null) {
+      return new PeerMessage.HelperAnswer(0, false);
+    }
+    boolean standby = helpers.offered(offer, peer.zone());
+    return new PeerMessage.HelperAnswer(coordinator.epoch(), standby);
+  }
+
   private CompletableFuture<PeerMessage> answerRequest(PeerMessage message) {
     if (coordinator == null) {
       return CompletableFuture.completedFuture(
@@ -297,7 +318,7 @@
       coordinator.updateGauges();
       return;
     }
-    link.offerAdvice(now);
+    link.offerHelp(now);
     if (link.refused()) {
       candidate.election().coordinatorRefused();
     } else if (link.lost()) {
@@ -306,6 +327,14 @@
     candidate.check(now, config.known());
   }
 
+  /** Returns the time that this instance leaves to others that are better prepared to claim. */
+  private long claimDelayMillis() {
+    if (!settings.fit()) {
+      return UNFIT_DELAY_MILLIS;
+    }
+    return standby.othersDesignated() ? NO_STANDBY_DELAY_MILLIS : 0;
+  }
+
   private void load(long epoch) {
     if (stopping) {
       return;
@@ -333,8 +362,8 @@
       return;
     }
     metrics.state("coordinator", 1);
-    advisors =
-        new AdvisorPool(
+    helpers =
+        new HelperPool(
             self, advice, CellSettings.ADVISERS, loop, loop, this::heartbeat, this::nowMillis);
     coordinator =
         new CoordinatorService(
@@ -342,13 +371,14 @@
             CoordinatorSettings.forPlatform(settings.maxLeaseMillis(), settings.keepEndedMillis()),
             store,
             orders,
-            advisors,
+            helpers,
             directory,
             loop,
             clock,
             metrics,
             log,
             () -> endCoordinator("deposed"));
+    standby.release();
     coordinator.start(records, config.published());
   }
 
@@ -362,8 +392,8 @@
     CoordinatorService ended = coordinator;
     coordinator = null;
     ended.stop();
-    advisors.stop();
-    advisors = null;
+    helpers.stop();
+    helpers = null;
     candidate.election().coordinatorUnsound();
   }
 }
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellSettings.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellSettings.java
@@ -38,9 +38,6 @@
    */
   private static final double FIT_MEGABITS = 50;
 
-  /** Time that an instance that is not fit leaves to the others to claim, in milliseconds. */
-  private static final long UNFIT_DELAY_MILLIS = 500;
-
   /** Time in which a worker answers an order, in milliseconds; most answer within 5 ms. */
   public static final long ORDER_MILLIS = 300;
 
@@ -53,10 +50,9 @@
   /** Settings of the coordinator's links to advisers; a lost one only costs a repeated call. */
   static final PeerSettings ADVISERS = new PeerSettings(1 << 20, 1_000, 4_000, 700, 512);
 
-  /** Returns the time that this instance waits before it claims the role of the coordinator. */
-  long claimDelayMillis() {
-    boolean fit = processorCores >= FIT_CORES && linkMegabits >= FIT_MEGABITS;
-    return fit ? 0 : UNFIT_DELAY_MILLIS;
+  /** Returns whether this instance has the resources of a coordinator. */
+  boolean fit() {
+    return processorCores >= FIT_CORES && linkMegabits >= FIT_MEGABITS;
   }
 
   /**
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellStore.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellStore.java
@@ -31,7 +31,16 @@
    */
   CompletableFuture<AppendOutcome> claim(long epoch, long expectedEnd);
 
-  /** Returns the newest record of each key. */
+  /**
+   * Reads what the journal has gained, so that {@link #load} has only its end to read. The copy is
+   * kept until {@link #forget}.
+   */
+  CompletableFuture<Void> follow();
+
+  /** Drops the copy of the journal that {@link #follow} has made. */
+  void forget();
+
+  /** Returns the newest record of each key, at least as new as the call. */
   CompletableFuture<List<RecordWrite>> load();
 
   /**
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorCandidate.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorCandidate.java
@@ -42,7 +42,7 @@
   private boolean observing;
   private OptionalLong observedAtMillis = OptionalLong.empty();
   private boolean claiming;
-  private final long ownDelayMillis;
+  private final LongSupplier ownDelayMillis;
   private long claimDelayMillis;
   private long highestEpoch;
 
@@ -57,7 +57,7 @@
       LongSupplier nowMillis,
       CellMetrics metrics,
       DecisionLog log,
-      long ownDelayMillis,
+      LongSupplier ownDelayMillis,
       LongConsumer claimed) {
     this.store = store;
     this.nowMillis = nowMillis;
@@ -69,7 +69,7 @@
   }
 
   private long drawDelay() {
-    return ownDelayMillis + LEAST_CLAIM_DELAY_MILLIS + random.nextInt(CLAIM_DELAY_BOUND_MILLIS);
+    return LEAST_CLAIM_DELAY_MILLIS + random.nextInt(CLAIM_DELAY_BOUND_MILLIS);
   }
 
   ElectionPolicy election() {
@@ -109,7 +109,9 @@
       observe(now);
     }
     if (mayClaim) {
-      election.claimableEnd(now, claimDelayMillis).ifPresent(this::claim);
+      election
+          .claimableEnd(now, ownDelayMillis.getAsLong() + claimDelayMillis)
+          .ifPresent(this::claim);
     }
   }
 
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorLink.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorLink.java
@@ -1,9 +1,13 @@
 package org.cicadaford.coordinator;
 
 import io.netty.channel.EventLoop;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cicadaford.cell.ElapsedTime;
 import org.cicadaford.wire.PeerLink;
 import org.cicadaford.wire.PeerMessage;
 
@@ -19,23 +23,37 @@
    */
   private static final long SILENT_MILLIS = 450;
 
-  /** Time between two offers to call the advice service, in milliseconds. */
+  /** Time between two offers to help the coordinator, in milliseconds. */
   private static final long OFFER_MILLIS = 800;
 
+  private static final Logger LOGGER = LogManager.getLogger(CoordinatorLink.class);
+
   private final PeerMessage.Hello self;
   private final String ownAddress;
+  private final boolean fit;
   private final Supplier<PeerMessage.Heartbeat> heartbeat;
+  private final Consumer<PeerMessage.HelperAnswer> answered;
   private final EventLoop loop;
   private PeerLink link;
-  private long nextOfferMillis;
+  private OptionalLong nextOfferMillis = OptionalLong.empty();
 
+  /**
+   * Creates the link.
+   *
+   * @param fit whether this instance has the resources of a coordinator
+   * @param answered takes the answers to offers of help
+   */
   CoordinatorLink(
       PeerMessage.Hello self,
       String ownAddress,
+      boolean fit,
       Supplier<PeerMessage.Heartbeat> heartbeat,
+      Consumer<PeerMessage.HelperAnswer> answered,
       EventLoop loop) {
     this.self = self;
     this.ownAddress = ownAddress;
+    this.fit = fit;
+    this.answered = answered;
     this.heartbeat = heartbeat;
     this.loop = loop;
   }
@@ -46,7 +64,7 @@
     link =
         new PeerLink(PeerAddress.parse(address), CellSettings.PEERS, self, heartbeat, heard, loop);
     link.start();
-    nextOfferMillis = 0;
+    nextOfferMillis = OptionalLong.empty();
   }
 
   void close() {
@@ -78,11 +96,25 @@
     return connected() ? link.ask(message, FORWARD_MILLIS).thenApply(CellReply::of) : null;
   }
 
-  /** Offers from time to time to call the advice service for the coordinator. */
-  void offerAdvice(long nowMillis) {
-    if (connected() && nowMillis >= nextOfferMillis) {
-      nextOfferMillis = nowMillis + OFFER_MILLIS;
-      link.ask(new PeerMessage.AdvisorOffer(self.instanceId(), ownAddress), OFFER_MILLIS);
+  /** Offers from time to time to help the coordinator. */
+  void offerHelp(long nowMillis) {
+    if (!connected() || ElapsedTime.ahead(nextOfferMillis, nowMillis)) {
+      return;
+    }
+    nextOfferMillis = OptionalLong.of(nowMillis + OFFER_MILLIS);
+    link.ask(new PeerMessage.HelperOffer(self.instanceId(), ownAddress, fit), OFFER_MILLIS)
+        .thenAcceptAsync(this::answered, loop)
+        .exceptionally(
+            failure -> {
+              // The link itself notices a coordinator that does not answer; the offer is repeated.
+              LOGGER.debug("an offer of help was not answered", failure);
+              return null;
+            });
+  }
+
+  private void answered(PeerMessage answer) {
+    if (answer instanceof PeerMessage.HelperAnswer helperAnswer) {
+      answered.accept(helperAnswer);
     }
   }
 }
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
@@ -45,13 +45,13 @@
   private static final long WORKER_LIST_MILLIS = 300;
 
   /** Time between two looks at the instances that can call the advice service. */
-  private static final long ADVISORS_MILLIS = 50;
+  private static final long HELPERS_MILLIS = 50;
 
   private final long epoch;
   private final Coordinator coordinator;
   private final OrderSender sender;
   private final JournalWriter journal;
-  private final AdvisorPool advisors;
+  private final HelperPool helpers;
   private final CellDirectory directory;
   private final ScheduledExecutorService loop;
   private final Supplier<Moment> clock;
@@ -64,7 +64,7 @@
   private boolean running;
   private boolean roundQueued;
   private OptionalLong nextWorkerListMillis = OptionalLong.empty();
-  private OptionalLong nextAdvisorsMillis = OptionalLong.empty();
+  private OptionalLong nextHelpersMillis = OptionalLong.empty();
   private boolean workerListOpen;
 
   /**
@@ -77,7 +77,7 @@
       CoordinatorSettings settings,
       CellStore store,
       WorkerOrders orders,
-      AdvisorPool advisors,
+      HelperPool helpers,
       CellDirectory directory,
       ScheduledExecutorService loop,
       Supplier<Moment> clock,
@@ -92,14 +92,14 @@
             epoch,
             coordinator,
             orders,
-            advisors,
+            helpers,
             clock,
             metrics,
             log,
             this::queueRound,
             this::replaced,
             this::broken);
-    this.advisors = advisors;
+    this.helpers = helpers;
     this.directory = directory;
     this.loop = loop;
     this.clock = clock;
@@ -245,9 +245,9 @@
     }
     try {
       Moment now = clock.get();
-      if (!ElapsedTime.ahead(nextAdvisorsMillis, now.steadyMillis())) {
-        nextAdvisorsMillis = OptionalLong.of(now.steadyMillis() + ADVISORS_MILLIS);
-        coordinator.agentsChanged(advisors.ids(), now);
+      if (!ElapsedTime.ahead(nextHelpersMillis, now.steadyMillis())) {
+        nextHelpersMillis = OptionalLong.of(now.steadyMillis() + HELPERS_MILLIS);
+        coordinator.agentsChanged(helpers.ids(), now);
       }
       coordinator.advance(now);
       coordinator.takeActions().forEach(this::carryOut);
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/ElectionPolicy.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/ElectionPolicy.java
@@ -15,13 +15,19 @@
 public final class ElectionPolicy {
 
   /** Longest time between two appends of the coordinator, in milliseconds. */
-  public static final long JOURNAL_HEARTBEAT_MILLIS = 200;
+  public static final long JOURNAL_HEARTBEAT_MILLIS = 100;
 
-  /** Time without a sound answer from the coordinator after which the journal is watched. */
-  static final long SILENCE_MILLIS = 400;
+  /**
+   * Time without a sound answer from the coordinator after which the journal is watched: one
+   * heartbeat between instances and a reserve for slow links.
+   */
+  static final long SILENCE_MILLIS = 250;
 
-  /** Time without growth after which the journal counts as abandoned, in milliseconds. */
-  static final long ABANDONED_MILLIS = 450;
+  /**
+   * Time without growth after which the journal counts as abandoned, in milliseconds: two appends
+   * and the 200 ms after which a lost packet is sent again.
+   */
+  static final long ABANDONED_MILLIS = 400;
 
   /**
    * The same, when no process listens at the coordinator's address, in milliseconds: one append
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/AdvisorPool.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/HelperPool.java
@@ -14,13 +14,22 @@
 import org.cicadaford.wire.PeerMessage;
 import org.cicadaford.wire.PeerSettings;
 
-/** Instances that have offered to call the advice service, this one included. */
-public final class AdvisorPool {
+/** Instances that have offered to help the coordinator, this one included. */
+public final class HelperPool {
 
   /** Time without an offer after which an instance is no longer asked, in milliseconds. */
   private static final long OFFER_VALID_MILLIS = 2_500;
 
-  private record Advisor(PeerLink link, String address, long offeredAtMillis) {}
+  /** Instances that follow the journal; two, so that the loss of one zone leaves one. */
+  private static final int STANDBYS = 2;
+
+  private record Helper(
+      PeerLink link, String address, String zone, boolean fit, long offeredAtMillis) {
+
+    private Helper offeredAgain(boolean fitNow, long nowMillis) {
+      return new Helper(link, address, zone, fitNow, nowMillis);
+    }
+  }
 
   private final PeerMessage.Hello self;
   private final AdviceService own;
@@ -29,10 +38,11 @@
   private final Executor loop;
   private final Supplier<PeerMessage.Heartbeat> heartbeat;
   private final LongSupplier nowMillis;
-  private final Map<String, Advisor> advisors = new HashMap<>();
+  private final Map<String, Helper> helpers = new HashMap<>();
+  private final Set<String> standbys = new HashSet<>();
 
   /** Creates the pool of a coordinator. */
-  public AdvisorPool(
+  public HelperPool(
       PeerMessage.Hello self,
       AdviceService own,
       PeerSettings settings,
@@ -49,27 +59,49 @@
     this.nowMillis = nowMillis;
   }
 
-  /** Takes an offer of another instance. */
-  public void offered(PeerMessage.AdvisorOffer offer) {
+  /**
+   * Takes an offer of another instance.
+   *
+   * @param zone availability zone of that instance
+   * @return whether it is to follow the journal as a standby
+   */
+  public boolean offered(PeerMessage.HelperOffer offer, String zone) {
     long now = nowMillis.getAsLong();
-    Advisor known = advisors.get(offer.instanceId());
+    Helper known = helpers.get(offer.instanceId());
     if (known != null && known.address().equals(offer.address())) {
-      advisors.put(offer.instanceId(), new Advisor(known.link(), known.address(), now));
-      return;
-    }
-    if (known != null) {
-      known.link().stop();
+      helpers.put(offer.instanceId(), known.offeredAgain(offer.fit(), now));
+    } else {
+      if (known != null) {
+        known.link().stop();
+      }
+      helpers.put(
+          offer.instanceId(),
+          new Helper(open(offer.address()), offer.address(), zone, offer.fit(), now));
     }
+    chooseStandbys();
+    return standbys.contains(offer.instanceId());
+  }
+
+  private PeerLink open(String address) {
     PeerLink link =
         new PeerLink(
-            PeerAddress.parse(offer.address()),
-            settings,
-            self,
-            heartbeat,
-            ignored -> {},
-            eventLoops);
+            PeerAddress.parse(address), settings, self, heartbeat, ignored -> {}, eventLoops);
     link.start();
-    advisors.put(offer.instanceId(), new Advisor(link, offer.address(), now));
+    return link;
+  }
+
+  /** Chooses fit instances of zones other than this one's and each other's, as far as there are. */
+  private void chooseStandbys() {
+    standbys.removeIf(id -> !helpers.containsKey(id) || !helpers.get(id).fit());
+    Set<String> zones = new HashSet<>();
+    zones.add(self.zone());
+    standbys.forEach(id -> zones.add(helpers.get(id).zone()));
+    helpers.forEach(
+        (id, helper) -> {
+          if (standbys.size() < STANDBYS && helper.fit() && zones.add(helper.zone())) {
+            standbys.add(id);
+          }
+        });
   }
 
   /** Returns the instances that can be asked now: their offer is recent and they are connected. */
@@ -77,7 +109,7 @@
     long now = nowMillis.getAsLong();
     Set<String> ids = new HashSet<>();
     ids.add(self.instanceId());
-    advisors
+    helpers
         .entrySet()
         .removeIf(
             entry -> {
@@ -98,13 +130,13 @@
     if (instanceId.equals(self.instanceId())) {
       return own.ask(step, workerIds, timeoutMillis);
     }
-    Advisor advisor = advisors.get(instanceId);
-    if (advisor == null) {
+    Helper helper = helpers.get(instanceId);
+    if (helper == null) {
       return CompletableFuture.failedFuture(
-          new IllegalStateException("instance " + instanceId + " no longer offers advice"));
+          new IllegalStateException("instance " + instanceId + " no longer offers help"));
     }
     CompletableFuture<AdviceService.Advice> result = new CompletableFuture<>();
-    advisor
+    helper
         .link()
         .ask(new PeerMessage.AdviceRequest(step, workerIds, timeoutMillis), timeoutMillis)
         .whenCompleteAsync((answer, failure) -> complete(result, answer, failure), loop);
@@ -132,7 +164,7 @@
 
   /** Closes the links. */
   public void stop() {
-    advisors.values().forEach(advisor -> advisor.link().stop());
-    advisors.clear();
+    helpers.values().forEach(helper -> helper.link().stop());
+    helpers.clear();
   }
 }
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/OrderSender.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/OrderSender.java
@@ -14,7 +14,7 @@
   private final long epoch;
   private final Coordinator coordinator;
   private final WorkerOrders orders;
-  private final AdvisorPool advisors;
+  private final HelperPool helpers;
   private final Supplier<Moment> clock;
   private final CellMetrics metrics;
   private final DecisionLog log;
@@ -33,7 +33,7 @@
       long epoch,
       Coordinator coordinator,
       WorkerOrders orders,
-      AdvisorPool advisors,
+      HelperPool helpers,
       Supplier<Moment> clock,
       CellMetrics metrics,
       DecisionLog log,
@@ -43,7 +43,7 @@
     this.epoch = epoch;
     this.coordinator = coordinator;
     this.orders = orders;
-    this.advisors = advisors;
+    this.helpers = helpers;
     this.clock = clock;
     this.metrics = metrics;
     this.log = log;
@@ -145,7 +145,7 @@
 
   /** Asks for advice. */
   void ask(Action.AskAdvice request) {
-    advisors
+    helpers
         .ask(request.agent(), request.step(), request.workerIds(), request.timeoutMillis())
         .handle(
             (advice, failure) -> {
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CellSettingsTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CellSettingsTest.java
@@ -13,10 +13,10 @@
 
   /** Guards against a small instance that takes over a large cell while a fit one is there. */
   @Example
-  void smallInstancesClaimLater() {
-    assertThat(settings(0.75, 1_000).claimDelayMillis()).isZero();
-    assertThat(settings(1.5, 140).claimDelayMillis()).isZero();
-    assertThat(settings(0.36, 1_000).claimDelayMillis()).isPositive();
-    assertThat(settings(1.5, 7).claimDelayMillis()).isPositive();
+  void smallInstancesAreNotFit() {
+    assertThat(settings(0.75, 1_000).fit()).isTrue();
+    assertThat(settings(1.5, 140).fit()).isTrue();
+    assertThat(settings(0.36, 1_000).fit()).isFalse();
+    assertThat(settings(1.5, 7).fit()).isFalse();
   }
 }
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceTest.java
@@ -128,8 +128,8 @@
     channel.freezeTime();
     PeerMessage.Hello self = new PeerMessage.Hello("e1", "z");
     CellMetrics metrics = new CellMetrics();
-    AdvisorPool advisors =
-        new AdvisorPool(
+    HelperPool helpers =
+        new HelperPool(
             self,
             (step, workers, timeout) -> new CompletableFuture<>(),
             CellSettings.ADVISERS,
@@ -143,7 +143,7 @@
             CoordinatorSettings.forPlatform(6_000, 60_000),
             store(),
             orders(),
-            advisors,
+            helpers,
             directory(),
             channel.eventLoop(),
             this::now,
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/UnusedCellStore.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/UnusedCellStore.java
@@ -31,6 +31,16 @@
     return unused();
   }
 
+  @Override
+  public CompletableFuture<Void> follow() {
+    return unused();
+  }
+
+  @Override
+  public void forget() {
+    // Nothing is kept.
+  }
+
   @Override
   public CompletableFuture<List<RecordWrite>> load() {
     return unused();
--- a/cicadaford-wire/src/main/java/org/cicadaford/wire/PeerMessage.java
+++ b/cicadaford-wire/src/main/java/org/cicadaford/wire/PeerMessage.java
@@ -20,7 +20,8 @@
   @JsonSubTypes.Type(value = PeerMessage.JobPhaseRequest.class, name = "phase-request"),
   @JsonSubTypes.Type(value = PeerMessage.PendingCountRequest.class, name = "count-request"),
   @JsonSubTypes.Type(value = PeerMessage.CellAnswer.class, name = "cell-answer"),
-  @JsonSubTypes.Type(value = PeerMessage.AdvisorOffer.class, name = "advisor-offer"),
+  @JsonSubTypes.Type(value = PeerMessage.HelperOffer.class, name = "helper-offer"),
+  @JsonSubTypes.Type(value = PeerMessage.HelperAnswer.class, name = "helper-answer"),
   @JsonSubTypes.Type(value = PeerMessage.AdviceRequest.class, name = "advice-request"),
   @JsonSubTypes.Type(value = PeerMessage.AdviceAnswer.class, name = "advice-answer"),
   @JsonSubTypes.Type(value = PeerMessage.Refusal.class, name = "refusal")
@@ -122,11 +123,20 @@
   record CellAnswer(String outcome, String value, long retryAfterMillis) implements CellMessage {}
 
   /**
-   * Offers the sender as a maker of calls for advice.
+   * Offers the sender to the coordinator as a helper that makes calls for it.
    *
    * @param address address of the sender's peer port, {@code ip:port}
+   * @param fit whether the sender has the resources of a coordinator
    */
-  record AdvisorOffer(String instanceId, String address) implements CellMessage {}
+  record HelperOffer(String instanceId, String address, boolean fit) implements CellMessage {}
+
+  /**
+   * Answers a {@link HelperOffer}.
+   *
+   * @param epoch epoch of the coordinator that answers, or 0 if the receiver is none
+   * @param standby whether the sender is to follow the journal, so that it can take over quickly
+   */
+  record HelperAnswer(long epoch, boolean standby) implements CellMessage {}
 
   /** Asks the receiver to call the advice service. */
   record AdviceRequest(String step, List<String> workerIds, long timeoutMillis)
