Run tasks in the zone in which their job was handed in, while it has room

Change: a job keeps the zone of the instance that took it; placement, gangs, reservations and calls for advice prefer its workers, after workers that have failed the task and racks that hold its data. GangPlacer and WorkerSuitability are taken out of the planner.

Ruled out: starting the task again elsewhere, which would run it twice.

--- a/cicadaford-bench/src/main/java/org/cicadaford/bench/CellLoad.java
+++ b/cicadaford-bench/src/main/java/org/cicadaford/bench/CellLoad.java
@@ -27,6 +27,7 @@
 import org.cicadaford.cell.RunRow;
 import org.cicadaford.cell.StartOutcome;
 import org.cicadaford.cell.StepSpec;
+import org.cicadaford.cell.Submitter;
 import org.cicadaford.cell.TeamShare;
 import org.cicadaford.cell.WorkerReport;
 import org.cicadaford.model.Resources;
@@ -253,8 +254,9 @@
     String id = String.format("%016x", ++jobNumber);
     kindByJob.put(id, kind);
     Queue queue = kind.queue();
-    String team = "team-" + random.nextInt(20);
-    decide(() -> coordinator.submit(id, queue, team, spec, moment()));
+    Submitter submitter =
+        new Submitter("team-" + random.nextInt(20), "zone-" + random.nextInt(ZONES));
+    decide(() -> coordinator.submit(id, queue, submitter, spec, moment()));
   }
 
   private void round() {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/AdvicePlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/AdvicePlanner.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Predicate;
 import org.cicadaford.model.Resources;
@@ -163,27 +165,68 @@
     return good;
   }
 
+  /** Returns workers to try: first those of the job's zone with room, then those of all zones. */
   private List<Worker> unknown(
       StepRun step, double wantedSlots, int alreadyNamed, Predicate<Worker> allowed) {
-    List<Worker> found = new ArrayList<>();
-    double[] expected = {0};
-    double goodShare = desk.goodShare(step.job().queueName());
-    int least = state.settings().adviceWorkerCount() - alreadyNamed;
-    usable.visitLargest(
-        state.queueOf(step.job()).service(),
-        step.spec().requiredLabel(),
+    String service = state.queueOf(step.job()).service();
+    String label = step.spec().requiredLabel();
+    Trial trial = new Trial(step, wantedSlots, alreadyNamed, allowed);
+    usable.visitLargestInZone(
+        service,
+        step.job().zone(),
         worker -> {
-          boolean open =
-              !step.tickets().containsKey(worker.id())
-                  && !step.advisedAgainst().contains(worker.id())
-                  && allowed.test(worker);
-          if (open) {
-            found.add(worker);
-            expected[0] += goodShare * slots(step, worker);
+          boolean labelled = label.isEmpty() || worker.listing().labels().contains(label);
+          if (labelled) {
+            trial.add(worker);
           }
-          boolean enough = found.size() >= least && expected[0] >= wantedSlots;
-          return !enough && found.size() + alreadyNamed < MAX_WORKERS;
+          return slots(step, worker) > 0 && !trial.full();
         });
-    return found;
+    if (!trial.full()) {
+      usable.visitLargest(
+          service,
+          label,
+          worker -> {
+            trial.add(worker);
+            return !trial.full();
+          });
+    }
+    return new ArrayList<>(trial.workers);
+  }
+
+  /** Workers to be named that were not asked about yet. */
+  private final class Trial {
+
+    private final StepRun step;
+    private final double wantedSlots;
+    private final int alreadyNamed;
+    private final Predicate<Worker> allowed;
+    private final double goodShare;
+    private final Set<Worker> workers = new LinkedHashSet<>();
+    private double expectedSlots;
+
+    private Trial(StepRun step, double wantedSlots, int alreadyNamed, Predicate<Worker> allowed) {
+      this.step = step;
+      this.wantedSlots = wantedSlots;
+      this.alreadyNamed = alreadyNamed;
+      this.allowed = allowed;
+      this.goodShare = desk.goodShare(step.job().queueName());
+    }
+
+    private void add(Worker worker) {
+      boolean open =
+          !step.tickets().containsKey(worker.id())
+              && !step.advisedAgainst().contains(worker.id())
+              && allowed.test(worker);
+      if (open && workers.add(worker)) {
+        expectedSlots += goodShare * slots(step, worker);
+      }
+    }
+
+    private boolean full() {
+      int named = workers.size() + alreadyNamed;
+      boolean enough =
+          named >= state.settings().adviceWorkerCount() && expectedSlots >= wantedSlots;
+      return enough || named >= MAX_WORKERS;
+    }
   }
 }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -95,7 +95,7 @@
 
   /** Takes a submission. */
   public AdmissionDecision submit(
-      String jobId, Queue queue, String team, JobSpec spec, Moment now) {
+      String jobId, Queue queue, Submitter submitter, JobSpec spec, Moment now) {
     Job known = state.jobs().get(jobId);
     if (known != null) {
       if (known.stored()) {
@@ -108,9 +108,13 @@
       return new AdmissionDecision.Refused(
           "too many jobs are waiting", AdmissionPolicy.RETRY_AFTER_MILLIS);
     }
+    String team = submitter.team();
     double rate = state.config().team(team).map(TeamShare::weight).orElse(0.0);
     boolean excess = admission.isExcess(team, rate, now.steadyMillis());
-    Job job = new Job(new JobDefinition(jobId, queue, team, now.unixMillis(), excess, spec));
+    Job job =
+        new Job(
+            new JobDefinition(
+                jobId, queue, team, submitter.zone(), now.unixMillis(), excess, spec));
     state.jobs().put(jobId, job);
     state.change(job);
     state.afterwards().add(new Action.ConfirmSubmission(jobId));
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Job.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Job.java
@@ -31,7 +31,7 @@
   static Job ended(String jobId, JobProgress progress) {
     Queue queue = new Queue(progress.queue(), "", "", "", 0, 1, 1, 0, 0, false, AdvicePolicy.NONE);
     JobSpec spec = new JobSpec("", List.of(), 0, 0, 0);
-    Job job = new Job(new JobDefinition(jobId, queue, progress.team(), 0, false, spec));
+    Job job = new Job(new JobDefinition(jobId, queue, progress.team(), "", 0, false, spec));
     job.definitionDropped = true;
     return job;
   }
@@ -57,6 +57,11 @@
     return definition.team();
   }
 
+  /** Returns the availability zone in which the job was handed in, or an empty string. */
+  String zone() {
+    return definition.zone() == null ? "" : definition.zone();
+  }
+
   JobPhase phase() {
     return phase;
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
@@ -15,6 +15,8 @@
  * second, gangs that take several workers at once, and bursts that double one kind of work. Urgent
  * queues go first, then work within its team's share, then the oldest. A gang for which there is no
  * room reserves workers, so that smaller work of less urgent queues does not hold it up for ever.
+ * Tasks run in the zone in which their job was handed in, if there is room: when a zone is cut off,
+ * jobs of the other zones lose none of their tasks.
  *
  * <p>A step is tried when something that it waits for has changed, see {@link WaitingSteps}.
  */
@@ -29,12 +31,6 @@
   /** Time after which a waiting step is tried again without an event, in milliseconds. */
   private static final long TRY_AGAIN_MILLIS = 250;
 
-  /** Penalties of a worker for a task, see {@link #penalty}. */
-  private static final int HAS_FAILED_TASK = 4;
-
-  private static final int HAS_FAILED_OTHERS = 2;
-  private static final int FAR_FROM_DATA = 1;
-
   /** Steps that found no room in this round, by what they share. */
   private record Demand(String service, String label, int priority) {}
 
@@ -42,12 +38,14 @@
   private final UsableWorkers usable;
   private final AdvicePlanner advice;
   private final GangReservations reservations = new GangReservations();
+  private final GangPlacer gangs;
   private final Map<Demand, Resources> withoutRoom = new HashMap<>();
 
   PlacementPlanner(CellState state, UsableWorkers usable, AdvicePlanner advice) {
     this.state = state;
     this.usable = usable;
     this.advice = advice;
+    this.gangs = new GangPlacer(usable, reservations);
   }
 
   /** Looks at everything that time alone changes. */
@@ -120,7 +118,8 @@
   private Worker bestOf(List<Worker> candidates, Task task) {
     Worker best = null;
     for (Worker worker : candidates) {
-      if (fits(task, worker) && (best == null || better(task, worker, best))) {
+      if (WorkerSuitability.fits(task, worker)
+          && (best == null || WorkerSuitability.better(task, worker, best))) {
         best = worker;
       }
     }
@@ -137,19 +136,30 @@
     if (failed != null && failed.fitsIn(spec.reservation())) {
       return null;
     }
-    boolean picky = !spec.dataRack().isEmpty() || !task.failedOn().isEmpty();
-    int worst = HAS_FAILED_TASK + HAS_FAILED_OTHERS + FAR_FROM_DATA;
-    for (int allowed = picky || task.failedCount() > 0 ? 0 : worst; allowed <= worst; allowed++) {
+    boolean picky =
+        !spec.dataRack().isEmpty() || !task.failedOn().isEmpty() || task.failedCount() > 0;
+    int worst = WorkerSuitability.WORST_PENALTY;
+    Worker best =
+        usable.bestFitInZone(
+            service,
+            step.job().zone(),
+            spec.reservation(),
+            worker ->
+                WorkerSuitability.labelled(spec, worker)
+                    && open(task, worker, priority)
+                    && WorkerSuitability.penalty(task, worker) <= (picky ? 0 : worst));
+    for (int allowed = picky ? 0 : worst; best == null && allowed <= worst; allowed++) {
       int limit = allowed;
-      Worker best =
+      best =
           usable.bestFit(
               service,
               spec.requiredLabel(),
               spec.reservation(),
-              worker -> open(task, worker, priority) && penalty(task, worker) <= limit);
-      if (best != null) {
-        return best;
-      }
+              worker ->
+                  open(task, worker, priority) && WorkerSuitability.penalty(task, worker) <= limit);
+    }
+    if (best != null) {
+      return best;
     }
     if (spec.maxTasksPerWorker() <= 0) {
       withoutRoom.put(demand, spec.reservation());
@@ -158,7 +168,7 @@
   }
 
   private boolean open(Task task, Worker worker, int priority) {
-    return !reservations.holds(worker, priority) && fits(task, worker);
+    return !reservations.holds(worker, priority) && WorkerSuitability.fits(task, worker);
   }
 
   /** Places all tasks of a gang or none. */
@@ -166,15 +176,11 @@
     if (!withinLimit(step, step.tasks().size())) {
       return;
     }
-    List<Worker> candidates = gangCandidates(step, now);
-    List<Worker> chosen = null;
-    if (step.spec().rackLocal()) {
-      chosen = chooseInOneRack(step, candidates);
-    }
-    if (chosen == null) {
-      chosen = choose(step, candidates);
-    }
-    if (chosen == null) {
+    List<Worker> chosen =
+        advised(step)
+            ? gangs.choose(step, permitted(step, now))
+            : gangs.choose(step, service(step));
+    if (chosen.isEmpty()) {
       return;
     }
     int run = step.nextGangRun();
@@ -183,57 +189,6 @@
     }
   }
 
-  private List<Worker> gangCandidates(StepRun step, Moment now) {
-    Task first = step.tasks().getFirst();
-    if (advised(step)) {
-      return permitted(step, now).stream().filter(worker -> fits(first, worker)).toList();
-    }
-    int priority = step.job().queue().priority();
-    // Each worker holds a member or more, so a gang needs no more workers than it has members.
-    int limit = step.spec().rackLocal() ? Integer.MAX_VALUE : step.tasks().size();
-    return usable.largest(
-        service(step), step.spec().requiredLabel(), limit, worker -> open(first, worker, priority));
-  }
-
-  private List<Worker> chooseInOneRack(StepRun step, List<Worker> candidates) {
-    Map<String, List<Worker>> racks = new LinkedHashMap<>();
-    for (Worker worker : candidates) {
-      racks.computeIfAbsent(worker.listing().rack(), rack -> new ArrayList<>()).add(worker);
-    }
-    for (List<Worker> rack : racks.values()) {
-      List<Worker> chosen = choose(step, rack);
-      if (chosen != null) {
-        return chosen;
-      }
-    }
-    return null;
-  }
-
-  /** Fills the candidates one after the other, those with the least free processors first. */
-  private static List<Worker> choose(StepRun step, List<Worker> candidates) {
-    Task first = step.tasks().getFirst();
-    List<Worker> inOrder = new ArrayList<>(candidates);
-    inOrder.sort(
-        Comparator.comparingInt((Worker worker) -> penalty(first, worker))
-            .thenComparingLong(worker -> worker.free().processorsMillicores())
-            .thenComparing(Worker::id));
-    Resources demand = step.spec().reservation();
-    int limit = step.spec().maxTasksPerWorker();
-    List<Worker> chosen = new ArrayList<>();
-    for (Worker worker : inOrder) {
-      Resources left = worker.free();
-      int placed = 0;
-      while (chosen.size() < step.tasks().size()
-          && demand.fitsIn(left)
-          && (limit <= 0 || placed < limit)) {
-        chosen.add(worker);
-        left = left.minus(demand);
-        placed++;
-      }
-    }
-    return chosen.size() == step.tasks().size() ? chosen : null;
-  }
-
   private String service(StepRun step) {
     return state.queueOf(step.job()).service();
   }
@@ -260,41 +215,6 @@
     return permitted;
   }
 
-  private static boolean fits(Task task, Worker worker) {
-    StepRun step = task.step();
-    int limit = step.spec().maxTasksPerWorker();
-    // After several failures in a row a worker has to prove itself with one step at a time.
-    boolean trusted =
-        worker.failuresInARow() < Worker.FAILURES_BEFORE_QUARANTINE
-            || worker.placements().isEmpty();
-    return trusted
-        && (limit <= 0 || step.placedOn(worker) < limit)
-        && step.spec().reservation().fitsIn(worker.free());
-  }
-
-  private static boolean better(Task task, Worker worker, Worker best) {
-    int difference = Integer.compare(penalty(task, worker), penalty(task, best));
-    if (difference != 0) {
-      return difference < 0;
-    }
-    return worker.free().processorsMillicores() < best.free().processorsMillicores();
-  }
-
-  private static int penalty(Task task, Worker worker) {
-    String dataRack = task.step().spec().dataRack();
-    int penalty = 0;
-    if (task.failedOn().contains(worker.id())) {
-      penalty += HAS_FAILED_TASK;
-    }
-    if (task.failedCount() > 0 && worker.failuresInARow() > 0) {
-      penalty += HAS_FAILED_OTHERS;
-    }
-    if (!dataRack.isEmpty() && !dataRack.equals(worker.listing().rack())) {
-      penalty += FAR_FROM_DATA;
-    }
-    return penalty;
-  }
-
   private boolean withinLimit(StepRun step, int taskCount) {
     String team = step.job().team();
     Resources more = step.spec().demand().times(taskCount);
@@ -345,7 +265,8 @@
       }
     }
     permitted.sort(
-        Comparator.comparingLong((Worker worker) -> -worker.free().processorsMillicores())
+        Comparator.comparing((Worker worker) -> !WorkerSuitability.inHomeZone(step, worker))
+            .thenComparingLong(worker -> -worker.free().processorsMillicores())
             .thenComparing(Worker::id));
     return permitted;
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/UsableWorkers.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/UsableWorkers.java
@@ -103,9 +103,15 @@
     List<Pool> pools = new ArrayList<>();
     pools.add(new Pool(listing.service(), ANY_LABEL));
     listing.labels().forEach(label -> pools.add(new Pool(listing.service(), label)));
+    pools.add(new Pool(listing.service(), zoneLabel(listing.zone())));
     return pools;
   }
 
+  /** Returns the label under which the workers of a zone are found; no worker states it. */
+  private static String zoneLabel(String zone) {
+    return "\0zone " + zone;
+  }
+
   private boolean usable(Worker worker, long nowMillis) {
     ListedWorker listing = worker.listing();
     return worker.listed()
@@ -161,6 +167,14 @@
     return filed != null && filed.listing().service().equals(service);
   }
 
+  /**
+   * Returns the allowed worker of a zone with the least free room that holds {@code demand}, or
+   * null.
+   */
+  Worker bestFitInZone(String service, String zone, Resources demand, Predicate<Worker> allowed) {
+    return bestFit(service, zoneLabel(zone), demand, allowed);
+  }
+
   /** Returns the allowed worker with the least free room that holds {@code demand}, or null. */
   Worker bestFit(String service, String label, Resources demand, Predicate<Worker> allowed) {
     FreeCapacityTree<Worker> tree = trees.get(new Pool(service, label));
@@ -190,6 +204,11 @@
     return found;
   }
 
+  /** Visits the workers of a zone, those with the most free processors first. */
+  void visitLargestInZone(String service, String zone, Predicate<Worker> visitor) {
+    visitLargest(service, zoneLabel(zone), visitor);
+  }
+
   /** Visits workers, those with the most free processors first, until one returns false. */
   void visitLargest(String service, String label, Predicate<Worker> visitor) {
     FreeCapacityTree<Worker> tree = trees.get(new Pool(service, label));
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/PlacementPlannerTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/PlacementPlannerTest.java
@@ -51,6 +51,10 @@
   }
 
   private Worker addWorker(int index, long millicores, boolean draining) {
+    return addWorker(index, millicores, draining, "zone");
+  }
+
+  private Worker addWorker(int index, long millicores, boolean draining, String zone) {
     String id = "w" + index;
     Worker worker = state.workers().computeIfAbsent(id, key -> new Worker(key, 1));
     worker.list(
@@ -59,7 +63,7 @@
             1,
             "svc",
             "a:" + index,
-            "zone",
+            zone,
             draining,
             new Resources(millicores, 10_000, 0),
             Set.of(LABELS.get(1 + index % 2), "rack" + index % 3),
@@ -76,7 +80,13 @@
     Job job =
         new Job(
             new JobDefinition(
-                id, state.config().queue(queue).orElseThrow(), team, nowMillis, false, spec));
+                id,
+                state.config().queue(queue).orElseThrow(),
+                team,
+                "zone",
+                nowMillis,
+                false,
+                spec));
     state.jobs().put(id, job);
     job.begin(0).forEach(state::consider);
     return job;
@@ -163,7 +173,11 @@
   /** Guards against work that waits while there is room, as no event has had it tried again. */
   @Property(tries = 60, seed = "4801")
   void nothingWaitsWhileThereIsRoom(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
-    Random random = new Random(seed);
+    // The instance serves all tries, so each gets a cell of its own.
+    new PlacementPlannerTest().changeAndCompare(new Random(seed), seed);
+  }
+
+  private void changeAndCompare(Random random, long seed) {
     configure(1, 12_000);
     desk.agents(Set.of("e1", "e2", "e3", "e4"), nowMillis);
     for (int round = 0; round < 120; round++) {
@@ -235,6 +249,40 @@
     assertThat(more.placements()).hasSize(4);
   }
 
+  /**
+   * Guards against jobs that lose tasks when a zone is cut off in which they were not handed in: of
+   * jobs of three tasks, half had one in the zone that was cut (trouble-3 of the large site).
+   */
+  @Property(tries = 20, seed = "4802")
+  void tasksRunInTheZoneOfTheirJobWhileItHasRoom(
+      @ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    new PlacementPlannerTest().fillHomeZone(new Random(seed));
+  }
+
+  private void fillHomeZone(Random random) {
+    configure(1, 0);
+    desk.agents(Set.of("e1", "e2"), nowMillis);
+    for (int index = 0; index < 8; index++) {
+      addWorker(index, 8_000, false, index % 2 == 0 ? "zone" : "other");
+    }
+    planner.tick(now());
+    long room = 32_000;
+    while (room > 0) {
+      int count = 1 + random.nextInt(3);
+      boolean gang = random.nextBoolean();
+      Job job = addJob("plain0", "t1", step(count, 1_000, gang, "", "", 0));
+      plan();
+      room -= 1_000L * count;
+      String expected = room >= 0 ? "zone" : "";
+      for (Placement placement : job.placements()) {
+        assertThat(placement.worker().listing().zone()).startsWith(expected);
+      }
+    }
+    Job beyond = addJob("plain0", "t1", step(3, 1_000, false, "", "", 0));
+    plan();
+    assertThat(beyond.placements()).hasSize(3);
+  }
+
   /** Guards against a plan that tries the whole backlog at each event. */
   @Example
   void eventWithoutRoomTriesNothing() {
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
@@ -114,7 +114,7 @@
 
   void submit(String jobId, String team, JobSpec spec) {
     Queue queue = config.queue("q").orElseThrow();
-    coordinator.submit(jobId, queue, team, spec, moment());
+    coordinator.submit(jobId, queue, new Submitter(team, "zone-0"), spec, moment());
   }
 
   void run(long millis) {
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
@@ -198,7 +198,7 @@
 
   private CompletableFuture<CellReply> route(PeerMessage message) {
     if (role.held()) {
-      return requests.serve(role.service(), message);
+      return requests.serve(role.service(), settings.zone(), message);
     }
     return link.forward(message);
   }
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
@@ -25,6 +25,7 @@
 import org.cicadaford.cell.Moment;
 import org.cicadaford.cell.Queue;
 import org.cicadaford.cell.RecordWrite;
+import org.cicadaford.cell.Submitter;
 
 /** Runs the {@link Coordinator} of one epoch: stores its batches and carries out its actions. */
 public final class CoordinatorService {
@@ -171,11 +172,12 @@
   }
 
   /** Takes a submission; the reply comes once the job is stored. */
-  public CompletableFuture<CellReply> submit(String jobId, Queue queue, String team, JobSpec spec) {
+  public CompletableFuture<CellReply> submit(
+      String jobId, Queue queue, Submitter submitter, JobSpec spec) {
     if (!sound()) {
       return CompletableFuture.completedFuture(STORE_SILENT);
     }
-    AdmissionDecision decision = coordinator.submit(jobId, queue, team, spec, clock.get());
+    AdmissionDecision decision = coordinator.submit(jobId, queue, submitter, spec, clock.get());
     return switch (decision) {
       case AdmissionDecision.AlreadyStored() ->
           CompletableFuture.completedFuture(CellReply.done("known"));
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/PeerAnswerer.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/PeerAnswerer.java
@@ -27,7 +27,7 @@
           CompletableFuture.completedFuture(answerOffer(peer, offer));
       case PeerMessage.OrderRequest request -> relay.carryOut(request);
       case PeerMessage.AdviceRequest request -> HelperPool.answer(advice, request);
-      default -> answerRequest(message);
+      default -> answerRequest(peer.zone(), message);
     };
   }
 
@@ -39,12 +39,12 @@
     return new PeerMessage.HelperAnswer(role.service().epoch(), standby);
   }
 
-  private CompletableFuture<PeerMessage> answerRequest(PeerMessage message) {
+  private CompletableFuture<PeerMessage> answerRequest(String zone, PeerMessage message) {
     if (!role.held()) {
       return CompletableFuture.completedFuture(
           CellReply.of(CellOutcome.NOT_COORDINATOR, "this instance is not the coordinator")
               .toMessage());
     }
-    return requests.serve(role.service(), message).thenApply(CellReply::toMessage);
+    return requests.serve(role.service(), zone, message).thenApply(CellReply::toMessage);
   }
 }
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceTest.java
@@ -24,6 +24,7 @@
 import org.cicadaford.cell.RunRow;
 import org.cicadaford.cell.StartOutcome;
 import org.cicadaford.cell.StepSpec;
+import org.cicadaford.cell.Submitter;
 import org.cicadaford.cell.TeamShare;
 import org.cicadaford.cell.WorkerReport;
 import org.cicadaford.model.Resources;
@@ -192,7 +193,7 @@
     CoordinatorService service = service();
     pass(200);
     storing = false;
-    service.submit("job", QUEUE, "t", SPEC);
+    service.submit("job", QUEUE, new Submitter("t", "z"), SPEC);
     Append placed = placement();
     steadyMillis += 4_000;
     unixMillis += 4_000;
@@ -211,7 +212,7 @@
     CoordinatorService service = service();
     pass(200);
     storing = false;
-    service.submit("job", QUEUE, "t", SPEC);
+    service.submit("job", QUEUE, new Submitter("t", "z"), SPEC);
     Append placed = placement();
     unixMillis += 4_000;
     placed.outcome().complete(AppendOutcome.STORED);
