--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
@@ -290,18 +290,17 @@
     store.announce(own);
     store
         .load()
-        .whenComplete(
+        .handle(
             (records, failure) -> {
               candidate.claimDone();
               role.loaded();
               if (failure != null) {
                 LOGGER.warn("the records of epoch {} cannot be loaded: {}", epoch, failure);
-                return;
-              }
-              if (!stopping && candidate.highestEpoch() <= epoch) {
+              } else if (!stopping && candidate.highestEpoch() <= epoch) {
                 standby.release();
                 role.begin(epoch, records);
               }
+              return null;
             })
         .exceptionally(
             failure -> {
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/ConfigFollower.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/ConfigFollower.java
@@ -60,15 +60,16 @@
     Moment askedAt = clock.get();
     directory
         .published(CONFIG_WAIT_MILLIS)
-        .whenComplete(
+        .handle(
             (published, failure) -> {
-              if (failure != null) {
+              if (failure == null) {
+                configRead(published, askedAt);
+                follow();
+              } else {
                 configLost(failure);
                 loop.schedule(this::follow, READ_RETRY_MILLIS, TimeUnit.MILLISECONDS);
-                return;
               }
-              configRead(published, askedAt);
-              follow();
+              return null;
             })
         .exceptionally(
             failure -> {
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/FollowersTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/FollowersTest.java
@@ -89,6 +89,38 @@
     assertThat(config.published().config().version()).isEqualTo(2);
   }
 
+  /** Guards against reads that multiply while the store is down, until the memory is full. */
+  @Example
+  void eachFailedReadIsFollowedByOne() {
+    channel.freezeTime();
+    CellDirectory directory =
+        new CellDirectory() {
+          @Override
+          public CompletableFuture<Published> published(long waitMillis) {
+            rounds++;
+            return CompletableFuture.failedFuture(new IllegalStateException("down"));
+          }
+
+          @Override
+          public CompletableFuture<List<ListedWorker>> workers() {
+            return CompletableFuture.completedFuture(List.of());
+          }
+        };
+    ConfigFollower follower =
+        new ConfigFollower(
+            directory,
+            new ConfigHolder(),
+            channel.eventLoop(),
+            () -> new Moment(rounds, rounds),
+            new DecisionLog(new CellMetrics(), () -> rounds),
+            () -> {});
+    follower.start();
+    for (int round = 0; round < 6; round++) {
+      pass(200);
+    }
+    assertThat(rounds).isEqualTo(7);
+  }
+
   private static CellDirectory.Published published(long version) {
     return new CellDirectory.Published(new CellConfig(version, List.of(), List.of()), Set.of());
   }
