--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -356,6 +356,11 @@
     return taken;
   }
 
+  /** Returns the number of known workers. */
+  public int workerCount() {
+    return state.workers().size();
+  }
+
   /** Returns the availability zone of a worker, if it was listed. */
   public Optional<String> zoneOf(String workerId) {
     return Optional.ofNullable(state.workers().get(workerId))
--- /dev/null
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorRehearsalTest.java
@@ -0,0 +1,20 @@
+package org.cicadaford.cell;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import net.jqwik.api.Example;
+
+/** Guards against a rehearsal that never ends, or fails and takes the standby's loop with it. */
+class CoordinatorRehearsalTest {
+
+  @Example
+  void rehearsalEndsAfterItsRounds() {
+    CoordinatorRehearsal rehearsal = new CoordinatorRehearsal();
+    int rounds = 1;
+    while (rehearsal.runRound()) {
+      rounds++;
+      assertThat(rounds).isLessThan(1_000);
+    }
+    assertThat(rounds).isGreaterThan(10);
+  }
+}
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
@@ -265,6 +265,10 @@
       return;
     }
     link.offerHelp(now);
+    candidate.election().standby(standby.isDesignated());
+    if (standby.isDesignated()) {
+      link.probe();
+    }
     if (link.refused()) {
       candidate.election().coordinatorRefused();
     } else if (link.lost()) {
@@ -278,6 +282,9 @@
     if (!settings.fit()) {
       return UNFIT_DELAY_MILLIS;
     }
+    if (standby.isDesignated()) {
+      return -CoordinatorCandidate.LEAST_CLAIM_DELAY_MILLIS;
+    }
     return standby.othersDesignated() ? NO_STANDBY_DELAY_MILLIS : 0;
   }
 
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorCandidate.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorCandidate.java
@@ -15,7 +15,7 @@
    * Least delay of a claim, in milliseconds. A claim is announced within about 30 ms, so an
    * instance that has first read the journal just after it learns of it in time.
    */
-  private static final int LEAST_CLAIM_DELAY_MILLIS = 30;
+  static final int LEAST_CLAIM_DELAY_MILLIS = 30;
 
   /**
    * Largest random part of that delay, in milliseconds. An append takes the store 4 ms, so it is
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorLink.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorLink.java
@@ -96,6 +96,13 @@
     return connected() ? link.ask(message, FORWARD_MILLIS).thenApply(CellReply::of) : null;
   }
 
+  /** Asks the coordinator for a heartbeat at once. */
+  void probe() {
+    if (link != null) {
+      link.probe();
+    }
+  }
+
   /** Offers from time to time to help the coordinator. */
   void offerHelp(long nowMillis) {
     if (!connected() || ElapsedTime.ahead(nextOfferMillis, nowMillis)) {
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
@@ -92,7 +92,8 @@
         new OrderSender(
             epoch,
             coordinator,
-            new RelayedOrders(orders, helpers, coordinator::zoneOf, loop, metrics),
+            new RelayedOrders(
+                orders, helpers, coordinator::zoneOf, coordinator::workerCount, loop, metrics),
             helpers,
             clock,
             metrics,
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/ElectionPolicy.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/ElectionPolicy.java
@@ -23,6 +23,9 @@
    */
   static final long SILENCE_MILLIS = 250;
 
+  /** The same for a standby, which asks every 50 ms: two answers that are missing and a reserve. */
+  static final long STANDBY_SILENCE_MILLIS = 130;
+
   /**
    * Time without growth after which the journal counts as abandoned, in milliseconds: two appends
    * and the 200 ms after which a lost packet is sent again.
@@ -42,6 +45,12 @@
   private boolean vacant = true;
   private boolean unsound;
   private boolean refused;
+  private long silenceMillis = SILENCE_MILLIS;
+
+  /** Sets whether this instance is a standby, which watches the coordinator more closely. */
+  public void standby(boolean standby) {
+    silenceMillis = standby ? STANDBY_SILENCE_MILLIS : SILENCE_MILLIS;
+  }
 
   /** Takes a sound answer of the coordinator. */
   public void coordinatorSound(long nowMillis) {
@@ -91,7 +100,7 @@
   public boolean wantsObservation(long nowMillis) {
     return vacant
         || unsound
-        || !ElapsedTime.within(lastSoundAtMillis, nowMillis, SILENCE_MILLIS - 1);
+        || !ElapsedTime.within(lastSoundAtMillis, nowMillis, silenceMillis - 1);
   }
 
   /** Takes the journal's end as it was at some time between the two given ones. */
@@ -115,8 +124,8 @@
     if (observedEnd.isEmpty() || !wantsObservation(nowMillis)) {
       return OptionalLong.empty();
     }
-    long silenceMillis = refused ? REFUSED_MILLIS : ABANDONED_MILLIS;
-    long abandonedMillis = vacant ? 0 : silenceMillis + 2 * observationMillis;
+    long unchangedForMillis = refused ? REFUSED_MILLIS : ABANDONED_MILLIS;
+    long abandonedMillis = vacant ? 0 : unchangedForMillis + 2 * observationMillis;
     long unchangedMillis = nowMillis - unchangedSinceMillis;
     return unchangedMillis >= abandonedMillis + delayMillis ? observedEnd : OptionalLong.empty();
   }
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/RelayedOrders.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/RelayedOrders.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -33,9 +34,16 @@
    */
   private static final long HEDGE_MILLIS = 80;
 
+  /**
+   * Size of the cell from which orders are relayed, in workers. A relayed order costs processor
+   * time on two instances; below this the coordinator sends all orders in a tenth of a core.
+   */
+  private static final int RELAYED_FROM_WORKERS = 100;
+
   private final WorkerOrders direct;
   private final RelayPool relays;
   private final Function<String, Optional<String>> zoneOf;
+  private final IntSupplier workerCount;
   private final ScheduledExecutorService loop;
   private final CellMetrics metrics;
 
@@ -43,16 +51,19 @@
    * Creates the sender.
    *
    * @param zoneOf returns the availability zone of a worker, if it is known
+   * @param workerCount returns the number of workers of the cell
    */
   RelayedOrders(
       WorkerOrders direct,
       RelayPool relays,
       Function<String, Optional<String>> zoneOf,
+      IntSupplier workerCount,
       ScheduledExecutorService loop,
       CellMetrics metrics) {
     this.direct = direct;
     this.relays = relays;
     this.zoneOf = zoneOf;
+    this.workerCount = workerCount;
     this.loop = loop;
     this.metrics = metrics;
   }
@@ -101,7 +112,10 @@
       Class<T> answerType,
       long hedgeMillis,
       Supplier<CompletableFuture<T>> directly) {
-    Optional<String> relay = zoneOf.apply(workerId).flatMap(z -> relays.relayFor(workerId, z));
+    Optional<String> relay =
+        workerCount.getAsInt() >= RELAYED_FROM_WORKERS
+            ? zoneOf.apply(workerId).flatMap(zone -> relays.relayFor(workerId, zone))
+            : Optional.empty();
     if (relay.isEmpty()) {
       metrics.orderSent("direct");
       return directly.get();
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/StandbyFollower.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/StandbyFollower.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.cicadaford.cell.CoordinatorRehearsal;
 import org.cicadaford.wire.PeerMessage;
 
 /**
@@ -24,12 +25,16 @@
   /** Readings of the journal between two readings of the list of workers. */
   private static final int READINGS_PER_LIST = 5;
 
+  /** Time between two rounds of the rehearsal, in milliseconds; a round takes under 10 ms. */
+  private static final long REHEARSAL_MILLIS = 40;
+
   private final CellStore store;
   private final CellDirectory directory;
   private final ScheduledExecutorService loop;
   private final boolean fit;
   private boolean designated;
   private boolean othersDesignated;
+  private boolean rehearsed;
   private boolean stopped;
   private boolean following;
   private int readings;
@@ -57,6 +62,10 @@
     if (answer.epoch() == 0) {
       return;
     }
+    if (answer.standby() && !rehearsed) {
+      rehearsed = true;
+      rehearseLater(new CoordinatorRehearsal());
+    }
     designated = answer.standby();
     othersDesignated = !designated;
     if (!designated && readings > 0) {
@@ -68,11 +77,28 @@
     }
   }
 
+  /** Returns whether this instance is a standby of the last coordinator that it has heard. */
+  boolean isDesignated() {
+    return designated;
+  }
+
   /** Returns whether the last coordinator has named other instances its standbys. */
   boolean othersDesignated() {
     return othersDesignated;
   }
 
+  /** Runs the rehearsal a round at a time, so that requests are served in between. */
+  private void rehearseLater(CoordinatorRehearsal rehearsal) {
+    loop.schedule(
+        () -> {
+          if (!stopped && rehearsal.runRound()) {
+            rehearseLater(rehearsal);
+          }
+        },
+        REHEARSAL_MILLIS,
+        TimeUnit.MILLISECONDS);
+  }
+
   /** Ends following, as this instance has become the coordinator itself. */
   void release() {
     designated = false;
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/ElectionPolicyTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/ElectionPolicyTest.java
@@ -40,6 +40,21 @@
     assertThat(policy.claimableEnd(now + ElectionPolicy.ABANDONED_MILLIS, 0)).hasValue(41);
   }
 
+  /** Guards against a standby that notices a lost coordinator no sooner than all others. */
+  @Example
+  void standbyWatchesTheJournalSooner() {
+    ElectionPolicy policy = following();
+    policy.standby(true);
+    long now = ElectionPolicy.STANDBY_SILENCE_MILLIS;
+    assertThat(policy.wantsObservation(now - 1)).isFalse();
+    assertThat(policy.wantsObservation(now)).isTrue();
+    policy.observed(41, now, now);
+    assertThat(policy.claimableEnd(now + ElectionPolicy.ABANDONED_MILLIS, 0)).hasValue(41);
+    policy.standby(false);
+    policy.coordinatorSound(1_000);
+    assertThat(policy.wantsObservation(1_000 + ElectionPolicy.SILENCE_MILLIS - 1)).isFalse();
+  }
+
   /** Guards against waiting for a coordinator that has resigned or was restarted. */
   @Example
   void vacantRoleIsClaimedAtOnce() {
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/RelayedOrdersTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/RelayedOrdersTest.java
@@ -32,6 +32,7 @@
   private final List<String> suspected = new ArrayList<>();
   private final List<Action> sentDirectly = new ArrayList<>();
   private Optional<String> relay = Optional.of("e1");
+  private int workerCount = 260;
 
   private final RelayPool relays =
       new RelayPool() {
@@ -80,7 +81,12 @@
   private RelayedOrders orders() {
     channel.freezeTime();
     return new RelayedOrders(
-        direct, relays, id -> Optional.of("zone"), channel.eventLoop(), new CellMetrics());
+        direct,
+        relays,
+        id -> Optional.of("zone"),
+        () -> workerCount,
+        channel.eventLoop(),
+        new CellMetrics());
   }
 
   private void pass(long millis) {
@@ -165,6 +171,14 @@
         .isEqualTo(new Action.Renew("w", 1, "w:1", 4, 9_000, 0, 600));
   }
 
+  /** Guards against relays in a small cell, where they only cost processor time. */
+  @Example
+  void ordersOfASmallCellAreSentDirectly() {
+    workerCount = 32;
+    assertThat(orders().start(START, 9)).isCompletedWithValue(STARTED);
+    assertThat(relayed).isEmpty();
+  }
+
   /** Guards against orders that are lost where no instance can relay them. */
   @Example
   void withoutARelayOrdersAreSentDirectly() {
--- a/cicadaford-wire/src/main/java/org/cicadaford/wire/PeerLink.java
+++ b/cicadaford-wire/src/main/java/org/cicadaford/wire/PeerLink.java
@@ -124,6 +124,13 @@
     return TimeUnit.NANOSECONDS.toMillis(nowNanos - lastAnswerAtNanos);
   }
 
+  /** Sends a heartbeat beside the regular ones, for a closer watch on the peer. */
+  public synchronized void probe() {
+    if (current != null && current.isOpen()) {
+      current.ask(heartbeatSource.get()).thenAccept(this::answered);
+    }
+  }
+
   private synchronized void beat() {
     boolean lost = current == null || !current.isOpen();
     if (lost || silentMillis(System.nanoTime()) > settings.silenceMillis() / 2) {
