Keep the wait of renewals that are sent directly, and leave a second start open

A lease now reaches at most 10 s (or the longest lease) beyond the append that confirmed the role, so the wait is 10.2 s, with outages covered as before.

A look beside a renewal that waits no longer begins a second chain.

Run: tests of cell and coordinator.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
@@ -53,9 +53,16 @@
     roleConfirmedAtMillis = ElapsedTime.later(roleConfirmedAtMillis, atMillis);
   }
 
-  /** Returns whether this coordinator may still extend leases without the store's confirmation. */
-  boolean mayExtendLeases(long nowMillis) {
-    return ElapsedTime.within(roleConfirmedAtMillis, nowMillis, settings.leaseWithoutStoreMillis());
+  /**
+   * Returns the time for which a lease may be granted now. It ends at a bounded time after the
+   * store has confirmed this coordinator's role, as a successor waits for just that time.
+   */
+  long grantableLeaseMillis(long nowMillis) {
+    if (roleConfirmedAtMillis.isEmpty()) {
+      return 0;
+    }
+    long confirmedForMillis = nowMillis - roleConfirmedAtMillis.getAsLong();
+    return Math.min(settings.maxLeaseMillis(), settings.leaseReachMillis() - confirmedForMillis);
   }
 
   Map<String, Job> jobs() {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CoordinatorSettings.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CoordinatorSettings.java
@@ -4,7 +4,7 @@
  * Settings of the coordinator. Times are in milliseconds.
  *
  * @param maxLeaseMillis longest lease that a worker grants
- * @param leaseWithoutStoreMillis time since the last stored record for which leases are extended
+ * @param leaseReachMillis longest time that a lease lasts from the last record stored before it
  * @param maxClockSlowdown largest part by which a worker's clock may be slow, for example 0.02
  * @param startValidMillis time after which a start that is still on its way is void
  * @param lateOrderMillis longest time after which an unanswered order may still be carried out
@@ -18,7 +18,7 @@
  */
 public record CoordinatorSettings(
     long maxLeaseMillis,
-    long leaseWithoutStoreMillis,
+    long leaseReachMillis,
     double maxClockSlowdown,
     long startValidMillis,
     long lateOrderMillis,
@@ -36,9 +36,6 @@
   /** Time from the loss of the store for which running work goes on; outages last up to 9 s. */
   private static final long OUTAGE_MILLIS = 10_000;
 
-  /** Least time for which leases are extended without the store; a slow one answers in 0.3 s. */
-  private static final long MIN_LEASE_WITHOUT_STORE_MILLIS = 2_000;
-
   /** Leaves room for an order's answer and one repetition before the run is looked for. */
   private static final long START_VALID_MILLIS = 1_500;
 
@@ -68,14 +65,14 @@
    * the claim of its successor on.
    */
   long earlierLeasesMillis() {
-    return (long) Math.ceil((leaseWithoutStoreMillis + maxLeaseMillis) / (1 - maxClockSlowdown));
+    return (long) Math.ceil(leaseReachMillis / (1 - maxClockSlowdown));
   }
 
   /** Returns the settings for a platform with the given bounds. */
   public static CoordinatorSettings forPlatform(long maxLeaseMillis, long keepEndedMillis) {
     return new CoordinatorSettings(
         maxLeaseMillis,
-        Math.max(MIN_LEASE_WITHOUT_STORE_MILLIS, OUTAGE_MILLIS - maxLeaseMillis),
+        Math.max(maxLeaseMillis, OUTAGE_MILLIS),
         MAX_CLOCK_SLOWDOWN,
         START_VALID_MILLIS,
         LATE_ORDER_MILLIS,
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
@@ -41,7 +41,7 @@
   private OptionalLong lastAnswerAtMillis = OptionalLong.empty();
   private long processedEnd;
   private long recordedEnd;
-  private boolean renewalInFlight;
+  private int renewalsInFlight;
   private boolean lookWanted;
   private OptionalLong renewalDueMillis = OptionalLong.empty();
   private OptionalLong nextRenewalAtMillis = OptionalLong.empty();
@@ -198,7 +198,7 @@
   }
 
   boolean renewalInFlight() {
-    return renewalInFlight;
+    return renewalsInFlight > 0;
   }
 
   /** Asks for a report at once, even if the worker is still holding back another one. */
@@ -210,16 +210,21 @@
     return lookWanted;
   }
 
-  /** Notes that a renewal was sent whose answer is due at a time. */
+  /**
+   * Notes that a renewal was sent whose answer is due at a time. A look may be on its way beside a
+   * renewal that waits; the later one of both counts, as answers are not told apart.
+   */
   void renewalSent(long dueMillis) {
-    renewalInFlight = true;
+    renewalsInFlight++;
     lookWanted = false;
-    renewalDueMillis = OptionalLong.of(dueMillis);
+    renewalDueMillis = ElapsedTime.later(renewalDueMillis, dueMillis);
   }
 
   void renewalOver() {
-    renewalInFlight = false;
-    renewalDueMillis = OptionalLong.empty();
+    renewalsInFlight = Math.max(0, renewalsInFlight - 1);
+    if (renewalsInFlight == 0) {
+      renewalDueMillis = OptionalLong.empty();
+    }
   }
 
   /**
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -294,9 +294,10 @@
     boolean patient = sure && !unrecorded && !worker.lookWanted();
     long waitMillis = patient ? settings.renewalWaitMillis() : 0;
     long deadlineMillis = 0;
-    if (sure && state.mayExtendLeases(nowMillis)) {
+    long leaseMillis = state.grantableLeaseMillis(nowMillis);
+    if (sure && leaseMillis > 0) {
       // A worker that does not answer gets no longer lease, so that its end becomes certain.
-      deadlineMillis = worker.clockAt(nowMillis) + settings.maxLeaseMillis();
+      deadlineMillis = worker.clockAt(nowMillis) + leaseMillis;
       worker.deadlineSent(deadlineMillis, settings.maxClockSlowdown());
     }
     worker.renewalSent(nowMillis + waitMillis);
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/RelayedOrders.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/RelayedOrders.java
@@ -11,6 +11,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.cicadaford.cell.Action;
+import org.cicadaford.cell.StartOutcome;
 import org.cicadaford.model.MalformedRecordException;
 import org.cicadaford.model.RecordCodec;
 import org.cicadaford.wire.PeerMessage;
@@ -21,8 +22,8 @@
  * <p>Connections to workers and their reports are the part of the coordinator's load that grows
  * with the cell, so the other instances carry it. An order that a relay has not answered in time is
  * sent directly as well: workers take a start, a stop or a renewal twice without harm, and the
- * first answer counts. So a relay that is killed, frozen or cut off costs its orders a tenth of a
- * second.
+ * first answer counts, but for a second start that was rejected. So a relay that is killed, frozen
+ * or cut off costs its orders a tenth of a second.
  */
 final class RelayedOrders implements WorkerOrders {
 
@@ -70,33 +71,66 @@
 
   @Override
   public CompletableFuture<StartAnswer> start(Action.StartTask order, long epoch) {
-    return send(
-        order.workerId(),
-        new Relayed(OrderRelay.START, epoch, order),
-        StartAnswer.class,
-        HEDGE_MILLIS,
-        () -> direct.start(order, epoch));
+    Supplier<CompletableFuture<StartAnswer>> directly = () -> direct.start(order, epoch);
+    return relayFor(order.workerId())
+        .map(
+            relay ->
+                relay(
+                    relay,
+                    new Relayed(OrderRelay.START, epoch, order),
+                    StartAnswer.class,
+                    HEDGE_MILLIS,
+                    () -> directly.get().thenApply(RelayedOrders::ofSecondStart)))
+        .orElseGet(directly);
+  }
+
+  /**
+   * Returns what is known after a start that was sent twice. The second order may be rejected, for
+   * example since its ticket has ended, although the first one was carried out.
+   */
+  private static StartAnswer ofSecondStart(StartAnswer second) {
+    return second.outcome() == StartOutcome.STARTED
+        ? second
+        : new StartAnswer(StartOutcome.UNKNOWN, second.clockMillis(), second.detail());
   }
 
   @Override
   public CompletableFuture<Boolean> stop(Action.StopTask order, long epoch) {
-    return send(
-        order.workerId(),
-        new Relayed(OrderRelay.STOP, epoch, order),
-        Boolean.class,
-        HEDGE_MILLIS,
-        () -> direct.stop(order, epoch));
+    Supplier<CompletableFuture<Boolean>> directly = () -> direct.stop(order, epoch);
+    return relayFor(order.workerId())
+        .map(
+            relay ->
+                relay(
+                    relay,
+                    new Relayed(OrderRelay.STOP, epoch, order),
+                    Boolean.class,
+                    HEDGE_MILLIS,
+                    directly))
+        .orElseGet(directly);
   }
 
   @Override
   public CompletableFuture<RenewalAnswer> renew(Action.Renew order, long epoch, long nowMillis) {
-    return send(
-            order.workerId(),
-            new Relayed(OrderRelay.RENEW, epoch, order),
-            RenewalAnswer.class,
-            order.waitMillis() + HEDGE_MILLIS,
-            () -> direct.renew(order.withoutWait(), epoch, nowMillis))
-        .thenApply(answer -> answer.sentAt(nowMillis));
+    return relayFor(order.workerId())
+        .map(
+            relay ->
+                relay(
+                        relay,
+                        new Relayed(OrderRelay.RENEW, epoch, order),
+                        RenewalAnswer.class,
+                        order.waitMillis() + HEDGE_MILLIS,
+                        () -> direct.renew(order.withoutWait(), epoch, nowMillis))
+                    .thenApply(answer -> answer.sentAt(nowMillis)))
+        .orElseGet(() -> direct.renew(order, epoch, nowMillis));
+  }
+
+  private Optional<String> relayFor(String workerId) {
+    Optional<String> relay =
+        workerCount.getAsInt() >= RELAYED_FROM_WORKERS
+            ? zoneOf.apply(workerId).flatMap(zone -> relays.relayFor(workerId, zone))
+            : Optional.empty();
+    metrics.orderSent(relay.isPresent() ? "relayed" : "direct");
+    return relay;
   }
 
   /** An order as it is handed to a relay. */
@@ -106,25 +140,16 @@
     }
   }
 
-  private <T> CompletableFuture<T> send(
-      String workerId,
+  private <T> CompletableFuture<T> relay(
+      String relay,
       Relayed relayed,
       Class<T> answerType,
       long hedgeMillis,
       Supplier<CompletableFuture<T>> directly) {
-    Optional<String> relay =
-        workerCount.getAsInt() >= RELAYED_FROM_WORKERS
-            ? zoneOf.apply(workerId).flatMap(zone -> relays.relayFor(workerId, zone))
-            : Optional.empty();
-    if (relay.isEmpty()) {
-      metrics.orderSent("direct");
-      return directly.get();
-    }
-    metrics.orderSent("relayed");
-    Hedged<T> hedged = new Hedged<>(relay.get(), directly);
+    Hedged<T> hedged = new Hedged<>(relay, directly);
     hedged.timer = loop.schedule(hedged::late, hedgeMillis, TimeUnit.MILLISECONDS);
     relays
-        .relay(relay.get(), relayed.request())
+        .relay(relay, relayed.request())
         .whenCompleteAsync(
             (answer, failure) -> hedged.relayAnswered(answer, failure, answerType), loop);
     return hedged.result;
