Take runs off workers that drain, before these end them

Change: DrainMover, by the time that a draining worker states as left. Tasks that last are stopped at once, as far as their step may have tasks away; tasks with checkpoints one second before the end if they cannot be done in time; others only if they cannot be done in time, gangs as a whole.

Ruled out: taking a worker that drained and is not listed any more as gone; the list drops silent workers too.

--- a/cicadaford-bench/src/main/java/org/cicadaford/bench/CellLoad.java
+++ b/cicadaford-bench/src/main/java/org/cicadaford/bench/CellLoad.java
@@ -117,6 +117,7 @@
                   "10.0.0.1:" + index,
                   "zone-" + index % ZONES,
                   false,
+                  0,
                   new Resources(64_000, 131_072, 0),
                   Set.of("kind", "rack-" + index / WORKERS_PER_RACK),
                   "rack-" + index / WORKERS_PER_RACK)));
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -40,6 +40,7 @@
   private final AdviceDesk advice;
   private final PlacementPlanner planner;
   private final StartIssuer starts;
+  private final DrainMover drains;
   private final AdmissionPolicy admission = new AdmissionPolicy();
   private final List<Job> storing = new ArrayList<>();
   private final List<JobPhase> storingPhases = new ArrayList<>();
@@ -59,6 +60,7 @@
     UsableWorkers usable = new UsableWorkers(state);
     planner = new PlacementPlanner(state, usable, new AdvicePlanner(state, usable, advice));
     starts = new StartIssuer(state, ends);
+    drains = new DrainMover(state);
   }
 
   /** Rebuilds the state from stored records; returns the keys of those that are unreadable. */
@@ -239,6 +241,7 @@
     if (!ElapsedTime.ahead(nextUpkeepMillis, now.steadyMillis())) {
       nextUpkeepMillis = OptionalLong.of(now.steadyMillis() + UPKEEP_MILLIS);
       monitor.tick(now);
+      drains.tick(now);
       state.timedJobs().removeIf(job -> job.phase().over());
       state.timedJobs().forEach(job -> beginDue(job, now));
       planner.tick(now);
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CoordinatorRehearsal.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CoordinatorRehearsal.java
@@ -55,6 +55,7 @@
               "10.0.0.1:" + index,
               ZONE,
               false,
+              0,
               new Resources(64_000, 64_000, 0),
               Set.of("label", "rack"),
               "rack"));
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/ListedWorker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/ListedWorker.java
@@ -12,6 +12,7 @@
  * @param address address of its interface, {@code ip:port}
  * @param zone availability zone
  * @param draining whether it is leaving
+ * @param remainingMillis least time until it leaves, in milliseconds; 0 if it is not stated
  * @param capacity what it offers
  * @param labels its labels
  * @param rack its rack
@@ -23,6 +24,7 @@
     String address,
     String zone,
     boolean draining,
+    long remainingMillis,
     Resources capacity,
     Set<String> labels,
     String rack) {}
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
@@ -16,6 +16,8 @@
     UNCERTAIN
   }
 
+  private static final int FULL_PERCENT = 100;
+
   private final Task task;
   private final int run;
   private final Worker worker;
@@ -187,6 +189,15 @@
     }
   }
 
+  int progressPercent() {
+    return progressPercent;
+  }
+
+  /** Returns whether a task that lasts is at work: running, and started up. */
+  boolean atWork() {
+    return stage == Stage.RUNNING && !stopWanted() && progressPercent >= FULL_PERCENT;
+  }
+
   long progressAtMillis() {
     return progressAtMillis;
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StopReason.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StopReason.java
@@ -8,6 +8,8 @@
   JOB_FAILED,
   /** Another member of the gang is not running any more. */
   GANG_BROKEN,
+  /** The worker leaves before the run can be done. */
+  DRAINING,
   /** The run has made no progress. */
   STALLED,
   /** The start was not answered and the run is not shown; it must not start any more. */
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
@@ -26,10 +26,14 @@
   /** Time without new tasks after a start was turned down, in milliseconds. */
   private static final long PAUSE_MILLIS = 500;
 
+  /** Time for which a worker that leaves is there if it states none; from the platform's bounds. */
+  private static final long DRAIN_MILLIS = 2_000;
+
   private final String id;
   private long incarnation;
   private ListedWorker listing;
   private boolean listed;
+  private OptionalLong leavesAtMillis = OptionalLong.empty();
   private Resources used = Resources.NONE;
   private final Map<String, Placement> placements = new HashMap<>();
   private final Set<Placement> unsettled = new LinkedHashSet<>();
@@ -72,11 +76,24 @@
     return listed;
   }
 
-  void list(ListedWorker newListing) {
+  void list(ListedWorker newListing, long nowMillis) {
+    if (newListing != listing) {
+      long remainingMillis =
+          newListing.remainingMillis() > 0 ? newListing.remainingMillis() : DRAIN_MILLIS;
+      leavesAtMillis =
+          newListing.draining()
+              ? OptionalLong.of(nowMillis + remainingMillis)
+              : OptionalLong.empty();
+    }
     listing = newListing;
     listed = true;
   }
 
+  /** Returns the time until which a worker that leaves is there at least. */
+  OptionalLong leavesAtMillis() {
+    return leavesAtMillis;
+  }
+
   void unlist() {
     listed = false;
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -48,7 +48,7 @@
       if (listing.incarnation() > worker.incarnation()) {
         reincarnated(worker, listing.incarnation(), now);
       }
-      worker.list(listing);
+      worker.list(listing, now.steadyMillis());
     }
     for (Worker worker : state.workers().values()) {
       if (!present.contains(worker.id())) {
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/PlacementPlannerTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/PlacementPlannerTest.java
@@ -65,9 +65,11 @@
             "a:" + index,
             zone,
             draining,
+            0,
             new Resources(millicores, 10_000, 0),
             Set.of(LABELS.get(1 + index % 2), "rack" + index % 3),
-            "rack" + index % 3));
+            "rack" + index % 3),
+        nowMillis);
     worker.answered(nowMillis);
     worker.clock(nowMillis, nowMillis);
     state.touch(worker);
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
@@ -37,7 +37,8 @@
   final Map<String, Long> cancelled = new HashMap<>();
   private final Map<String, List<String>> traces = new HashMap<>();
   final Map<String, Long> ended = new HashMap<>();
-  final Set<String> draining = new HashSet<>();
+  private final Map<String, Long> draining = new HashMap<>();
+  private final Map<String, ListedWorker> listings = new HashMap<>();
   private final Set<String> doneTasks = new HashSet<>();
   private final Map<String, Integer> failures = new HashMap<>();
   private final PriorityQueue<Event> events =
@@ -102,11 +103,31 @@
     violations.add(nowMillis + " " + rule + " " + task + " after " + traces.get(task));
   }
 
+  private ListedWorker listingOf(SimulatedWorker worker) {
+    Long leavesAt = draining.get(worker.id);
+    ListedWorker known = listings.get(worker.id);
+    boolean changed =
+        known == null
+            || known.incarnation() != worker.incarnation
+            || known.draining() != (leavesAt != null);
+    if (changed) {
+      long remainingMillis = leavesAt == null ? 0 : leavesAt - nowMillis;
+      listings.put(worker.id, worker.listing(leavesAt != null, remainingMillis));
+    }
+    return listings.get(worker.id);
+  }
+
+  /** Lets a worker drain, and leave with all that runs on it after a time. */
+  void drain(String workerId, long millis) {
+    draining.put(workerId, nowMillis + millis);
+    after(millis, () -> workers.get(workerId).crash());
+  }
+
   void list() {
     List<ListedWorker> listed = new ArrayList<>();
     for (SimulatedWorker worker : workers.values()) {
       if (worker.up) {
-        listed.add(worker.listing(draining.contains(worker.id)));
+        listed.add(listingOf(worker));
       }
     }
     coordinator.workersListed(listed, moment());
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedWorker.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedWorker.java
@@ -77,9 +77,18 @@
     this.incarnation = incarnation;
   }
 
-  ListedWorker listing(boolean draining) {
+  ListedWorker listing(boolean draining, long remainingMillis) {
     return new ListedWorker(
-        id, incarnation, "svc", id + ":1", zone, draining, capacity, Set.of("a"), "rack-" + zone);
+        id,
+        incarnation,
+        "svc",
+        id + ":1",
+        zone,
+        draining,
+        remainingMillis,
+        capacity,
+        Set.of("a"),
+        "rack-" + zone);
   }
 
   long clock() {
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceTest.java
@@ -128,7 +128,7 @@
         Resources capacity = new Resources(8_000, 8_000, 0);
         return CompletableFuture.completedFuture(
             List.of(
-                new ListedWorker("w", 1, "svc", "w:1", "z", false, capacity, Set.of(), "rack")));
+                new ListedWorker("w", 1, "svc", "w:1", "z", false, 0, capacity, Set.of(), "rack")));
       }
     };
   }
