Let a new coordinator wait 80 ms for its relays before it renews leases itself

Without relays they are sent directly as before. Test: newCoordinatorLeavesItsFirstRenewalsToRelays fails without the change.

--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
@@ -245,6 +245,8 @@
     if (!coordinatorAt.equals(leadership)) {
       return;
     }
+    // A new coordinator needs its helpers at once.
+    link.offerHelp(nowMillis());
     if (heartbeat.zoneEpoch() != coordinatorAt.epoch()) {
       candidate.election().coordinatorGone();
     } else if (heartbeat.ownsZone()) {
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
@@ -46,7 +46,7 @@
   private static final long WORKER_LIST_MILLIS = 300;
 
   /** Time between two looks at the instances that can call the advice service. */
-  private static final long HELPERS_MILLIS = 50;
+  private static final long HELPERS_MILLIS = 20;
 
   private final long epoch;
   private final Coordinator coordinator;
@@ -93,7 +93,13 @@
             epoch,
             coordinator,
             new RelayedOrders(
-                orders, helpers, coordinator::zoneOf, coordinator::workerCount, loop, metrics),
+                orders,
+                helpers,
+                coordinator::zoneOf,
+                coordinator::workerCount,
+                loop,
+                () -> clock.get().steadyMillis(),
+                metrics),
             helpers,
             clock,
             metrics,
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/RelayedOrders.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/RelayedOrders.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -41,11 +42,22 @@
    */
   private static final int RELAYED_FROM_WORKERS = 100;
 
+  /**
+   * Time after its beginning in which a coordinator leaves renewals to relays that have not offered
+   * themselves yet, in milliseconds. Connections to 260 workers took it 110 ms of a takeover.
+   */
+  private static final long RELAY_OFFERS_MILLIS = 80;
+
+  /** Time between two looks for a relay that is expected, in milliseconds. */
+  private static final long RELAY_POLL_MILLIS = 10;
+
   private final WorkerOrders direct;
   private final RelayPool relays;
   private final Function<String, Optional<String>> zoneOf;
   private final IntSupplier workerCount;
   private final ScheduledExecutorService loop;
+  private final LongSupplier nowMillis;
+  private final long begunAtMillis;
   private final CellMetrics metrics;
 
   /**
@@ -60,12 +72,15 @@
       Function<String, Optional<String>> zoneOf,
       IntSupplier workerCount,
       ScheduledExecutorService loop,
+      LongSupplier nowMillis,
       CellMetrics metrics) {
     this.direct = direct;
     this.relays = relays;
     this.zoneOf = zoneOf;
     this.workerCount = workerCount;
     this.loop = loop;
+    this.nowMillis = nowMillis;
+    this.begunAtMillis = nowMillis.getAsLong();
     this.metrics = metrics;
   }
 
@@ -111,6 +126,14 @@
 
   @Override
   public CompletableFuture<RenewalAnswer> renew(Action.Renew order, long epoch, long nowMillis) {
+    if (relayIsExpected(order.workerId())) {
+      CompletableFuture<RenewalAnswer> answer = new CompletableFuture<>();
+      loop.schedule(
+          () -> renew(order, epoch, nowMillis).thenAccept(answer::complete),
+          RELAY_POLL_MILLIS,
+          TimeUnit.MILLISECONDS);
+      return answer;
+    }
     return relayFor(order.workerId())
         .map(
             relay ->
@@ -124,11 +147,20 @@
         .orElseGet(() -> direct.renew(order, epoch, nowMillis));
   }
 
+  /** Returns whether no relay has offered itself to this new coordinator yet, but will soon. */
+  private boolean relayIsExpected(String workerId) {
+    return nowMillis.getAsLong() - begunAtMillis < RELAY_OFFERS_MILLIS
+        && workerCount.getAsInt() >= RELAYED_FROM_WORKERS
+        && findRelay(workerId).isEmpty();
+  }
+
+  private Optional<String> findRelay(String workerId) {
+    return zoneOf.apply(workerId).flatMap(zone -> relays.relayFor(workerId, zone));
+  }
+
   private Optional<String> relayFor(String workerId) {
     Optional<String> relay =
-        workerCount.getAsInt() >= RELAYED_FROM_WORKERS
-            ? zoneOf.apply(workerId).flatMap(zone -> relays.relayFor(workerId, zone))
-            : Optional.empty();
+        workerCount.getAsInt() >= RELAYED_FROM_WORKERS ? findRelay(workerId) : Optional.empty();
     metrics.orderSent(relay.isPresent() ? "relayed" : "direct");
     return relay;
   }
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/RelayedOrdersTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/RelayedOrdersTest.java
@@ -34,6 +34,7 @@
   private Optional<String> relay = Optional.of("e1");
   private StartAnswer directAnswer = STARTED;
   private int workerCount = 260;
+  private long nowMillis = 1_000;
 
   private final RelayPool relays =
       new RelayPool() {
@@ -87,10 +88,12 @@
         id -> Optional.of("zone"),
         () -> workerCount,
         channel.eventLoop(),
+        () -> nowMillis,
         new CellMetrics());
   }
 
   private void pass(long millis) {
+    nowMillis += millis;
     channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
     channel.runScheduledPendingTasks();
     channel.runPendingTasks();
@@ -202,6 +205,30 @@
     assertThat(relayed).isEmpty();
   }
 
+  /**
+   * Guards against a new coordinator that connects to all workers itself, as its relays have not
+   * offered themselves yet, and against renewals that wait for relays that never come.
+   */
+  @Example
+  void newCoordinatorLeavesItsFirstRenewalsToRelays() {
+    relay = Optional.empty();
+    Action.Renew renewal = new Action.Renew("w", 1, "w:1", 4, 9_000, 0, 600);
+    RelayedOrders orders = orders();
+    orders.renew(renewal, 9, 500);
+    pass(10);
+    assertThat(sentDirectly).isEmpty();
+    relay = Optional.of("e1");
+    pass(10);
+    assertThat(relayed).hasSize(1);
+    answer(RenewalAnswer.of(RenewalOutcome.NO_ANSWER));
+    relay = Optional.empty();
+    orders.renew(renewal, 9, 500);
+    for (int round = 0; round < 10; round++) {
+      pass(10);
+    }
+    assertThat(sentDirectly).hasSize(1);
+  }
+
   /**
    * Guards against renewals that are answered at once and so follow each other as fast as the
    * worker answers: 340,035 in a day of retorno-sul instead of 5,000.
