--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
@@ -61,6 +61,7 @@
   private long order;
   private boolean appendOpen;
   int starts;
+  private final Map<String, Integer> ordersByWorker = new HashMap<>();
 
   SimulatedCell(long seed, CellConfig config, int workerCount) {
     this.random = new Random(seed);
@@ -93,6 +94,11 @@
     list();
   }
 
+  /** Returns the number of starts and stops that were sent to a worker. */
+  int ordersTo(String workerId) {
+    return ordersByWorker.getOrDefault(workerId, 0);
+  }
+
   private void trace(String task, String what) {
     traces.computeIfAbsent(task, key -> new ArrayList<>()).add(nowMillis + " " + what);
   }
@@ -221,6 +227,7 @@
   private void start(Action.StartTask order, Coordinator sender, long sentEpoch) {
     SimulatedWorker worker = workers.get(order.workerId());
     long intendedIncarnation = worker.incarnation;
+    ordersByWorker.merge(order.workerId(), 1, Integer::sum);
     trace(order.task(), "order " + order.run() + " to " + worker.id + "/" + worker.incarnation);
     boolean late = random.nextDouble() < faults.lateOrder();
     boolean lost = late || random.nextDouble() < faults.lostAnswer();
@@ -282,6 +289,7 @@
   private void stop(Action.StopTask order, Coordinator sender, long sentEpoch) {
     SimulatedWorker worker = workers.get(order.workerId());
     boolean lost = random.nextDouble() < faults.lostAnswer();
+    ordersByWorker.merge(order.workerId(), 1, Integer::sum);
     trace(order.task(), "stop " + order.run() + " on " + worker.id + " " + order.reason());
     after(
         1 + random.nextInt(5),
--- /dev/null
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/WorkerMonitorTest.java
@@ -0,0 +1,102 @@
+package org.cicadaford.cell;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.cicadaford.model.Resources;
+
+/** Tests what is made of workers that are silent, have left, or report what cannot be. */
+class WorkerMonitorTest {
+
+  /** Time for which a worker is silent; its lease of 6 s outlasts it. */
+  private static final long SILENCE_MILLIS = 3_500;
+
+  private static SimulatedCell cell(long seed, int workers) {
+    return new SimulatedCell(
+        seed, SimulatedJobs.config(Resources.NONE, AdvicePolicy.NONE), workers);
+  }
+
+  /**
+   * Guards against running work of a worker that was only silent for a while being started again
+   * elsewhere, or given up.
+   */
+  @Property(tries = 20, seed = "4720")
+  void runsOfASilentWorkerGoOnAtItsReturn(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    SimulatedCell cell = cell(seed, 3);
+    String id = "silent" + seed;
+    SimulatedJobs.job(id, SimulatedJobs.step(6, 4_000, 6_000, false));
+    cell.submit(id, "team", SimulatedJobs.specOf(id));
+    cell.run(500);
+    assertThat(cell.starts).isEqualTo(6);
+    boolean takeover = cell.random.nextBoolean();
+    cell.workers.values().forEach(worker -> worker.reachable = cell.random.nextBoolean());
+    cell.run(SILENCE_MILLIS / 2);
+    if (takeover) {
+      cell.takeOver();
+    }
+    cell.run(SILENCE_MILLIS / 2);
+    cell.workers.values().forEach(worker -> worker.reachable = true);
+    cell.run(6_000);
+    assertThat(cell.starts).isEqualTo(6);
+    assertThat(cell.violations).isEmpty();
+    assertThat(cell.coordinator.job(id).orElseThrow().phase()).isEqualTo(JobPhase.COMPLETED);
+  }
+
+  /**
+   * Guards against a worker that had left being used again by a coordinator that has just begun.
+   */
+  @Example
+  void workerThatHasLeftGetsNothingFromTheNextCoordinator() {
+    SimulatedCell cell = cell(31, 3);
+    SimulatedJobs.job("left1", SimulatedJobs.step(6, 4_000, 300, false));
+    cell.submit("left1", "team", SimulatedJobs.specOf("left1"));
+    cell.run(2_000);
+    cell.workers.get("w0").crash();
+    cell.run(1_000);
+    cell.takeOver();
+    int before = cell.ordersTo("w0");
+    SimulatedJobs.job("left2", SimulatedJobs.step(8, 4_000, 300, false));
+    cell.submit("left2", "team", SimulatedJobs.specOf("left2"));
+    cell.run(3_000);
+    assertThat(cell.coordinator.job("left2").orElseThrow().phase()).isEqualTo(JobPhase.COMPLETED);
+    assertThat(cell.ordersTo("w0")).isEqualTo(before);
+  }
+
+  /** Guards against one report with names or numbers that cannot be ending the coordinator. */
+  @Property(tries = 200, seed = "4721")
+  void reportsThatCannotBeEndNothing(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    SimulatedCell cell = cell(seed, 2);
+    String id = "odd" + seed;
+    SimulatedJobs.job(id, SimulatedJobs.step(2, 4_000, 600, false));
+    cell.submit(id, "team", SimulatedJobs.specOf(id));
+    cell.run(200);
+    Random random = new Random(seed);
+    for (int round = 0; round < 5; round++) {
+      cell.coordinator.reported(oddReport(id, random), cell.moment());
+      cell.run(20);
+    }
+    cell.run(1_500);
+    assertThat(cell.coordinator.job(id).orElseThrow().phase()).isEqualTo(JobPhase.COMPLETED);
+  }
+
+  private static WorkerReport oddReport(String jobId, Random random) {
+    List<String> names =
+        List.of(
+            "", ".", "x", jobId, jobId + ".0.9.0", jobId + ".0.0.99", jobId + ".7.0.-1", "a.b.c.d");
+    List<RunRow> rows = new ArrayList<>();
+    List<EndRow> ends = new ArrayList<>();
+    for (int row = 0; row < 4; row++) {
+      String name = names.get(random.nextInt(names.size()));
+      rows.add(new RunRow(name, random.nextInt(), "", random.nextInt(), random.nextLong()));
+      EndKind kind = EndKind.values()[random.nextInt(EndKind.values().length)];
+      ends.add(new EndRow(random.nextInt(2), name, random.nextInt(), kind, ""));
+    }
+    return new WorkerReport("w" + random.nextInt(4), 100, random.nextLong(), 0, rows, ends, false);
+  }
+}
