--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorTest.java
@@ -125,8 +125,7 @@
   @Example
   void cancelledJobIsStopped() {
     SimulatedCell cell = cell(7, 2);
-    SimulatedJobs.job("cancel", SimulatedJobs.step(8, 4_000, 4_000, false));
-    cell.submit("cancel", "team", SimulatedJobs.specOf("cancel"));
+    cell.submit("cancel", SimulatedJobs.step(8, 4_000, 4_000, false));
     cell.run(500);
     assertThat(cell.coordinator.cancel("cancel", cell.moment())).isTrue();
     cell.run(1_500);
@@ -143,8 +142,7 @@
   @Example
   void cancelledRunThatWasTakenOverIsStoppedOnceItsWorkerCanBeReached() {
     SimulatedCell cell = cell(21, 2);
-    SimulatedJobs.job("lasting", SimulatedJobs.lastingStep(3, 1_000));
-    cell.submit("lasting", "team", SimulatedJobs.specOf("lasting"));
+    cell.submit("lasting", SimulatedJobs.lastingStep(3, 1_000));
     cell.run(500);
     cell.takeOver();
     cell.run(500);
@@ -164,8 +162,7 @@
   @Example
   void cancelledRunIsStoppedByTheNextCoordinator() {
     SimulatedCell cell = cell(22, 2);
-    SimulatedJobs.job("lasting2", SimulatedJobs.lastingStep(3, 1_000));
-    cell.submit("lasting2", "team", SimulatedJobs.specOf("lasting2"));
+    cell.submit("lasting2", SimulatedJobs.lastingStep(3, 1_000));
     cell.run(500);
     cell.workers.values().forEach(worker -> worker.reachable = false);
     assertThat(cell.coordinator.cancel("lasting2", cell.moment())).isTrue();
@@ -221,8 +218,7 @@
   @Example
   void taskOfWorkerThatIsGoneRunsElsewhereOnceItsLeaseIsOver() {
     SimulatedCell cell = cell(16, 3);
-    SimulatedJobs.job("gone1", SimulatedJobs.step(6, 7_000, 3_000, false));
-    cell.submit("gone1", "team", SimulatedJobs.specOf("gone1"));
+    cell.submit("gone1", SimulatedJobs.step(6, 7_000, 3_000, false));
     cell.run(500);
     SimulatedWorker gone = cell.workers.get("w0");
     assertThat(gone.runs).isNotEmpty();
@@ -243,8 +239,7 @@
     List<String> ids = new ArrayList<>();
     for (int index = 0; index < 20; index++) {
       String id = "urgent" + index;
-      SimulatedJobs.job(id, SimulatedJobs.step(2, 1_000, 300, false));
-      cell.submit(id, "team", SimulatedJobs.specOf(id));
+      cell.submit(id, SimulatedJobs.step(2, 1_000, 300, false));
       ids.add(id);
       cell.run(100);
     }
@@ -262,8 +257,7 @@
         new SimulatedCell(
             18, SimulatedJobs.config(Resources.NONE, new AdvicePolicy(20, 1, 2_500)), 3);
     cell.emptyAdvice = 2;
-    SimulatedJobs.job("advised", SimulatedJobs.step(2, 1_000, 300, false));
-    cell.submit("advised", "team", SimulatedJobs.specOf("advised"));
+    cell.submit("advised", SimulatedJobs.step(2, 1_000, 300, false));
     cell.run(6_000);
     assertThat(cell.coordinator.job("advised").orElseThrow().phase()).isEqualTo(JobPhase.COMPLETED);
   }
@@ -277,8 +271,7 @@
     AdvicePolicy advice = new AdvicePolicy(400, 5.8, 2_500);
     SimulatedCell cell = new SimulatedCell(24, SimulatedJobs.config(Resources.NONE, advice), 260);
     cell.goodShare = 0.35;
-    SimulatedJobs.job("wide", SimulatedJobs.step(75, 7_500, 1_000, true));
-    cell.submit("wide", "team", SimulatedJobs.specOf("wide"));
+    cell.submit("wide", SimulatedJobs.step(75, 7_500, 1_000, true));
     cell.run(2 * advice.callMillis(SimulatedJobs.MAX_ADVISED_WORKERS) + 150);
     assertThat(cell.starts).isEqualTo(75);
   }
@@ -291,8 +284,7 @@
   void adviceIsAskedAsSoonAsWorkersHaveReported() {
     AdvicePolicy advice = new AdvicePolicy(20, 0.3, 2_500);
     SimulatedCell cell = new SimulatedCell(26, SimulatedJobs.config(Resources.NONE, advice), 40);
-    SimulatedJobs.job("first", SimulatedJobs.step(2, 1_000, 300, false));
-    cell.submit("first", "team", SimulatedJobs.specOf("first"));
+    cell.submit("first", SimulatedJobs.step(2, 1_000, 300, false));
     cell.run(20 + advice.callMillis(30) + 60);
     assertThat(cell.starts).isEqualTo(2);
   }
@@ -306,8 +298,7 @@
     SimulatedCell cell =
         new SimulatedCell(
             25, SimulatedJobs.config(Resources.NONE, new AdvicePolicy(20, 0.3, 800)), 300);
-    SimulatedJobs.job("many", SimulatedJobs.step(900, 15_000, 4_000, false));
-    cell.submit("many", "team", SimulatedJobs.specOf("many"));
+    cell.submit("many", SimulatedJobs.step(900, 15_000, 4_000, false));
     cell.run(20_000);
     assertThat(cell.coordinator.job("many").orElseThrow().phase()).isEqualTo(JobPhase.COMPLETED);
   }
@@ -322,8 +313,7 @@
     cell.faults = new SimulatedCell.Faults(0, 0, 1);
     for (int index = 0; index < 8; index++) {
       String id = "bad" + index;
-      SimulatedJobs.job(id, SimulatedJobs.step(1, 1_000, 100, false));
-      cell.submit(id, "team", SimulatedJobs.specOf(id));
+      cell.submit(id, SimulatedJobs.step(1, 1_000, 100, false));
       cell.run(60);
     }
     cell.run(60_000);
@@ -337,8 +327,7 @@
     SimulatedCell cell =
         new SimulatedCell(
             9, SimulatedJobs.config(new Resources(6_000, 0, 0), AdvicePolicy.NONE), 3);
-    SimulatedJobs.job("limited", SimulatedJobs.step(9, 2_000, 600, false));
-    cell.submit("limited", "team", SimulatedJobs.specOf("limited"));
+    cell.submit("limited", SimulatedJobs.step(9, 2_000, 600, false));
     for (int round = 0; round < 100; round++) {
       cell.run(50);
       int running = cell.workers.values().stream().mapToInt(worker -> worker.runs.size()).sum();
@@ -351,8 +340,7 @@
   @Example
   void repeatedSubmissionIsOneJob() {
     SimulatedCell cell = cell(11, 2);
-    SimulatedJobs.job("same", SimulatedJobs.step(1, 1_000, 300, false));
-    cell.submit("same", "team", SimulatedJobs.specOf("same"));
+    cell.submit("same", SimulatedJobs.step(1, 1_000, 300, false));
     cell.submit("same", "team", SimulatedJobs.specOf("same"));
     cell.run(2_000);
     cell.submit("same", "team", SimulatedJobs.specOf("same"));
@@ -364,8 +352,7 @@
   @Example
   void completionIsShownOnlyOnceItIsStored() {
     SimulatedCell cell = cell(13, 2);
-    SimulatedJobs.job("shown", SimulatedJobs.step(1, 1_000, 300, false));
-    cell.submit("shown", "team", SimulatedJobs.specOf("shown"));
+    cell.submit("shown", SimulatedJobs.step(1, 1_000, 300, false));
     cell.run(150);
     cell.storeDown = true;
     cell.run(2_000);
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/DrainMoverTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/DrainMoverTest.java
@@ -20,8 +20,7 @@
   @Example
   void lastingTasksAreMovedBeforeTheirWorkerLeaves() {
     SimulatedCell cell = cell(28);
-    SimulatedJobs.job("stays", SimulatedJobs.lastingStep(6, 2_000));
-    cell.submit("stays", "team", SimulatedJobs.specOf("stays"));
+    cell.submit("stays", SimulatedJobs.lastingStep(6, 2_000));
     cell.run(1_000);
     SimulatedWorker leaving =
         cell.workers.values().stream().filter(w -> !w.runs.isEmpty()).findFirst().orElseThrow();
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
@@ -137,6 +137,11 @@
     coordinator.workersListed(listed, moment());
   }
 
+  /** Hands in a job of these steps for the team of the simulation. */
+  void submit(String jobId, StepSpec... steps) {
+    submit(jobId, "team", SimulatedJobs.job(jobId, steps));
+  }
+
   void submit(String jobId, String team, JobSpec spec) {
     Queue queue = config.queue("q").orElseThrow();
     coordinator.submit(jobId, queue, new Submitter(team, "zone-0"), spec, moment());
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/WorkerMonitorTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/WorkerMonitorTest.java
@@ -30,8 +30,7 @@
   void runsOfASilentWorkerGoOnAtItsReturn(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
     SimulatedCell cell = cell(seed, 3);
     String id = "silent" + seed;
-    SimulatedJobs.job(id, SimulatedJobs.step(6, 4_000, 6_000, false));
-    cell.submit(id, "team", SimulatedJobs.specOf(id));
+    cell.submit(id, SimulatedJobs.step(6, 4_000, 6_000, false));
     cell.run(500);
     assertThat(cell.starts).isEqualTo(6);
     boolean takeover = cell.random.nextBoolean();
@@ -54,15 +53,13 @@
   @Example
   void workerThatHasLeftGetsNothingFromTheNextCoordinator() {
     SimulatedCell cell = cell(31, 3);
-    SimulatedJobs.job("left1", SimulatedJobs.step(6, 4_000, 300, false));
-    cell.submit("left1", "team", SimulatedJobs.specOf("left1"));
+    cell.submit("left1", SimulatedJobs.step(6, 4_000, 300, false));
     cell.run(2_000);
     cell.workers.get("w0").crash();
     cell.run(1_000);
     cell.takeOver();
     int before = cell.ordersTo("w0");
-    SimulatedJobs.job("left2", SimulatedJobs.step(8, 4_000, 300, false));
-    cell.submit("left2", "team", SimulatedJobs.specOf("left2"));
+    cell.submit("left2", SimulatedJobs.step(8, 4_000, 300, false));
     cell.run(3_000);
     assertThat(cell.coordinator.job("left2").orElseThrow().phase()).isEqualTo(JobPhase.COMPLETED);
     assertThat(cell.ordersTo("w0")).isEqualTo(before);
@@ -73,8 +70,7 @@
   void reportsThatCannotBeEndNothing(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
     SimulatedCell cell = cell(seed, 2);
     String id = "odd" + seed;
-    SimulatedJobs.job(id, SimulatedJobs.step(2, 4_000, 600, false));
-    cell.submit(id, "team", SimulatedJobs.specOf(id));
+    cell.submit(id, SimulatedJobs.step(2, 4_000, 600, false));
     cell.run(200);
     Random random = new Random(seed);
     for (int round = 0; round < 5; round++) {
