Try steps of a team at its limit only when its usage falls

Cause: each piece of room that appeared had the whole backlog of a team at its limit tried again, so one team's burst costs the coordinator its processor. Test: stepsOfATeamAtItsLimitAreNotTriedWhenThereIsRoom failed before.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WaitingSteps.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WaitingSteps.java
@@ -104,6 +104,10 @@
     }
   }
 
+  private boolean isLimited(StepRun step) {
+    return limitedByTeam.getOrDefault(step.job().team(), Set.of()).contains(step);
+  }
+
   /** Has the steps tried again that a worker with free room could run. */
   void roomOn(Worker worker) {
     Resources free = worker.free();
@@ -112,7 +116,7 @@
         unrestrictedByService.getOrDefault(worker.listing().service(), Set.of());
     for (Set<StepRun> waiting : List.of(permitted, unrestricted)) {
       for (StepRun step : waiting) {
-        if (step.spec().reservation().fitsIn(free)) {
+        if (step.spec().reservation().fitsIn(free) && !isLimited(step)) {
           due.add(step);
         }
       }
@@ -141,6 +145,8 @@
   List<StepRun> takeDue() {
     List<StepRun> taken = new ArrayList<>(due);
     due.clear();
+    // Whether a team is at its limit is found anew by the attempt.
+    taken.forEach(step -> removeFrom(limitedByTeam, step.job().team(), step));
     taken.sort(ORDER);
     return taken;
   }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/PlacementPlannerTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/PlacementPlannerTest.java
@@ -302,4 +302,32 @@
     assertThat(state.waiting().anyDue()).isFalse();
     assertThat(state.waiting().all()).hasSize(50);
   }
+
+  /**
+   * Guards against one team's backlog beyond its limit being tried at each event, and against a
+   * step that is not tried again once its team may run more.
+   */
+  @Example
+  void stepsOfATeamAtItsLimitAreNotTriedWhenThereIsRoom() {
+    configure(1, 1_000);
+    Worker worker = addWorker(0, 8_000, false);
+    Job running = addJob("plain0", "t0", step(1, 1_000, false, "", "", 0));
+    Job waiting = addJob("plain0", "t0", step(1, 1_000, false, "", "", 0));
+    Job other = addJob("plain0", "t1", step(1, 1_000, false, "", "", 0));
+    plan();
+    ends.ended(other.placements().getFirst(), EndKind.DONE, "", now());
+    state.touch(worker);
+    state.takeTouched().forEach(touched -> usable.refresh(touched, nowMillis));
+    usable.takeWidened().forEach(state.waiting()::roomOn);
+    assertThat(state.waiting().anyDue()).isFalse();
+    configure(2, 2_000);
+    state.waiting().tryAll();
+    plan();
+    assertThat(waiting.placements()).hasSize(1);
+    Job third = addJob("plain0", "t0", step(1, 1_000, false, "", "", 0));
+    plan();
+    ends.ended(running.placements().getFirst(), EndKind.DONE, "", now());
+    plan();
+    assertThat(third.placements()).hasSize(1);
+  }
 }
