--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/DrainMoverTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/DrainMoverTest.java
@@ -33,14 +33,33 @@
     assertThat(cell.violations).isEmpty();
   }
 
+  /** Guards against a step whose tasks are all away at a time, though only one of them may be. */
+  @Example
+  void noMoreTasksAreTakenOffThanMayBeAway() {
+    SimulatedCell cell = cell(30);
+    cell.submit("few", SimulatedJobs.lastingStep(6, 2_000, 1));
+    cell.run(1_000);
+    SimulatedWorker leaving =
+        cell.workers.values().stream().filter(w -> w.runs.size() > 1).findFirst().orElseThrow();
+    cell.drain(leaving.id, 20_000);
+    int fewest = 6;
+    for (int round = 0; round < 3_800; round++) {
+      cell.run(5);
+      fewest =
+          Math.min(
+              fewest, cell.workers.values().stream().mapToInt(worker -> worker.runs.size()).sum());
+    }
+    assertThat(leaving.runs).isEmpty();
+    assertThat(fewest).isEqualTo(5);
+    assertThat(cell.violations).isEmpty();
+  }
+
   /** Guards against work that is thrown away though its worker would have finished it. */
   @Example
   void shortTasksAreLeftToAWorkerThatDrains() {
     SimulatedCell cell = cell(29);
-    SimulatedJobs.job("short", SimulatedJobs.step(6, 2_000, 900, false));
-    SimulatedJobs.job("long", SimulatedJobs.step(6, 2_000, 9_000, false));
-    cell.submit("short", "team", SimulatedJobs.specOf("short"));
-    cell.submit("long", "team", SimulatedJobs.specOf("long"));
+    cell.submit("short", SimulatedJobs.step(6, 2_000, 900, false));
+    cell.submit("long", SimulatedJobs.step(6, 2_000, 9_000, false));
     cell.run(300);
     for (SimulatedWorker worker : List.copyOf(cell.workers.values()).subList(0, 2)) {
       cell.drain(worker.id, 2_000);
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedJobs.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedJobs.java
@@ -25,12 +25,17 @@
   }
 
   static StepSpec step(int count, long millicores, long millis, boolean gang, Integer... after) {
-    return step(count, millicores, millis, gang, false, after);
+    return step(count, millicores, millis, gang, false, 0, after);
   }
 
   /** Returns a step whose tasks run until the job is cancelled. */
   static StepSpec lastingStep(int count, long millicores) {
-    return step(count, millicores, 300, false, true);
+    return lastingStep(count, millicores, 0);
+  }
+
+  /** Returns a lasting step of which at most so many tasks may be taken down at a time. */
+  static StepSpec lastingStep(int count, long millicores, int maxUnavailable) {
+    return step(count, millicores, 300, false, true, maxUnavailable);
   }
 
   private static StepSpec step(
@@ -39,6 +44,7 @@
       long millis,
       boolean gang,
       boolean longRunning,
+      int maxUnavailable,
       Integer... after) {
     return new StepSpec(
         count,
@@ -56,7 +62,7 @@
         "",
         0,
         false,
-        0);
+        maxUnavailable);
   }
 
   static JobSpec job(String jobId, StepSpec... steps) {
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedWorker.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedWorker.java
@@ -206,12 +206,19 @@
     }
     List<RunRow> rows = new ArrayList<>();
     for (Run run : runs.values()) {
-      int percent = (int) (100 * run.workedMillis / Math.max(1, run.workMillis));
+      int percent = progressPercent(run);
       rows.add(new RunRow(run.task, run.number, "", percent, 0));
     }
     return new WorkerReport(id, incarnation, clock(), sentAtMillis, rows, List.copyOf(ends), true);
   }
 
+  /** Returns the progress of a run; one that lasts is at work from its beginning on. */
+  private static int progressPercent(Run run) {
+    return run.workMillis == Long.MAX_VALUE
+        ? 100
+        : (int) (100 * run.workedMillis / Math.max(1, run.workMillis));
+  }
+
   boolean hasNews(long acknowledged) {
     return ends.stream().anyMatch(end -> end.number() > acknowledged);
   }
