Count room for advice as placement does, so that spread tasks find workers

The calls for advice counted the room of workers that already held a task of the step, found enough, and named the same few workers again and again; workers that could take the task were never asked about. The same held for workers on trial after failures and for those reserved for a gang.

Ruled out: tickets that are not renewed (3 to 8 were valid all the time), the team's limit, room (11 to 30 of 32 known workers had it).

Change: AdvicePlanner and WorkerSuitability share openSlots, which counts what placement would take. The line "waiting" tells the number of permitted workers that are open to the step.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/AdvicePlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/AdvicePlanner.java
@@ -7,7 +7,6 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Predicate;
-import org.cicadaford.model.Resources;
 
 /** Decides which workers a call for advice on a waiting step names, and when it is made. */
 final class AdvicePlanner {
@@ -35,13 +34,16 @@
 
   private final CellState state;
   private final UsableWorkers usable;
+  private final GangReservations reservations;
   private final AdviceDesk desk;
   private final TreeSet<StepRun> queuedForShortCalls = new TreeSet<>(WaitingSteps.ORDER);
   private final TreeSet<StepRun> queuedForLongCalls = new TreeSet<>(WaitingSteps.ORDER);
 
-  AdvicePlanner(CellState state, UsableWorkers usable, AdviceDesk desk) {
+  AdvicePlanner(
+      CellState state, UsableWorkers usable, GangReservations reservations, AdviceDesk desk) {
     this.state = state;
     this.usable = usable;
+    this.reservations = reservations;
     this.desk = desk;
   }
 
@@ -102,7 +104,6 @@
     if (first) {
       return unknown(step, wantedSlots, 0, worker -> true);
     }
-    Resources demand = step.spec().reservation();
     List<Worker> good = known(step);
     long answerMillis = nowMillis + policy.callMillis(good.size()) + RENEWAL_MARGIN_MILLIS;
     List<Worker> stale = new ArrayList<>();
@@ -111,7 +112,7 @@
       if (step.ticketFor(worker, answerMillis) == null) {
         stale.add(worker);
       } else {
-        validSlots += slots(step, worker);
+        validSlots += openSlots(step, worker);
       }
     }
     if (validSlots >= wantedSlots) {
@@ -120,13 +121,15 @@
     List<Worker> named = new ArrayList<>();
     double slots = validSlots;
     for (Worker worker : stale) {
-      if (slots < wantedSlots && named.size() < MAX_WORKERS && demand.fitsIn(worker.free())) {
+      int open = openSlots(step, worker);
+      if (slots < wantedSlots && named.size() < MAX_WORKERS && open > 0) {
         named.add(worker);
-        slots += slots(step, worker);
+        slots += open;
       }
     }
     if (slots < wantedSlots) {
-      named.addAll(unknown(step, wantedSlots - slots, named.size(), w -> demand.fitsIn(w.free())));
+      named.addAll(
+          unknown(step, wantedSlots - slots, named.size(), w -> openSlots(step, w) > 0));
     }
     if (named.isEmpty() && good.isEmpty()) {
       // No worker is left that may run the step, so the earlier advice is not relied on.
@@ -145,8 +148,10 @@
     return step.spec().gang() ? step.tasks().size() : step.waitingTasks().size();
   }
 
-  private static int slots(StepRun step, Worker worker) {
-    return step.spec().slotsIn(worker.free());
+  /** Returns how many of the waiting tasks could start on a worker with a ticket now. */
+  private int openSlots(StepRun step, Worker worker) {
+    boolean reserved = reservations.holds(worker, step.job().queue().priority());
+    return reserved ? 0 : WorkerSuitability.openSlots(step, worker);
   }
 
   /** Returns the workers with a ticket that may get tasks now, those with the most room first. */
@@ -179,7 +184,7 @@
           if (labelled) {
             trial.add(worker);
           }
-          return slots(step, worker) > 0 && !trial.full();
+          return openSlots(step, worker) > 0 && !trial.full();
         });
     if (!trial.full()) {
       usable.visitLargest(
@@ -218,7 +223,7 @@
               && !step.advisedAgainst().contains(worker.id())
               && allowed.test(worker);
       if (open && workers.add(worker)) {
-        expectedSlots += goodShare * slots(step, worker);
+        expectedSlots += goodShare * openSlots(step, worker);
       }
     }
 
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -58,7 +58,9 @@
     monitor = new WorkerMonitor(state, ends);
     advice = new AdviceDesk(state);
     UsableWorkers usable = new UsableWorkers(state);
-    planner = new PlacementPlanner(state, usable, new AdvicePlanner(state, usable, advice));
+    GangReservations reservations = new GangReservations();
+    AdvicePlanner advicePlanner = new AdvicePlanner(state, usable, reservations, advice);
+    planner = new PlacementPlanner(state, usable, reservations, advicePlanner);
     starts = new StartIssuer(state, ends);
     drains = new DrainMover(state);
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
@@ -37,13 +37,15 @@
   private final CellState state;
   private final UsableWorkers usable;
   private final AdvicePlanner advice;
-  private final GangReservations reservations = new GangReservations();
+  private final GangReservations reservations;
   private final GangPlacer gangs;
   private final Map<Demand, Resources> withoutRoom = new HashMap<>();
 
-  PlacementPlanner(CellState state, UsableWorkers usable, AdvicePlanner advice) {
+  PlacementPlanner(
+      CellState state, UsableWorkers usable, GangReservations reservations, AdvicePlanner advice) {
     this.state = state;
     this.usable = usable;
+    this.reservations = reservations;
     this.advice = advice;
     this.gangs = new GangPlacer(usable, reservations);
   }
@@ -275,6 +277,7 @@
   private void report(StepRun step, Moment now) {
     Resources demand = step.spec().reservation();
     List<Worker> known = reservable(step);
+    List<Worker> permitted = advised(step) ? permitted(step, now) : known;
     long withRoom = known.stream().filter(worker -> demand.fitsIn(worker.free())).count();
     String inputs =
         "waiting_tasks="
@@ -288,7 +291,9 @@
             + " with_room="
             + withRoom
             + " ticket_valid="
-            + (advised(step) ? permitted(step, now).size() : 0)
+            + permitted.size()
+            + " open="
+            + permitted.stream().filter(w -> WorkerSuitability.openSlots(step, w) > 0).count()
             + " advised_against="
             + step.advisedAgainst().size()
             + " asking="
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerSuitability.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerSuitability.java
@@ -19,15 +19,27 @@
   static boolean fits(Task task, Worker worker) {
     StepRun step = task.step();
     int limit = step.spec().maxTasksPerWorker();
-    // After several failures in a row a worker has to prove itself with one step at a time.
-    boolean trusted =
-        worker.failuresInARow() < Worker.FAILURES_BEFORE_QUARANTINE
-            || worker.placements().isEmpty();
-    return trusted
+    return trusted(worker)
         && (limit <= 0 || step.placedOn(worker) < limit)
         && step.spec().reservation().fitsIn(worker.free());
   }
 
+  /** Returns how many more tasks of a step a worker can take now. */
+  static int openSlots(StepRun step, Worker worker) {
+    if (!trusted(worker)) {
+      return 0;
+    }
+    int slots = step.spec().slotsIn(worker.free());
+    int limit = step.spec().maxTasksPerWorker();
+    return limit <= 0 ? slots : Math.max(0, Math.min(slots, limit - step.placedOn(worker)));
+  }
+
+  /** After several failures in a row a worker has to prove itself with one step at a time. */
+  private static boolean trusted(Worker worker) {
+    return worker.failuresInARow() < Worker.FAILURES_BEFORE_QUARANTINE
+        || worker.placements().isEmpty();
+  }
+
   /** Returns whether a worker suits a task better than the best one so far. */
   static boolean better(Task task, Worker worker, Worker best) {
     int difference = Integer.compare(penalty(task, worker), penalty(task, best));
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/PlacementPlannerTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/PlacementPlannerTest.java
@@ -24,8 +24,10 @@
   private final CellState state = new CellState(CoordinatorSettings.forPlatform(6_000, 60_000));
   private final AdviceDesk desk = new AdviceDesk(state);
   private final UsableWorkers usable = new UsableWorkers(state);
+  private final GangReservations reservations = new GangReservations();
   private final PlacementPlanner planner =
-      new PlacementPlanner(state, usable, new AdvicePlanner(state, usable, desk));
+      new PlacementPlanner(
+          state, usable, reservations, new AdvicePlanner(state, usable, reservations, desk));
   private final RunEndHandler ends = new RunEndHandler(state);
   private final Map<String, Set<String>> permittedByStep = new HashMap<>();
   private long nowMillis = 1_000;
@@ -285,6 +287,46 @@
     assertThat(beyond.placements()).hasSize(3);
   }
 
+  /**
+   * Guards against a task that waits for ever beside workers that may run it: the calls for advice
+   * counted room on workers that already hold as many tasks of the step as they may. Found on
+   * quiet-1 of retorno-sul-grown (LOST).
+   */
+  @Property(tries = 30, seed = "4803")
+  void taskOfASpreadStepIsPlacedAgainAfterItsTicketsHaveEnded(
+      @ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    new PlacementPlannerTest().endTasksOfSpreadStep(new Random(seed), seed);
+  }
+
+  private void endTasksOfSpreadStep(Random random, long seed) {
+    configure(1, 0);
+    desk.agents(Set.of("e1", "e2"), nowMillis);
+    for (int index = 0; index < 40; index++) {
+      addWorker(index, 2_000 + 1_000L * random.nextInt(8), false);
+    }
+    planner.tick(now());
+    Job job = addJob("advised1", "t1", step(8, 1_000, false, "", "", 1));
+    letTimePass(400);
+    assertThat(job.placements()).as("seed " + seed).hasSize(8);
+    for (int round = 0; round < 6; round++) {
+      letTimePass(3_000);
+      List<Placement> placed = job.placements();
+      for (int count = 1 + random.nextInt(3); count > 0; count--) {
+        ends.ended(placed.remove(random.nextInt(placed.size())), EndKind.STOPPED, "", now());
+      }
+      letTimePass(1_500);
+      assertThat(job.placements()).as("seed " + seed).hasSize(8);
+    }
+  }
+
+  private void letTimePass(long millis) {
+    for (long endMillis = nowMillis + millis; nowMillis < endMillis; nowMillis += 50) {
+      state.workers().values().forEach(worker -> worker.answered(nowMillis));
+      planner.tick(now());
+      plan();
+    }
+  }
+
   /** Guards against a plan that tries the whole backlog at each event. */
   @Example
   void eventWithoutRoomTriesNothing() {
