--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/http/HttpClient.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/http/HttpClient.java
@@ -178,6 +178,10 @@
     }
 
     private void fail(HttpFailure failure) {
+      if (answer.isDone()) {
+        // The call timed out while its connection was being made; the request is released once.
+        return;
+      }
       if (timeout != null) {
         timeout.cancel(false);
       }
