--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Action.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Action.java
@@ -83,9 +83,14 @@
   /**
    * Tells that a job has ended and that this is stored.
    *
+   * @param queue name of its queue
+   * @param team team that it counts for
    * @param ageMillis time since its acceptance, in milliseconds
+   * @param objectiveMillis time in which it was to end, in milliseconds
    */
-  record ReportEnd(String jobId, JobPhase phase, long ageMillis) implements Action {}
+  record ReportEnd(
+      String jobId, JobPhase phase, String queue, String team, long ageMillis, long objectiveMillis)
+      implements Action {}
 
   /**
    * Tells that a step waits.
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/AdvicePlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/AdvicePlanner.java
@@ -1,11 +1,11 @@
 package org.cicadaford.cell;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.function.Predicate;
 
 /** Decides which workers a call for advice on a waiting step names, and when it is made. */
@@ -36,8 +36,8 @@
   private final UsableWorkers usable;
   private final GangReservations reservations;
   private final AdviceDesk desk;
-  private final TreeSet<StepRun> queuedForShortCalls = new TreeSet<>(WaitingSteps.ORDER);
-  private final TreeSet<StepRun> queuedForLongCalls = new TreeSet<>(WaitingSteps.ORDER);
+  private final Set<StepRun> queuedForShortCalls = new LinkedHashSet<>();
+  private final Set<StepRun> queuedForLongCalls = new LinkedHashSet<>();
 
   AdvicePlanner(
       CellState state, UsableWorkers usable, GangReservations reservations, AdviceDesk desk) {
@@ -65,7 +65,7 @@
       return;
     }
     boolean shortCall = AdviceDesk.isShort(policy, state.settings().adviceWorkerCount());
-    TreeSet<StepRun> queue = shortCall ? queuedForShortCalls : queuedForLongCalls;
+    Set<StepRun> queue = shortCall ? queuedForShortCalls : queuedForLongCalls;
     queue.remove(step);
     if (!desk.hasFree(shortCall, nowMillis)) {
       queue.add(step);
@@ -85,9 +85,10 @@
     askQueued(queuedForLongCalls, false, now);
   }
 
-  private void askQueued(TreeSet<StepRun> queue, boolean shortCalls, Moment now) {
+  private void askQueued(Set<StepRun> queue, boolean shortCalls, Moment now) {
     while (!queue.isEmpty() && desk.hasFree(shortCalls, now.steadyMillis())) {
-      StepRun step = queue.pollFirst();
+      StepRun step = Collections.min(queue, StepOrder.at(now.unixMillis()));
+      queue.remove(step);
       if (state.waiting().all().contains(step)) {
         consider(step, now);
       }
@@ -128,8 +129,7 @@
       }
     }
     if (slots < wantedSlots) {
-      named.addAll(
-          unknown(step, wantedSlots - slots, named.size(), w -> openSlots(step, w) > 0));
+      named.addAll(unknown(step, wantedSlots - slots, named.size(), w -> openSlots(step, w) > 0));
     }
     if (named.isEmpty() && good.isEmpty()) {
       // No worker is left that may run the step, so the earlier advice is not relied on.
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -327,7 +327,17 @@
       state.stored(job, storingPhases.get(index));
       if (ended) {
         long ageMillis = now.unixMillis() - job.definition().acceptedAtMillis();
-        state.actions().add(new Action.ReportEnd(job.id(), job.phase(), ageMillis));
+        long objectiveMillis = job.objective().objectiveMillis();
+        state
+            .actions()
+            .add(
+                new Action.ReportEnd(
+                    job.id(),
+                    job.phase(),
+                    job.queueName(),
+                    job.team(),
+                    ageMillis,
+                    objectiveMillis));
       }
     }
     for (Job job : storing) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CoordinatorSettings.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CoordinatorSettings.java
@@ -55,7 +55,7 @@
   private static final long STALL_MILLIS = 2_500;
 
   /** The protocol takes 100, but a call lasts longer with each, and credit counts on 30. */
-  private static final int ADVICE_WORKER_COUNT = 30;
+  static final int ADVICE_WORKER_COUNT = 30;
 
   /** Time for a start order to reach its worker while the ticket is still valid. */
   private static final long TICKET_MARGIN_MILLIS = 200;
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Job.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Job.java
@@ -11,6 +11,7 @@
 final class Job {
 
   private final JobDefinition definition;
+  private final JobObjective objective;
   private final Map<Integer, List<StepRun>> occurrences = new TreeMap<>();
   private final TreeSet<Integer> doneOccurrences = new TreeSet<>();
   private JobPhase phase = JobPhase.PENDING;
@@ -21,6 +22,7 @@
 
   Job(JobDefinition definition) {
     this.definition = definition;
+    this.objective = JobObjective.of(definition.spec(), definition.queue());
   }
 
   String id() {
@@ -44,6 +46,16 @@
     return definition.spec();
   }
 
+  /** Returns the time in which the job, or each of its occurrences, is to end. */
+  JobObjective objective() {
+    return objective;
+  }
+
+  /** Returns the Unix time at which an occurrence begins, in milliseconds. */
+  long beginMillis(int occurrence) {
+    return spec().timed() ? spec().dueMillis(occurrence) : definition.acceptedAtMillis();
+  }
+
   /** Returns the queue as of the job's acceptance. */
   Queue queue() {
     return definition.queue();
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
@@ -12,11 +12,11 @@
  * Places waiting tasks on workers.
  *
  * <p>The load that it answers is a cell that is three quarters full, with urgent tasks of under a
- * second, gangs that take several workers at once, and bursts that double one kind of work. Urgent
- * queues go first, then work within its team's share, then the oldest. A gang for which there is no
- * room reserves workers, so that smaller work of less urgent queues does not hold it up for ever.
- * Tasks run in the zone in which their job was handed in, if there is room: when a zone is cut off,
- * jobs of the other zones lose none of their tasks.
+ * second, gangs that take several workers at once, and bursts that double one kind of work. Steps
+ * are tried in the order of {@link StepOrder}. A gang for which there is no room reserves workers,
+ * so that smaller work of less urgent queues does not hold it up for ever. Tasks run in the zone in
+ * which their job was handed in, if there is room: when a zone is cut off, jobs of the other zones
+ * lose none of their tasks.
  *
  * <p>A step is tried when something that it waits for has changed, see {@link WaitingSteps}.
  */
@@ -71,7 +71,7 @@
       state.waiting().workersAppeared();
     }
     withoutRoom.clear();
-    for (StepRun step : state.waiting().takeDue()) {
+    for (StepRun step : state.waiting().takeDue(StepOrder.at(now.unixMillis()))) {
       attempt(step, now);
     }
     advice.askQueued(now);
@@ -248,7 +248,7 @@
         waiting.add(step);
       }
     }
-    waiting.sort(WaitingSteps.ORDER);
+    waiting.sort(StepOrder.at(now.unixMillis()));
     Map<StepRun, List<Worker>> gangs = new LinkedHashMap<>();
     waiting.forEach(step -> gangs.put(step, reservable(step)));
     reservations.reserve(gangs, usable.count()).forEach(usable::widen);
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
@@ -29,6 +29,8 @@
   private OptionalLong firstTryMillis = OptionalLong.empty();
   private OptionalLong nextTryMillis = OptionalLong.empty();
   private int countedFailureRun;
+  private final long onTimeStartMillis;
+  private final long usefulStartMillis;
 
   StepRun(Job job, int occurrence, int index) {
     this.job = job;
@@ -39,6 +41,19 @@
       tasks.add(new Task(this, task));
     }
     waiting.set(0, tasks.size());
+    JobObjective objective = job.objective();
+    onTimeStartMillis = objective.onTimeStartMillis(index, job.beginMillis(occurrence));
+    usefulStartMillis = objective.usefulStartMillis(index, job.beginMillis(occurrence));
+  }
+
+  /** Returns the latest Unix time at which the step may start for its job to be on time. */
+  long onTimeStartMillis() {
+    return onTimeStartMillis;
+  }
+
+  /** Returns the latest Unix time at which the step may start for its job's end to be of use. */
+  long usefulStartMillis() {
+    return usefulStartMillis;
   }
 
   /** Takes note of a task that is waiting, or done, from now on. */
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WaitingSteps.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WaitingSteps.java
@@ -17,13 +17,6 @@
  */
 final class WaitingSteps {
 
-  /** Urgent queues go first, then work within its team's share, then the oldest. */
-  static final Comparator<StepRun> ORDER =
-      Comparator.<StepRun>comparingInt(step -> step.job().queue().priority())
-          .thenComparing(step -> step.job().definition().excess())
-          .thenComparingLong(step -> step.job().definition().acceptedAtMillis())
-          .thenComparing(StepRun::name);
-
   private final Set<StepRun> steps = new LinkedHashSet<>();
   private final Set<StepRun> due = new LinkedHashSet<>();
   private final Map<String, Set<StepRun>> byPermittedWorker = new HashMap<>();
@@ -141,13 +134,13 @@
     return !due.isEmpty();
   }
 
-  /** Returns the steps to be tried now, the first ones first. */
-  List<StepRun> takeDue() {
+  /** Returns the steps to be tried now, the first ones of an order first. */
+  List<StepRun> takeDue(Comparator<StepRun> order) {
     List<StepRun> taken = new ArrayList<>(due);
     due.clear();
     // Whether a team is at its limit is found anew by the attempt.
     taken.forEach(step -> removeFrom(limitedByTeam, step.job().team(), step));
-    taken.sort(ORDER);
+    taken.sort(order);
     return taken;
   }
 
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
@@ -19,7 +19,6 @@
 import org.cicadaford.cell.Coordinator;
 import org.cicadaford.cell.CoordinatorSettings;
 import org.cicadaford.cell.ElapsedTime;
-import org.cicadaford.cell.JobPhase;
 import org.cicadaford.cell.JobSpec;
 import org.cicadaford.cell.JobView;
 import org.cicadaford.cell.Moment;
@@ -349,8 +348,8 @@
       case Action.StopTask stop -> sender.stop(stop);
       case Action.Renew renew -> sender.renew(renew);
       case Action.AskAdvice ask -> sender.ask(ask);
-      case Action.ReportEnd(String jobId, JobPhase phase, long ageMillis) ->
-          log.decision("end", jobId, phase.name(), "age_ms=" + ageMillis + " epoch=" + epoch);
+      case Action.ReportEnd end ->
+          log.decision("end", end.jobId(), end.phase().name(), inputs(end));
       case Action.ReportWaiting(String step, String inputs) ->
           log.decision("waiting", step, "not-placed", inputs);
       case Action.ConfirmSubmission(String jobId) -> confirm(submissions, jobId, "accept");
@@ -358,6 +357,19 @@
     }
   }
 
+  private String inputs(Action.ReportEnd end) {
+    return "age_ms="
+        + end.ageMillis()
+        + " objective_ms="
+        + end.objectiveMillis()
+        + " queue="
+        + end.queue()
+        + " team="
+        + end.team()
+        + " epoch="
+        + epoch;
+  }
+
   private void confirm(
       Map<String, List<CompletableFuture<CellReply>>> waiting, String jobId, String category) {
     List<CompletableFuture<CellReply>> replies = waiting.remove(jobId);
