--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import org.cicadaford.model.Resources;
 
 /** State of the cell that the parts of the coordinator share; one thread uses it. */
 final class CellState {
@@ -22,7 +21,7 @@
   private final CoordinatorSettings settings;
   private final Map<String, Job> jobs = new LinkedHashMap<>();
   private final Map<String, Worker> workers = new LinkedHashMap<>();
-  private final Map<String, Resources> usageByTeam = new HashMap<>();
+  private final TeamLimits limits = new TeamLimits();
   private final Set<Job> timedJobs = new LinkedHashSet<>();
   private final WaitingSteps waiting = new WaitingSteps();
   private final Set<Worker> touched = new LinkedHashSet<>();
@@ -240,8 +239,9 @@
     return actions;
   }
 
-  Resources usageOf(String team) {
-    return usageByTeam.getOrDefault(team, Resources.NONE);
+  /** Returns what the teams use of their limits. */
+  TeamLimits limits() {
+    return limits;
   }
 
   void place(Placement placement) {
@@ -250,7 +250,12 @@
     task.lastRun(placement.run());
     placement.worker().add(placement);
     touch(placement.worker());
-    count(task, 1);
+    Job job = task.step().job();
+    limits.add(
+        job.team(),
+        job.queue().priority(),
+        task.step().spec().demand(),
+        placement.orderedAtMillis());
   }
 
   /** Frees what a placement held; the task may run again from now on. */
@@ -262,16 +267,12 @@
     task.place(null);
     stopping.remove(placement);
     placement.worker().remove(placement);
-    count(task, -1);
-    task.step().job().dropIdle(task.step().occurrence());
-    change(task.step().job());
+    Job job = task.step().job();
+    limits.remove(job.team(), job.queue().priority(), task.step().spec().demand());
+    job.dropIdle(task.step().occurrence());
+    change(job);
     touch(placement.worker());
-    waiting.usageFell(task.step().job().team());
-  }
-
-  private void count(Task task, int sign) {
-    Resources demand = task.step().spec().demand().times(sign);
-    usageByTeam.merge(task.step().job().team(), demand, Resources::plus);
+    waiting.usageFell(job.team());
   }
 
   /** Returns the placements whose runs are to be stopped. */
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
@@ -54,6 +54,7 @@
   void tick(Moment now) {
     usable.tick(now.steadyMillis());
     state.waiting().tick(now.steadyMillis());
+    state.waiting().limitsEased(step -> withinLimit(step, tasksAtOnce(step), now));
     reserve(now);
     for (StepRun step : state.waiting().all()) {
       if (step.reportDue(now.steadyMillis(), FIRST_REPORT_MILLIS, REPORT_MILLIS)) {
@@ -95,7 +96,7 @@
     }
     if (!step.startable()) {
       state.waiting().remove(step);
-    } else if (withinLimit(step, step.spec().gang() ? step.tasks().size() : 1)) {
+    } else if (withinLimit(step, tasksAtOnce(step), now)) {
       advice.consider(step, now);
     } else {
       state.waiting().limited(step);
@@ -106,7 +107,7 @@
   private void placeTasks(StepRun step, Moment now) {
     List<Worker> permitted = advised(step) ? permitted(step, now) : List.of();
     for (Task task : step.waitingTasks()) {
-      if (!withinLimit(step, 1)) {
+      if (!withinLimit(step, 1, now)) {
         return;
       }
       Worker best = advised(step) ? bestOf(permitted, task) : bestOfAll(task);
@@ -175,7 +176,7 @@
 
   /** Places all tasks of a gang or none. */
   private void placeGang(StepRun step, Moment now) {
-    if (!withinLimit(step, step.tasks().size())) {
+    if (!withinLimit(step, step.tasks().size(), now)) {
       return;
     }
     List<Worker> chosen =
@@ -217,13 +218,17 @@
     return permitted;
   }
 
-  private boolean withinLimit(StepRun step, int taskCount) {
-    String team = step.job().team();
+  private static int tasksAtOnce(StepRun step) {
+    return step.spec().gang() ? step.tasks().size() : 1;
+  }
+
+  private boolean withinLimit(StepRun step, int taskCount, Moment now) {
+    int priority = step.job().queue().priority();
     Resources more = step.spec().demand().times(taskCount);
     return state
         .config()
-        .team(team)
-        .map(share -> share.allows(state.usageOf(team).plus(more)))
+        .team(step.job().team())
+        .map(share -> state.limits().allows(share, priority, more, now.steadyMillis()))
         .orElse(true);
   }
 
@@ -244,7 +249,7 @@
   private void reserve(Moment now) {
     List<StepRun> waiting = new ArrayList<>();
     for (StepRun step : state.waiting().all()) {
-      if (step.spec().gang() && withinLimit(step, step.tasks().size())) {
+      if (step.spec().gang() && withinLimit(step, step.tasks().size(), now)) {
         waiting.add(step);
       }
     }
@@ -299,7 +304,7 @@
             + " asking="
             + step.adviceInFlight()
             + " within_limit="
-            + withinLimit(step, 1);
+            + withinLimit(step, 1, now);
     state.actions().add(new Action.ReportWaiting(step.name(), inputs));
   }
 }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WaitingSteps.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WaitingSteps.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.cicadaford.model.Resources;
 
 /**
@@ -97,6 +98,11 @@
     }
   }
 
+  /** Has the steps tried again that wait for a team's usage to fall and may run more by now. */
+  void limitsEased(Predicate<StepRun> allowed) {
+    limitedByTeam.values().forEach(steps -> steps.stream().filter(allowed).forEach(due::add));
+  }
+
   private boolean isLimited(StepRun step) {
     return limitedByTeam.getOrDefault(step.job().team(), Set.of()).contains(step);
   }
--- /dev/null
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/TeamLimitsTest.java
@@ -0,0 +1,64 @@
+package org.cicadaford.cell;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Set;
+import net.jqwik.api.Example;
+import org.cicadaford.model.Resources;
+
+/** Tests how a team's limit is divided between its queues. */
+class TeamLimitsTest {
+
+  private static final TeamShare TEAM =
+      new TeamShare("team", Set.of(), 0, new Resources(10_000, 0, 0));
+  private static final int URGENT = 0;
+  private static final int BATCH = 2;
+
+  private final TeamLimits limits = new TeamLimits();
+
+  private static Resources cores(int count) {
+    return new Resources(1_000L * count, 100, 0);
+  }
+
+  /** Guards against batch work that takes the room which urgent work has just left. */
+  @Example
+  void batchWorkLeavesTheRoomThatUrgentWorkUsedLately() {
+    limits.add("team", URGENT, cores(3), 0);
+    limits.add("team", BATCH, cores(5), 0);
+    limits.remove("team", URGENT, cores(3));
+    assertThat(limits.allows(TEAM, BATCH, cores(2), 10)).isTrue();
+    assertThat(limits.allows(TEAM, BATCH, cores(3), 10)).isFalse();
+    assertThat(limits.allows(TEAM, URGENT, cores(5), 10)).isTrue();
+  }
+
+  /** Guards against a part of the limit that is never used again after one burst. */
+  @Example
+  void headroomFades() {
+    limits.add("team", URGENT, cores(4), 0);
+    limits.remove("team", URGENT, cores(4));
+    limits.add("team", BATCH, cores(6), 0);
+    assertThat(limits.allows(TEAM, BATCH, cores(4), 1_000)).isFalse();
+    assertThat(limits.allows(TEAM, BATCH, cores(2), 4_000)).isTrue();
+    assertThat(limits.allows(TEAM, BATCH, cores(4), 60_000)).isTrue();
+  }
+
+  /** Guards against work that waits though its team uses under half of its limit. */
+  @Example
+  void underHalfOfTheLimitNothingIsHeldBack() {
+    limits.add("team", URGENT, cores(10), 0);
+    limits.remove("team", URGENT, cores(10));
+    limits.add("team", BATCH, cores(5), 0);
+    assertThat(limits.allows(TEAM, BATCH, cores(5), 1)).isTrue();
+    limits.add("team", BATCH, cores(1), 1);
+    assertThat(limits.allows(TEAM, BATCH, cores(1), 1)).isFalse();
+  }
+
+  /** Guards against a team beyond its limit, by whichever queue. */
+  @Example
+  void limitHoldsForAllQueuesTogether() {
+    limits.add("team", BATCH, cores(4), 0);
+    limits.add("team", URGENT, cores(4), 0);
+    assertThat(limits.allows(TEAM, URGENT, cores(3), 0)).isFalse();
+    assertThat(limits.usageOf("team")).isEqualTo(cores(8));
+  }
+}
