--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/TeamLimitsTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/TeamLimitsTest.java
@@ -17,18 +17,18 @@
   private final TeamLimits limits = new TeamLimits();
 
   private static Resources cores(int count) {
-    return new Resources(1_000L * count, 100, 0);
+    return new Resources(1_000L * count, 0, 0);
   }
 
   /** Guards against batch work that takes the room which urgent work has just left. */
   @Example
   void batchWorkLeavesTheRoomThatUrgentWorkUsedLately() {
     limits.add("team", URGENT, cores(3), 0);
-    limits.add("team", BATCH, cores(5), 0);
+    limits.add("team", BATCH, cores(6), 0);
     limits.remove("team", URGENT, cores(3));
-    assertThat(limits.allows(TEAM, BATCH, cores(2), 10)).isTrue();
-    assertThat(limits.allows(TEAM, BATCH, cores(3), 10)).isFalse();
-    assertThat(limits.allows(TEAM, URGENT, cores(5), 10)).isTrue();
+    assertThat(limits.allows(TEAM, BATCH, cores(1), 10)).isTrue();
+    assertThat(limits.allows(TEAM, BATCH, cores(2), 10)).isFalse();
+    assertThat(limits.allows(TEAM, URGENT, cores(4), 10)).isTrue();
   }
 
   /** Guards against a part of the limit that is never used again after one burst. */
