--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
@@ -22,6 +22,7 @@
   private final Map<String, Job> jobs = new LinkedHashMap<>();
   private final Map<String, Worker> workers = new LinkedHashMap<>();
   private final TeamLimits limits = new TeamLimits();
+  private final LimitPreemption preemption = new LimitPreemption(this);
   private final Set<Job> timedJobs = new LinkedHashSet<>();
   private final WaitingSteps waiting = new WaitingSteps();
   private final Set<Worker> touched = new LinkedHashSet<>();
@@ -244,12 +245,18 @@
     return limits;
   }
 
+  /** Returns what stops work for the sake of more urgent work of the same team. */
+  LimitPreemption preemption() {
+    return preemption;
+  }
+
   void place(Placement placement) {
     Task task = placement.task();
     task.place(placement);
     task.lastRun(placement.run());
     placement.worker().add(placement);
     touch(placement.worker());
+    preemption.placed(placement);
     Job job = task.step().job();
     limits.add(
         job.team(),
@@ -267,6 +274,7 @@
     task.place(null);
     stopping.remove(placement);
     placement.worker().remove(placement);
+    preemption.released(placement);
     Job job = task.step().job();
     limits.remove(job.team(), job.queue().priority(), task.step().spec().demand());
     job.dropIdle(task.step().occurrence());
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
@@ -54,6 +54,10 @@
   void tick(Moment now) {
     usable.tick(now.steadyMillis());
     state.waiting().tick(now.steadyMillis());
+    state
+        .waiting()
+        .limitedByTeam()
+        .forEach((team, steps) -> state.preemption().makeRoom(team, steps, now));
     state.waiting().limitsEased(step -> withinLimit(step, tasksAtOnce(step), now));
     reserve(now);
     for (StepRun step : state.waiting().all()) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StopReason.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StopReason.java
@@ -10,6 +10,8 @@
   GANG_BROKEN,
   /** The worker leaves before the run can be done. */
   DRAINING,
+  /** More urgent work of the same team needs its part of the team's limit. */
+  PREEMPTED,
   /** The run has made no progress. */
   STALLED,
   /** The start was not answered and the run is not shown; it must not start any more. */
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WaitingSteps.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WaitingSteps.java
@@ -103,6 +103,11 @@
     limitedByTeam.values().forEach(steps -> steps.stream().filter(allowed).forEach(due::add));
   }
 
+  /** Returns the steps that wait for their team's usage to fall, by team. */
+  Map<String, Set<StepRun>> limitedByTeam() {
+    return limitedByTeam;
+  }
+
   private boolean isLimited(StepRun step) {
     return limitedByTeam.getOrDefault(step.job().team(), Set.of()).contains(step);
   }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
@@ -143,7 +143,11 @@
   }
 
   void submit(String jobId, String team, JobSpec spec) {
-    Queue queue = config.queue("q").orElseThrow();
+    submit(jobId, "q", team, spec);
+  }
+
+  void submit(String jobId, String queueName, String team, JobSpec spec) {
+    Queue queue = config.queue(queueName).orElseThrow();
     coordinator.submit(jobId, queue, new Submitter(team, "zone-0"), spec, moment());
   }
 
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedJobs.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedJobs.java
@@ -25,7 +25,7 @@
   }
 
   static StepSpec step(int count, long millicores, long millis, boolean gang, Integer... after) {
-    return step(count, millicores, millis, gang, false, 0, after);
+    return step(count, millicores, millis, gang, false, false, 0, after);
   }
 
   /** Returns a step whose tasks run until the job is cancelled. */
@@ -35,7 +35,12 @@
 
   /** Returns a lasting step of which at most so many tasks may be taken down at a time. */
   static StepSpec lastingStep(int count, long millicores, int maxUnavailable) {
-    return step(count, millicores, 300, false, true, maxUnavailable);
+    return step(count, millicores, 300, false, true, false, maxUnavailable);
+  }
+
+  /** Returns a step whose tasks can be stopped and resumed. */
+  static StepSpec savedStep(int count, long millicores, long millis) {
+    return step(count, millicores, millis, false, false, true, 0);
   }
 
   private static StepSpec step(
@@ -44,6 +49,7 @@
       long millis,
       boolean gang,
       boolean longRunning,
+      boolean checkpointing,
       int maxUnavailable,
       Integer... after) {
     return new StepSpec(
@@ -51,7 +57,7 @@
         new Resources(millicores, 100, 0),
         millis,
         List.of(after),
-        false,
+        checkpointing,
         gang,
         false,
         "",
