--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Action.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Action.java
@@ -87,9 +87,16 @@
    * @param team team that it counts for
    * @param ageMillis time since its acceptance, in milliseconds
    * @param objectiveMillis time in which it was to end, in milliseconds
+   * @param waited times for which its steps have waited for this coordinator, by cause
    */
   record ReportEnd(
-      String jobId, JobPhase phase, String queue, String team, long ageMillis, long objectiveMillis)
+      String jobId,
+      JobPhase phase,
+      String queue,
+      String team,
+      long ageMillis,
+      long objectiveMillis,
+      String waited)
       implements Action {}
 
   /**
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -337,7 +337,8 @@
                     job.queueName(),
                     job.team(),
                     ageMillis,
-                    objectiveMillis));
+                    objectiveMillis,
+                    job.waitTimes().summary()));
       }
     }
     for (Job job : storing) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Job.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Job.java
@@ -19,6 +19,7 @@
   private boolean stored;
   private boolean definitionDropped;
   private long endedAtMillis;
+  private final WaitTimes waitTimes = new WaitTimes();
 
   Job(JobDefinition definition) {
     this.definition = definition;
@@ -163,6 +164,9 @@
       return false;
     }
     boolean finished = doneOccurrences.add(occurrence);
+    if (finished) {
+      steps.forEach(step -> waitTimes.add(step.waitTimes()));
+    }
     dropIdle(occurrence);
     return finished;
   }
@@ -178,6 +182,11 @@
     }
   }
 
+  /** Returns the time for which tasks of the occurrences that are done have waited. */
+  WaitTimes waitTimes() {
+    return waitTimes;
+  }
+
   boolean allDone() {
     return doneOccurrences.size() >= spec().runCount();
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
@@ -79,6 +79,11 @@
     progressAtMillis = nowMillis;
   }
 
+  /** Returns whether its start was sent longer ago than {@code millis} and is not answered. */
+  boolean startOpenFor(long nowMillis, long millis) {
+    return stage == Stage.STARTING && orderSent && nowMillis - orderedAtMillis > millis;
+  }
+
   long orderedAtMillis() {
     return orderedAtMillis;
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
@@ -99,14 +99,23 @@
       placeTasks(step, now);
     }
     if (!step.startable()) {
+      step.waitTimes().over(now.steadyMillis());
       state.waiting().remove(step);
     } else if (withinLimit(step, tasksAtOnce(step), now)) {
+      step.waitTimes().waitsFor(missing(step, now), now.steadyMillis());
       advice.consider(step, now);
     } else {
+      step.waitTimes().waitsFor(WaitCause.LIMIT, now.steadyMillis());
       state.waiting().limited(step);
     }
   }
 
+  /** Returns what a step lacks that its team may run. */
+  private WaitCause missing(StepRun step, Moment now) {
+    boolean unadvised = advised(step) && permitted(step, now).isEmpty();
+    return unadvised ? WaitCause.ADVICE : WaitCause.ROOM;
+  }
+
   /** Places tasks one by one, as many as there is room for. */
   private void placeTasks(StepRun step, Moment now) {
     List<Worker> permitted = advised(step) ? permitted(step, now) : List.of();
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
@@ -29,6 +29,7 @@
   private OptionalLong firstTryMillis = OptionalLong.empty();
   private OptionalLong nextTryMillis = OptionalLong.empty();
   private int countedFailureRun;
+  private final WaitTimes waitTimes = new WaitTimes();
   private final long onTimeStartMillis;
   private final long usefulStartMillis;
 
@@ -46,6 +47,11 @@
     usefulStartMillis = objective.usefulStartMillis(index, job.beginMillis(occurrence));
   }
 
+  /** Returns the time for which the step's tasks have waited so far. */
+  WaitTimes waitTimes() {
+    return waitTimes;
+  }
+
   /** Returns the latest Unix time at which the step may start for its job to be on time. */
   long onTimeStartMillis() {
     return onTimeStartMillis;
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
@@ -128,6 +128,11 @@
     unsettled.add(placement);
   }
 
+  /** Returns the placements of which it is open whether their run has begun. */
+  Set<Placement> unsettled() {
+    return unsettled;
+  }
+
   void settled(Placement placement) {
     unsettled.remove(placement);
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -10,6 +10,12 @@
 /** Follows workers by the platform's list and by their reports, and decides which runs are over. */
 final class WorkerMonitor {
 
+  /**
+   * Time after which the worker is asked about a start that it has not answered, in milliseconds.
+   * Most answers take 5 ms, and urgent tasks of 0.6 s can spare 0.5 s.
+   */
+  private static final long START_DOUBT_MILLIS = 100;
+
   /** Time after which an unanswered stop is sent again, in milliseconds. */
   private static final long STOP_AGAIN_MILLIS = 350;
 
@@ -209,6 +215,7 @@
     List<Worker> forgotten = new ArrayList<>();
     for (Worker worker : state.workers().values()) {
       expire(worker, now);
+      doubtOpenStarts(worker, now);
       state.checkRenewal(worker);
       if (!worker.listed() && worker.placements().isEmpty() && !worker.renewalInFlight()) {
         forgotten.add(worker);
@@ -218,6 +225,19 @@
     List.copyOf(state.stopping()).forEach(placement -> repeatStop(placement, now));
   }
 
+  /**
+   * Has the worker tell about starts that it has not answered. An answer that comes later is not
+   * needed; a run that is not there is stopped before its task is placed again.
+   */
+  private void doubtOpenStarts(Worker worker, Moment now) {
+    for (Placement placement : List.copyOf(worker.unsettled())) {
+      if (placement.startOpenFor(now.steadyMillis(), START_DOUBT_MILLIS)) {
+        placement.uncertain(now.steadyMillis());
+        state.look(worker);
+      }
+    }
+  }
+
   private void expire(Worker worker, Moment now) {
     long nowMillis = now.steadyMillis();
     boolean silent = !worker.answeredWithin(nowMillis, state.settings().unreachableMillis());
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
@@ -362,6 +362,8 @@
         + end.ageMillis()
         + " objective_ms="
         + end.objectiveMillis()
+        + " waited_ms="
+        + end.waited()
         + " queue="
         + end.queue()
         + " team="
