--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/AdviceDesk.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/AdviceDesk.java
@@ -30,11 +30,23 @@
   private static final int INSTANCES_PER_SHORT_CALLER = 3;
 
   /**
-   * Time beyond its expected end after which a call is given up, in milliseconds. The service tells
-   * how long a call takes; an answer that is later comes from an instance that is slow or cut off.
+   * Least time beyond its expected end after which a call is given up, in milliseconds. The service
+   * tells how long a call takes; an answer that is later comes from an instance that is slow or cut
+   * off. How late an instance usually answers is added {@link #LATENESS_FACTOR} times.
    */
   private static final long ANSWER_SLACK_MILLIS = 200;
 
+  private static final int LATENESS_FACTOR = 3;
+
+  /**
+   * Lateness that is assumed of an instance before its first answer, in milliseconds: after a
+   * restart of all processes answers come 50 to 240 ms late.
+   */
+  private static final double FIRST_LATENESS_MILLIS = 100;
+
+  /** Weight of a new answer in an instance's lateness; about five answers count. */
+  private static final double LATENESS_RATE = 0.2;
+
   /** Time for which an instance whose call was given up makes no other one, in milliseconds. */
   private static final long FAILED_AGENT_MILLIS = 500;
 
@@ -58,12 +70,21 @@
     private final String id;
     private boolean shortOnly;
     private long busyUntilMillis;
+    private double latenessMillis = FIRST_LATENESS_MILLIS;
 
     private Agent(String id, long nowMillis) {
       this.id = id;
       this.busyUntilMillis = nowMillis;
     }
 
+    private void answeredLateBy(long millis) {
+      latenessMillis += LATENESS_RATE * (Math.max(0, millis) - latenessMillis);
+    }
+
+    private long slackMillis() {
+      return ANSWER_SLACK_MILLIS + Math.round(LATENESS_FACTOR * latenessMillis);
+    }
+
     @Override
     public int compareTo(Agent other) {
       int order = Long.compare(busyUntilMillis, other.busyUntilMillis);
@@ -137,7 +158,7 @@
     long callId = ++nextCallId;
     openCalls.put(callId, new OpenCall(step, agent, asked, endMillis));
     step.adviceInFlight(true);
-    long timeoutMillis = endMillis - nowMillis + ANSWER_SLACK_MILLIS;
+    long timeoutMillis = endMillis - nowMillis + agent.slackMillis();
     state.actions().add(new Action.AskAdvice(callId, agent.id, step.name(), asked, timeoutMillis));
     return true;
   }
@@ -172,6 +193,7 @@
     if (call == null) {
       return;
     }
+    call.agent().answeredLateBy(nowMillis - call.expectedEndMillis());
     freed(call, nowMillis);
     StepRun step = call.step();
     step.adviceInFlight(false);
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
@@ -72,7 +72,8 @@
     long nowMillis = now.steadyMillis();
     state.takeTouched().forEach(worker -> usable.refresh(worker, nowMillis));
     usable.takeWidened().forEach(state.waiting()::roomOn);
-    if (usable.takeGrown()) {
+    // A new coordinator hears of its workers one by one; its backlog is tried once most are known.
+    if (usable.mostAreKnown() && usable.takeGrown()) {
       state.waiting().workersAppeared();
     }
     withoutRoom.clear();
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/AdviceDeskTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/AdviceDeskTest.java
@@ -53,6 +53,32 @@
     assertThat(others).contains(askedAgent());
   }
 
+  /**
+   * Guards against calls that are given up just before their answers arrive: after a restart of all
+   * processes each one was, and the instances were then left alone for 0.5 s (retorno-sul,
+   * trouble-3 and the end of each day).
+   */
+  @Example
+  void instancesThatAnswerLateGetMoreTime() {
+    desk.agents(Set.of("e1"), 0);
+    long nowMillis = 0;
+    assertThat(slackOfNextCall(nowMillis)).isGreaterThanOrEqualTo(300);
+    for (int call = 0; call < 40; call++) {
+      nowMillis += 1_000;
+      slackOfNextCall(nowMillis);
+      long callId = ((Action.AskAdvice) state.actions().getLast()).callId();
+      desk.answered(callId, Map.of("w", "t"), 2_500, nowMillis + SHORT.callMillis(1));
+    }
+    assertThat(slackOfNextCall(nowMillis + 1_000)).isLessThan(210);
+  }
+
+  /** Makes a call and returns the time beyond its expected end after which it is given up. */
+  private long slackOfNextCall(long nowMillis) {
+    assertThat(desk.ask(step("call" + nowMillis), SHORT, List.of(worker), nowMillis)).isTrue();
+    Action.AskAdvice ask = (Action.AskAdvice) state.actions().getLast();
+    return ask.timeoutMillis() - SHORT.callMillis(1);
+  }
+
   /** Guards against an instance that fails its calls and gets the next one each time. */
   @Example
   void instanceThatFailedIsLeftAloneForAWhile() {
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/StandbyFollower.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/StandbyFollower.java
@@ -25,6 +25,13 @@
   /** Readings of the journal between two readings of the list of workers. */
   private static final int READINGS_PER_LIST = 5;
 
+  /**
+   * Time from the designation to the rehearsal, in milliseconds. After a takeover the instances
+   * have the backlog to forward and the new coordinator's calls for advice to make, which a
+   * rehearsal delayed by up to 0.2 s.
+   */
+  private static final long REHEARSAL_DELAY_MILLIS = 3_000;
+
   /** Time between two rounds of the rehearsal, in milliseconds; a round takes under 10 ms. */
   private static final long REHEARSAL_MILLIS = 40;
 
@@ -64,7 +71,7 @@
     }
     if (answer.standby() && !rehearsed) {
       rehearsed = true;
-      rehearseLater(new CoordinatorRehearsal());
+      rehearseLater(new CoordinatorRehearsal(), REHEARSAL_DELAY_MILLIS);
     }
     designated = answer.standby();
     othersDesignated = !designated;
@@ -88,14 +95,14 @@
   }
 
   /** Runs the rehearsal a round at a time, so that requests are served in between. */
-  private void rehearseLater(CoordinatorRehearsal rehearsal) {
+  private void rehearseLater(CoordinatorRehearsal rehearsal, long delayMillis) {
     loop.schedule(
         () -> {
           if (!stopped && rehearsal.runRound()) {
-            rehearseLater(rehearsal);
+            rehearseLater(rehearsal, REHEARSAL_MILLIS);
           }
         },
-        REHEARSAL_MILLIS,
+        delayMillis,
         TimeUnit.MILLISECONDS);
   }
 
