--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -41,7 +41,7 @@
   private final PlacementPlanner planner;
   private final StartIssuer starts;
   private final DrainMover drains;
-  private final AdmissionPolicy admission = new AdmissionPolicy();
+  private final AdmissionPolicy admission;
   private final List<Job> storing = new ArrayList<>();
   private final List<JobPhase> storingPhases = new ArrayList<>();
   private final List<Placement> storingStarts = new ArrayList<>();
@@ -54,6 +54,7 @@
   /** Creates a coordinator that knows nothing yet. */
   public Coordinator(CoordinatorSettings settings) {
     state = new CellState(settings);
+    admission = new AdmissionPolicy(state);
     ends = new RunEndHandler(state);
     monitor = new WorkerMonitor(state, ends);
     advice = new AdviceDesk(state);
@@ -108,10 +109,6 @@
       state.afterwards().add(new Action.ConfirmSubmission(jobId));
       return new AdmissionDecision.Storing();
     }
-    if (state.pendingCount() >= AdmissionPolicy.MAX_PENDING_JOBS) {
-      return new AdmissionDecision.Refused(
-          "too many jobs are waiting", AdmissionPolicy.RETRY_AFTER_MILLIS);
-    }
     String team = submitter.team();
     double rate = state.config().team(team).map(TeamShare::weight).orElse(0.0);
     boolean excess = admission.isExcess(team, rate, now.steadyMillis());
@@ -119,6 +116,10 @@
         new Job(
             new JobDefinition(
                 jobId, queue, team, submitter.zone(), now.unixMillis(), excess, spec));
+    Optional<AdmissionDecision.Refused> refusal = admission.refusal(job, now);
+    if (refusal.isPresent()) {
+      return refusal.get();
+    }
     state.jobs().put(jobId, job);
     state.change(job);
     state.afterwards().add(new Action.ConfirmSubmission(jobId));
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
@@ -187,9 +187,11 @@
     return switch (decision) {
       case AdmissionDecision.AlreadyStored() ->
           CompletableFuture.completedFuture(CellReply.done("known"));
-      case AdmissionDecision.Refused(String reason, long retryAfterMillis) ->
-          CompletableFuture.completedFuture(
-              new CellReply(CellOutcome.REFUSED, reason, retryAfterMillis));
+      case AdmissionDecision.Refused refused -> {
+        log.refused(jobId, queue.name(), submitter.team(), refused);
+        yield CompletableFuture.completedFuture(
+            new CellReply(CellOutcome.REFUSED, refused.reason(), refused.retryAfterMillis()));
+      }
       case AdmissionDecision.Storing() -> await(submissions, jobId);
     };
   }
@@ -348,8 +350,7 @@
       case Action.StopTask stop -> sender.stop(stop);
       case Action.Renew renew -> sender.renew(renew);
       case Action.AskAdvice ask -> sender.ask(ask);
-      case Action.ReportEnd end ->
-          log.decision("end", end.jobId(), end.phase().name(), inputs(end));
+      case Action.ReportEnd end -> log.ended(end, epoch);
       case Action.ReportWaiting(String step, String inputs) ->
           log.decision("waiting", step, "not-placed", inputs);
       case Action.ConfirmSubmission(String jobId) -> confirm(submissions, jobId, "accept");
@@ -357,21 +358,6 @@
     }
   }
 
-  private String inputs(Action.ReportEnd end) {
-    return "age_ms="
-        + end.ageMillis()
-        + " objective_ms="
-        + end.objectiveMillis()
-        + " waited_ms="
-        + end.waited()
-        + " queue="
-        + end.queue()
-        + " team="
-        + end.team()
-        + " epoch="
-        + epoch;
-  }
-
   private void confirm(
       Map<String, List<CompletableFuture<CellReply>>> waiting, String jobId, String category) {
     List<CompletableFuture<CellReply>> replies = waiting.remove(jobId);
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/DecisionLog.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/DecisionLog.java
@@ -3,6 +3,8 @@
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.cicadaford.cell.Action;
+import org.cicadaford.cell.AdmissionDecision;
 
 /**
  * Writes one line for each decision, at a bounded rate.
@@ -41,6 +43,42 @@
     }
   }
 
+  /** Writes that a submission is refused. */
+  void refused(String jobId, String queue, String team, AdmissionDecision.Refused refused) {
+    decision(
+        "refuse",
+        jobId,
+        "refused",
+        "queue="
+            + queue
+            + " team="
+            + team
+            + " retry_after_ms="
+            + refused.retryAfterMillis()
+            + " reason="
+            + refused.reason());
+  }
+
+  /** Writes that the end of a job is stored, and what its steps have waited for. */
+  void ended(Action.ReportEnd end, long epoch) {
+    decision(
+        "end",
+        end.jobId(),
+        end.phase().name(),
+        "age_ms="
+            + end.ageMillis()
+            + " objective_ms="
+            + end.objectiveMillis()
+            + " waited_ms="
+            + end.waited()
+            + " queue="
+            + end.queue()
+            + " team="
+            + end.team()
+            + " epoch="
+            + epoch);
+  }
+
   private boolean permitted(String category) {
     long now = nowMillis.getAsLong();
     if (now - secondStartMillis >= 1_000) {
