--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRecords.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRecords.java
@@ -25,7 +25,12 @@
   }
 
   static RecordWrite progress(Job job) {
-    return new RecordWrite(PROGRESS_PREFIX + job.id(), RecordCodec.encode(progressOf(job)));
+    boolean idle = job.phase().over() && job.placements().isEmpty();
+    byte[] content =
+        idle
+            ? EndedJobCodec.encode(job.queueName(), job.team(), job.phase(), job.endedAtMillis())
+            : RecordCodec.encode(progressOf(job));
+    return new RecordWrite(PROGRESS_PREFIX + job.id(), content);
   }
 
   static RecordWrite progressDeletion(Job job) {
@@ -39,17 +44,15 @@
   private static JobProgress progressOf(Job job) {
     List<WorkerKey> workers = new ArrayList<>();
     List<OccurrenceProgress> occurrences = new ArrayList<>();
-    if (!job.phase().over() || !job.placements().isEmpty()) {
-      job.occurrences()
-          .forEach(
-              (occurrence, steps) -> {
-                List<TaskProgress> tasks = new ArrayList<>();
-                for (StepRun step : steps) {
-                  step.tasks().forEach(task -> tasks.add(progressOf(task, workers)));
-                }
-                occurrences.add(new OccurrenceProgress(occurrence, tasks));
-              });
-    }
+    job.occurrences()
+        .forEach(
+            (occurrence, steps) -> {
+              List<TaskProgress> tasks = new ArrayList<>();
+              for (StepRun step : steps) {
+                step.tasks().forEach(task -> tasks.add(progressOf(task, workers)));
+              }
+              occurrences.add(new OccurrenceProgress(occurrence, tasks));
+            });
     return new JobProgress(
         job.queueName(),
         job.team(),
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
@@ -65,7 +65,12 @@
       state.jobs().put(definition.jobId(), new Job(definition));
     } else if (write.key().startsWith(JobRecords.PROGRESS_PREFIX)) {
       String jobId = write.key().substring(JobRecords.PROGRESS_PREFIX.length());
-      progressById.put(jobId, RecordCodec.decode(write.value(), JobProgress.class));
+      boolean ended = EndedJobCodec.isShort(write.value());
+      progressById.put(
+          jobId,
+          ended
+              ? EndedJobCodec.decode(write.value())
+              : RecordCodec.decode(write.value(), JobProgress.class));
     }
   }
 
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/StandbyFollower.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/StandbyFollower.java
@@ -43,7 +43,10 @@
   private boolean othersDesignated;
   private boolean rehearsed;
   private boolean stopped;
+
+  /** Whether a reading is open, or another one is scheduled after it. */
   private boolean following;
+
   private int readings;
 
   StandbyFollower(
@@ -128,13 +131,13 @@
             })
         .thenRun(
             () -> {
-              following = false;
               loop.schedule(this::followAgain, FOLLOW_MILLIS, TimeUnit.MILLISECONDS);
             });
   }
 
   private void followAgain() {
-    if (designated && !stopped && !following) {
+    following = designated && !stopped;
+    if (following) {
       follow();
     }
   }
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/StandbyFollowerTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/StandbyFollowerTest.java
@@ -76,6 +76,24 @@
     assertThat(follower.othersDesignated()).isTrue();
   }
 
+  /**
+   * Guards against a standby that reads the journal more often with each answer to its offers of
+   * help: each one between two readings began further readings. On scale-1 of retorno-sul half of
+   * all calls of the store were such readings.
+   */
+  @Example
+  void eachAnswerLeavesTheRateOfReadingsAsItIs() {
+    StandbyFollower follower = follower(true);
+    follower.start();
+    for (int answer = 0; answer < 50; answer++) {
+      follower.designated(new PeerMessage.HelperAnswer(4, true));
+      for (int round = 0; round < 4; round++) {
+        pass(200);
+      }
+    }
+    assertThat(followCount).isLessThanOrEqualTo(50 * 4 + 1);
+  }
+
   /** Guards against a standby that stops following for good when the store was down once. */
   @Example
   void followingGoesOnAfterAFailure() {
--- a/cicadaford-model/src/main/java/org/cicadaford/model/MalformedRecordException.java
+++ b/cicadaford-model/src/main/java/org/cicadaford/model/MalformedRecordException.java
@@ -5,7 +5,13 @@
 
   private static final long serialVersionUID = 1L;
 
-  MalformedRecordException(Class<?> type, Throwable cause) {
+  /**
+   * Creates the exception.
+   *
+   * @param type expected type
+   * @param cause what was wrong, or null if the content has another meaning
+   */
+  public MalformedRecordException(Class<?> type, Throwable cause) {
     super(
         "bytes are not a "
             + type.getSimpleName()
--- a/cicadaford-model/src/main/java/org/cicadaford/model/RecordCodec.java
+++ b/cicadaford-model/src/main/java/org/cicadaford/model/RecordCodec.java
@@ -50,8 +50,10 @@
   /**
    * Walks over the content without copying anything. Reading allocates what a length states, and
    * one that goes beyond the content would take all memory of the process.
+   *
+   * @throws IOException if a length goes beyond the content
    */
-  private static void checkLengths(byte[] content) throws IOException {
+  public static void checkLengths(byte[] content) throws IOException {
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(content)) {
       unpacker.skipValue();
     }
