--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/ReturnTurns.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/ReturnTurns.java
@@ -3,6 +3,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 
 /**
  * Times at which refused callers of one team may come back, one after the other.
@@ -29,7 +30,7 @@
   private static final double LEAST_SPARE_PART = 0.1;
 
   private final Map<String, Long> turnByJob = new LinkedHashMap<>();
-  private long lastTurnMillis;
+  private OptionalLong lastTurnMillis = OptionalLong.empty();
   private double owedMillis;
   private long owedAtMillis;
 
@@ -39,20 +40,35 @@
     owedAtMillis = nowMillis;
   }
 
+  /** Returns the part of the limit that the work leaves that the team is owed. */
+  double sparePart(long nowMillis) {
+    return Math.max(LEAST_SPARE_PART, 1 - owedAt(nowMillis) / AVERAGING_MILLIS);
+  }
+
   private double owedAt(long nowMillis) {
-    return owedMillis * Math.exp((owedAtMillis - nowMillis) / AVERAGING_MILLIS);
+    return owedMillis > 0
+        ? owedMillis * Math.exp((owedAtMillis - nowMillis) / AVERAGING_MILLIS)
+        : 0;
   }
 
-  /** Gives a refused caller a turn; returns the time until it. */
+  /** Gives a refused caller a turn, or leaves it the one that it has; returns the time until it. */
   long add(String jobId, long workMillis, long leastMillis, long nowMillis) {
-    double sparePart = Math.max(LEAST_SPARE_PART, 1 - owedAt(nowMillis) / AVERAGING_MILLIS);
-    long spacingMillis = Math.round(workMillis / sparePart);
-    lastTurnMillis = Math.max(lastTurnMillis + spacingMillis, nowMillis + leastMillis);
+    Long present = turnByJob.get(jobId);
+    if (present != null && present > nowMillis) {
+      return present - nowMillis;
+    }
+    long spacingMillis = Math.round(workMillis / sparePart(nowMillis));
+    long earliestMillis = nowMillis + leastMillis;
+    long turnMillis =
+        lastTurnMillis.isPresent()
+            ? Math.max(lastTurnMillis.getAsLong() + spacingMillis, earliestMillis)
+            : earliestMillis;
+    lastTurnMillis = OptionalLong.of(turnMillis);
     forgetLapsed(nowMillis);
     if (turnByJob.size() < MAX_TURNS) {
-      turnByJob.put(jobId, lastTurnMillis);
+      turnByJob.put(jobId, turnMillis);
     }
-    return lastTurnMillis - nowMillis;
+    return turnMillis - nowMillis;
   }
 
   private void forgetLapsed(long nowMillis) {
@@ -74,6 +90,6 @@
 
   /** Returns whether callers are expected back. */
   boolean anyAhead(long nowMillis) {
-    return nowMillis < lastTurnMillis;
+    return ElapsedTime.ahead(lastTurnMillis, nowMillis);
   }
 }
