--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/AdvicePlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/AdvicePlanner.java
@@ -1,7 +1,6 @@
 package org.cicadaford.cell;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -36,8 +35,8 @@
   private final UsableWorkers usable;
   private final GangReservations reservations;
   private final AdviceDesk desk;
-  private final Set<StepRun> queuedForShortCalls = new LinkedHashSet<>();
-  private final Set<StepRun> queuedForLongCalls = new LinkedHashSet<>();
+  private final StepQueue queuedForShortCalls = new StepQueue();
+  private final StepQueue queuedForLongCalls = new StepQueue();
 
   AdvicePlanner(
       CellState state, UsableWorkers usable, GangReservations reservations, AdviceDesk desk) {
@@ -65,7 +64,7 @@
       return;
     }
     boolean shortCall = AdviceDesk.isShort(policy, state.settings().adviceWorkerCount());
-    Set<StepRun> queue = shortCall ? queuedForShortCalls : queuedForLongCalls;
+    StepQueue queue = shortCall ? queuedForShortCalls : queuedForLongCalls;
     queue.remove(step);
     if (!desk.hasFree(shortCall, nowMillis)) {
       queue.add(step);
@@ -85,10 +84,9 @@
     askQueued(queuedForLongCalls, false, now);
   }
 
-  private void askQueued(Set<StepRun> queue, boolean shortCalls, Moment now) {
+  private void askQueued(StepQueue queue, boolean shortCalls, Moment now) {
     while (!queue.isEmpty() && desk.hasFree(shortCalls, now.steadyMillis())) {
-      StepRun step = Collections.min(queue, StepOrder.at(now.unixMillis()));
-      queue.remove(step);
+      StepRun step = queue.takeFirst(now.unixMillis());
       if (state.waiting().all().contains(step)) {
         consider(step, now);
       }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
@@ -77,7 +77,7 @@
       state.waiting().workersAppeared();
     }
     withoutRoom.clear();
-    for (StepRun step : state.waiting().takeDue(StepOrder.at(now.unixMillis()))) {
+    for (StepRun step : state.waiting().takeDue(now.unixMillis())) {
       attempt(step, now);
     }
     advice.askQueued(now);
@@ -94,16 +94,17 @@
       return;
     }
     step.nextTryMillis(now.steadyMillis() + TRY_AGAIN_MILLIS);
+    List<Worker> permitted = advised(step) ? permitted(step, now) : List.of();
     if (step.spec().gang()) {
-      placeGang(step, now);
+      placeGang(step, permitted, now);
     } else {
-      placeTasks(step, now);
+      placeTasks(step, permitted, now);
     }
     if (!step.startable()) {
       step.waitTimes().over(now.steadyMillis());
       state.waiting().remove(step);
     } else if (withinLimit(step, tasksAtOnce(step), now)) {
-      step.waitTimes().waitsFor(missing(step, now), now.steadyMillis());
+      step.waitTimes().waitsFor(missing(step, permitted), now.steadyMillis());
       advice.consider(step, now);
     } else {
       step.waitTimes().waitsFor(WaitCause.LIMIT, now.steadyMillis());
@@ -112,14 +113,12 @@
   }
 
   /** Returns what a step lacks that its team may run. */
-  private WaitCause missing(StepRun step, Moment now) {
-    boolean unadvised = advised(step) && permitted(step, now).isEmpty();
-    return unadvised ? WaitCause.ADVICE : WaitCause.ROOM;
+  private WaitCause missing(StepRun step, List<Worker> permitted) {
+    return advised(step) && permitted.isEmpty() ? WaitCause.ADVICE : WaitCause.ROOM;
   }
 
   /** Places tasks one by one, as many as there is room for. */
-  private void placeTasks(StepRun step, Moment now) {
-    List<Worker> permitted = advised(step) ? permitted(step, now) : List.of();
+  private void placeTasks(StepRun step, List<Worker> permitted, Moment now) {
     for (Task task : step.waitingTasks()) {
       if (!withinLimit(step, 1, now)) {
         return;
@@ -189,14 +188,12 @@
   }
 
   /** Places all tasks of a gang or none. */
-  private void placeGang(StepRun step, Moment now) {
+  private void placeGang(StepRun step, List<Worker> permitted, Moment now) {
     if (!withinLimit(step, step.tasks().size(), now)) {
       return;
     }
     List<Worker> chosen =
-        advised(step)
-            ? gangs.choose(step, permitted(step, now))
-            : gangs.choose(step, service(step));
+        advised(step) ? gangs.choose(step, permitted) : gangs.choose(step, service(step));
     if (chosen.isEmpty()) {
       return;
     }
@@ -267,9 +264,8 @@
         waiting.add(step);
       }
     }
-    waiting.sort(StepOrder.at(now.unixMillis()));
     Map<StepRun, List<Worker>> gangs = new LinkedHashMap<>();
-    waiting.forEach(step -> gangs.put(step, reservable(step)));
+    StepOrder.sorted(waiting, now.unixMillis()).forEach(step -> gangs.put(step, reservable(step)));
     reservations.reserve(gangs, usable.count()).forEach(usable::widen);
   }
 
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
@@ -110,6 +110,10 @@
     return done.cardinality() == tasks.size();
   }
 
+  int waitingCount() {
+    return waiting.cardinality();
+  }
+
   List<Task> waitingTasks() {
     return waiting.stream().mapToObj(tasks::get).toList();
   }
