Move renewals and answers to orders out of the large classes of the cell

RenewalPlanner decides when leases are renewed, OrderAnswerHandler handles answers to starts and stops. Code is moved only; CoordinatorTest, WorkerMonitorTest and CoordinatorFaultTest pass before and after.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -31,7 +31,9 @@
 
   private final CellState state;
   private final RunEndHandler endHandler;
+  private final OrderAnswerHandler answerHandler;
   private final WorkerMonitor monitor;
+  private final RenewalPlanner renewalPlanner;
   private final AdviceDispatcher dispatcher;
   private final PlacementPlanner planner;
   private final StartIssuer startIssuer;
@@ -52,7 +54,9 @@
     admissionPolicy = new AdmissionPolicy(state);
     PlacementReporter reporter = new PlacementReporter(state);
     endHandler = new RunEndHandler(state, reporter);
+    answerHandler = new OrderAnswerHandler(state, endHandler);
     monitor = new WorkerMonitor(state, endHandler, reporter);
+    renewalPlanner = new RenewalPlanner(state);
     dispatcher = new AdviceDispatcher(state);
     SchedulableWorkerIndex workerIndex = new SchedulableWorkerIndex(state);
     GangReservations reservations = new GangReservations();
@@ -163,38 +167,7 @@
       StartOutcome outcome,
       long clockMillis,
       ClockReading now) {
-    Placement placement = placement(workerId, task, run);
-    if (placement == null || placement.stage() != Placement.Stage.STARTING) {
-      return;
-    }
-    long nowMillis = now.monotonicMillis();
-    if (clockMillis > 0) {
-      placement.worker().clock(clockMillis, nowMillis);
-    }
-    switch (outcome) {
-      case STARTED -> {
-        placement.markConfirmed(state.events().next(), nowMillis);
-        if (placement.stopRequested()) {
-          state.sendStop(placement, nowMillis);
-        }
-      }
-      case BAD_TICKET -> {
-        placement.task().step().tickets().remove(workerId);
-        state.waiting().forbid(placement.task().step(), workerId);
-        endHandler.runLost(placement, ReleaseReason.REFUSED, now);
-      }
-      case NO_ROOM, NOT_STARTED -> {
-        placement.worker().startRefused(nowMillis);
-        endHandler.runLost(placement, ReleaseReason.REFUSED, now);
-      }
-      case FENCED, UNKNOWN -> {
-        // The order may have been carried out or still be in transit. If the next report does not
-        // list the run, it is stopped before its task is placed again.
-        placement.markUncertain(state.events().next(), nowMillis);
-        state.requestImmediateReport(placement.worker());
-      }
-      default -> throw new IllegalStateException("unknown outcome " + outcome);
-    }
+    answerHandler.startAnswered(workerId, task, run, outcome, clockMillis, now);
   }
 
   /**
@@ -205,27 +178,7 @@
    */
   public void stopConfirmed(
       String workerId, String task, int run, long requestNumber, ClockReading now) {
-    Worker worker = state.workers().get(workerId);
-    if (worker == null || !worker.knownBefore(requestNumber)) {
-      return;
-    }
-    worker.earlierOrders().remove(task, run);
-    Placement placement = placement(workerId, task, run);
-    if (placement != null) {
-      placement.stopConfirmed(state.events().next(), now.monotonicMillis());
-      if (placement.stage() == Placement.Stage.STARTING) {
-        placement.markUncertain(state.events().next(), now.monotonicMillis());
-      }
-      if (placement.stage() == Placement.Stage.UNCERTAIN) {
-        state.requestImmediateReport(placement.worker());
-      }
-    }
-  }
-
-  private Placement placement(String workerId, String task, int run) {
-    Worker worker = state.workers().get(workerId);
-    Placement placement = worker == null ? null : worker.placements().get(task);
-    return placement != null && placement.run() == run ? placement : null;
+    answerHandler.stopConfirmed(workerId, task, run, requestNumber, now);
   }
 
   /** Returns the number of the last event, which a request that is sent now follows. */
@@ -272,7 +225,7 @@
       planner.plan(now);
     }
     endedJobRemover.tick(now);
-    state.actions().addAll(monitor.dueRenewals(state.takeWorkersToRenew(), now));
+    state.actions().addAll(renewalPlanner.dueRenewals(state.takeWorkersToRenew(), now));
   }
 
   private void beginDueOccurrences(Job job, ClockReading now) {
--- /dev/null
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/OrderAnswerHandler.java
@@ -0,0 +1,78 @@
+package org.cicadaford.cell;
+
+/** Handles the answers of workers to orders that start and stop runs. */
+final class OrderAnswerHandler {
+
+  private final CellState state;
+  private final RunEndHandler endHandler;
+
+  OrderAnswerHandler(CellState state, RunEndHandler endHandler) {
+    this.state = state;
+    this.endHandler = endHandler;
+  }
+
+  void startAnswered(
+      String workerId,
+      String task,
+      int run,
+      StartOutcome outcome,
+      long clockMillis,
+      ClockReading now) {
+    Placement placement = placement(workerId, task, run);
+    if (placement == null || placement.stage() != Placement.Stage.STARTING) {
+      return;
+    }
+    long nowMillis = now.monotonicMillis();
+    if (clockMillis > 0) {
+      placement.worker().clock(clockMillis, nowMillis);
+    }
+    switch (outcome) {
+      case STARTED -> {
+        placement.markConfirmed(state.events().next(), nowMillis);
+        if (placement.stopRequested()) {
+          state.sendStop(placement, nowMillis);
+        }
+      }
+      case BAD_TICKET -> {
+        placement.task().step().tickets().remove(workerId);
+        state.waiting().forbid(placement.task().step(), workerId);
+        endHandler.runLost(placement, ReleaseReason.REFUSED, now);
+      }
+      case NO_ROOM, NOT_STARTED -> {
+        placement.worker().startRefused(nowMillis);
+        endHandler.runLost(placement, ReleaseReason.REFUSED, now);
+      }
+      case FENCED, UNKNOWN -> {
+        // The order may have been carried out or still be in transit. If the next report does not
+        // list the run, it is stopped before its task is placed again.
+        placement.markUncertain(state.events().next(), nowMillis);
+        state.requestImmediateReport(placement.worker());
+      }
+      default -> throw new IllegalStateException("unknown outcome " + outcome);
+    }
+  }
+
+  void stopConfirmed(String workerId, String task, int run, long requestNumber, ClockReading now) {
+    Worker worker = state.workers().get(workerId);
+    if (worker == null || !worker.knownBefore(requestNumber)) {
+      return;
+    }
+    worker.earlierOrders().remove(task, run);
+    Placement placement = placement(workerId, task, run);
+    if (placement != null) {
+      placement.stopConfirmed(state.events().next(), now.monotonicMillis());
+      if (placement.stage() == Placement.Stage.STARTING) {
+        placement.markUncertain(state.events().next(), now.monotonicMillis());
+      }
+      if (placement.stage() == Placement.Stage.UNCERTAIN) {
+        state.requestImmediateReport(placement.worker());
+      }
+    }
+  }
+
+  private Placement placement(String workerId, String task, int run) {
+    Worker worker = state.workers().get(workerId);
+    Placement placement = worker == null ? null : worker.placements().get(task);
+    return placement != null && placement.run() == run ? placement : null;
+  }
+}
--- /dev/null
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/RenewalPlanner.java
@@ -0,0 +1,66 @@
+package org.cicadaford.cell;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Decides when the lease of a worker is renewed, which also requests its report. */
+final class RenewalPlanner {
+
+  /** Maximum delay of a renewal while run ends are being stored, in milliseconds. */
+  private static final long END_STORE_MILLIS = 500;
+
+  private final CellState state;
+
+  RenewalPlanner(CellState state) {
+    this.state = state;
+  }
+
+  /** Returns the renewals that are due for the given workers. */
+  List<Action.Renew> dueRenewals(List<Worker> workers, ClockReading now) {
+    List<Action.Renew> due = new ArrayList<>();
+    for (Worker worker : workers) {
+      boolean monitored = worker.listed() || !worker.placements().isEmpty();
+      if (monitored && worker.listing() != null && renewalDue(worker, now.monotonicMillis())) {
+        due.add(renewal(worker, now));
+      }
+    }
+    return due;
+  }
+
+  private boolean renewalDue(Worker worker, long nowMillis) {
+    if (worker.immediateReportRequested()) {
+      return true;
+    }
+    if (worker.renewalInFlight() || worker.renewalNotDue(nowMillis)) {
+      return false;
+    }
+    boolean endsUnstored = worker.storedEnd() < worker.processedEnd();
+    // Run ends that are not stored yet would be reported again immediately.
+    return !endsUnstored || worker.renewalOverdue(nowMillis, END_STORE_MILLIS);
+  }
+
+  private Action.Renew renewal(Worker worker, ClockReading now) {
+    long nowMillis = now.monotonicMillis();
+    CoordinatorSettings settings = state.settings();
+    boolean responsive = worker.clockKnown() && worker.failedRenewals() == 0;
+    boolean endsUnstored = worker.storedEnd() < worker.processedEnd();
+    boolean mayWait = responsive && !endsUnstored && !worker.immediateReportRequested();
+    long waitMillis = mayWait ? settings.renewalWaitMillis() : 0;
+    long deadlineMillis = 0;
+    long leaseMillis = state.grantableLeaseMillis(now);
+    if (responsive && leaseMillis > 0) {
+      // The lease of a worker that does not answer is not extended, so that it expires.
+      deadlineMillis = worker.clockAt(nowMillis) + leaseMillis;
+      worker.deadlineSent(deadlineMillis, settings.maxClockSlowdown());
+    }
+    worker.renewalSent(nowMillis + waitMillis);
+    return new Action.Renew(
+        worker.id(),
+        worker.incarnation(),
+        worker.listing().address(),
+        worker.storedEnd(),
+        deadlineMillis,
+        waitMillis,
+        waitMillis + settings.answerMillis());
+  }
+}
