Give up tasks that crash the workers that start them

Cause: only ends that a worker reports as failed counted as attempts. A run that is lost with its worker was placed again without a limit.

Change: CrashAttributor counts a lost worker against the starts that it is not known to have survived. The counts are stored with the task before its next start, which is isolated on the emptiest worker without other recent starts. The job fails with the second crash that nothing else explains, later if other causes are likely, and before the sixth start in any case.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -55,7 +55,8 @@
     PlacementReporter reporter = new PlacementReporter(state);
     endHandler = new RunEndHandler(state, reporter);
     answerHandler = new OrderAnswerHandler(state, endHandler);
-    monitor = new WorkerMonitor(state, endHandler, reporter);
+    CrashAttributor crashes = new CrashAttributor(state, endHandler, reporter);
+    monitor = new WorkerMonitor(state, endHandler, reporter, crashes);
     renewalPlanner = new RenewalPlanner(state);
     dispatcher = new AdviceDispatcher(state);
     SchedulableWorkerIndex workerIndex = new SchedulableWorkerIndex(state);
@@ -69,8 +70,7 @@
 
   /** Restores the state from stored records; returns the keys of those that cannot be decoded. */
   public List<String> restore(List<RecordWrite> records, ClockReading now) {
-    List<String> unreadable = new JobRestorer(state, monitor).restore(records, now);
-    return unreadable;
+    return new JobRestorer(state, monitor).restore(records, now);
   }
 
   /** Applies a configuration unless its version is lower than that of the current one. */
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobProgress.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobProgress.java
@@ -55,8 +55,18 @@
    *
    * @param workerIndex index of its worker in {@link JobProgress#workers}, or -1 if it is not
    *     placed
+   * @param crashCount number of workers whose connections closed right after they started the task
+   * @param startLossCount number of workers that may have been lost because they started the task.
+   *     The two counts are the last elements of the array, so that versions without them skip them
+   *     and this one reads 0 from their records.
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   record TaskProgress(
-      boolean done, int lastRun, int failedCount, int workerIndex, String checkpoint) {}
+      boolean done,
+      int lastRun,
+      int failedCount,
+      int workerIndex,
+      String checkpoint,
+      int crashCount,
+      int startLossCount) {}
 }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRecordFactory.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRecordFactory.java
@@ -75,6 +75,12 @@
       }
     }
     return new TaskProgress(
-        task.done(), task.lastRun(), task.failedCount(), workerIndex, task.checkpoint());
+        task.done(),
+        task.lastRun(),
+        task.failedCount(),
+        workerIndex,
+        task.checkpoint(),
+        task.crashCount(),
+        task.startLossCount());
   }
 }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
@@ -90,6 +90,7 @@
   private void apply(Task task, TaskProgress stored, JobProgress progress, ClockReading now) {
     task.lastRun(stored.lastRun());
     task.failedCount(stored.failedCount());
+    task.losses(stored.crashCount(), stored.startLossCount());
     task.checkpoint(stored.checkpoint());
     if (stored.done()) {
       task.markDone();
@@ -104,6 +105,9 @@
         new Placement(task, stored.lastRun(), worker, key.incarnation(), nowMillis);
     placement.markRestored(state.events().next(), nowMillis);
     state.place(placement);
+    if (task.suspected()) {
+      worker.startSurvival().isolate(placement);
+    }
     if (task.step().job().phase().terminal()) {
       state.requestStop(placement, StopReason.CANCELLED);
     } else if (task.done()) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/OrderAnswerHandler.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/OrderAnswerHandler.java
@@ -29,6 +29,7 @@
     switch (outcome) {
       case STARTED -> {
         placement.markConfirmed(state.events().next(), nowMillis);
+        placement.worker().startSurvival().signOfLife(placement.orderedAtMillis());
         if (placement.stopRequested()) {
           state.sendStop(placement, nowMillis);
         }
@@ -39,7 +40,7 @@
         endHandler.runLost(placement, ReleaseReason.REFUSED, now);
       }
       case NO_ROOM, NOT_STARTED -> {
-        placement.worker().startRefused(nowMillis);
+        placement.worker().quarantine().startRefused(nowMillis);
         endHandler.runLost(placement, ReleaseReason.REFUSED, now);
       }
       case FENCED, UNKNOWN -> {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
@@ -18,10 +18,26 @@
 
   private static final int FULL_PERCENT = 100;
 
+  /**
+   * Time after the confirmation of a start by which a worker has crashed if the task crashes it, in
+   * milliseconds. Crashes were seen 10 ms after the start; the rest is for slow links.
+   */
+  private static final long START_SURVIVAL_MILLIS = 150;
+
+  /**
+   * Time after a start within which the connections of its worker close if the task crashes it, in
+   * milliseconds. Without an open request, the report that is requested once the start should be
+   * survived shows it.
+   */
+  private static final long MAX_CRASH_DELAY_MILLIS = START_SURVIVAL_MILLIS + 100;
+
+  /** Time in which a new coordinator has contacted all workers, in milliseconds. */
+  private static final long FIRST_CONTACT_MILLIS = 1_000;
+
   private final Task task;
   private final int run;
   private final Worker worker;
-  private final long incarnation;
+  private long incarnation;
   private final Resources reservation;
   private Stage stage = Stage.STARTING;
   private boolean orderSent;
@@ -38,6 +54,8 @@
   private long progressAtMillis;
   private String checkpoint = "";
   private long savedAtMillis;
+  private boolean survivalChecked;
+  private boolean restored;
 
   Placement(Task task, int run, Worker worker, long incarnation, long nowMillis) {
     this.task = task;
@@ -65,6 +83,11 @@
     return incarnation;
   }
 
+  /** Moves the placement to a later incarnation of its worker, which may carry out its order. */
+  void incarnation(long laterIncarnation) {
+    incarnation = laterIncarnation;
+  }
+
   Resources reservation() {
     return reservation;
   }
@@ -106,6 +129,38 @@
     return confirmedAtMillis;
   }
 
+  /** Returns whether the worker was alive so long after the start that the run did not crash it. */
+  boolean survivedStart(OptionalLong lastSignOfLifeMillis) {
+    return stage == Stage.RUNNING
+        && lastSignOfLifeMillis.isPresent()
+        && lastSignOfLifeMillis.getAsLong() >= survivalStartMillis() + START_SURVIVAL_MILLIS;
+  }
+
+  /** Returns whether the connection to the worker closed so soon that the start is the cause. */
+  boolean startedJustBefore(OptionalLong disconnectedAtMillis) {
+    if (disconnectedAtMillis.isEmpty()) {
+      return false;
+    }
+    long sinceMillis = disconnectedAtMillis.getAsLong() - survivalStartMillis();
+    // A new coordinator connects to its workers only after it has read the list.
+    return sinceMillis >= 0
+        && sinceMillis <= (restored ? FIRST_CONTACT_MILLIS : MAX_CRASH_DELAY_MILLIS);
+  }
+
+  private long survivalStartMillis() {
+    return restored ? orderedAtMillis : confirmedAtMillis.orElse(orderedAtMillis);
+  }
+
+  /** Returns once whether a report requested now would show that the worker survived the start. */
+  boolean takeSurvivalCheck(long nowMillis) {
+    boolean due =
+        !survivalChecked
+            && stage == Stage.RUNNING
+            && ElapsedTime.isOlderThan(confirmedAtMillis, nowMillis, START_SURVIVAL_MILLIS);
+    survivalChecked |= due;
+    return due;
+  }
+
   OptionalLong stopConfirmedAtMillis() {
     return stopConfirmedAtMillis;
   }
@@ -125,6 +180,7 @@
    * earlier epoch; therefore a run that is not reported is stopped before its task is placed again.
    */
   void markRestored(long eventNumber, long nowMillis) {
+    restored = true;
     orderSent(nowMillis);
     markUncertain(eventNumber, nowMillis);
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
@@ -40,6 +40,7 @@
   private final AdvicePlanner advicePlanner;
   private final GangReservations reservations;
   private final GangPlacer gangPlacer;
+  private final IsolatedStartPlacer isolatedStartPlacer;
   private final Map<DemandKey, Resources> unplaceableDemands = new HashMap<>();
 
   PlacementPlanner(
@@ -52,6 +53,7 @@
     this.reservations = reservations;
     this.advicePlanner = advicePlanner;
     this.gangPlacer = new GangPlacer(workerIndex, reservations);
+    this.isolatedStartPlacer = new IsolatedStartPlacer(workerIndex, reservations);
   }
 
   /** Updates the state that depends on elapsed time. */
@@ -127,7 +129,7 @@
       if (!withinLimit(step, 1, now)) {
         return;
       }
-      Worker best = requiresAdvice(step) ? bestAmong(permitted, task) : bestOverall(task);
+      Worker best = select(task, permitted);
       if (best == null) {
         return;
       }
@@ -135,6 +137,16 @@
     }
   }
 
+  private Worker select(Task task, List<Worker> permitted) {
+    boolean advised = requiresAdvice(task.step());
+    if (task.suspected()) {
+      return advised
+          ? isolatedStartPlacer.select(task, permitted)
+          : isolatedStartPlacer.select(task, service(task.step()));
+    }
+    return advised ? bestAmong(permitted, task) : bestOverall(task);
+  }
+
   private Worker bestAmong(List<Worker> candidates, Task task) {
     Worker best = null;
     for (Worker worker : candidates) {
@@ -258,6 +270,9 @@
     Placement placement =
         new Placement(task, run, worker, worker.incarnation(), now.monotonicMillis());
     state.place(placement);
+    if (task.suspected()) {
+      worker.startSurvival().isolate(placement);
+    }
     task.step().clearLimited();
     state.limitReservations().taskPlaced(task.step());
     workerIndex.refresh(worker, now.monotonicMillis());
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementReporter.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementReporter.java
@@ -13,6 +13,8 @@
   private static final String RELEASE = "release";
   private static final String UNKNOWN_RUN = "unknown-run";
   private static final String RESTART = "worker-restart";
+  private static final String LOST = "worker-lost";
+  private static final String CRASH = "crash";
 
   private final CellState state;
 
@@ -93,6 +95,38 @@
             + placementCount);
   }
 
+  /** Reports that a worker was lost, and how many of its runs may have crashed it. */
+  void lost(Worker worker, String evidence, int runCount, int suspectCount, int lossCount) {
+    report(
+        LOST,
+        worker.id(),
+        evidence,
+        "incarnation="
+            + worker.incarnation()
+            + " runs="
+            + runCount
+            + " suspects="
+            + suspectCount
+            + " losses_at_once="
+            + lossCount);
+  }
+
+  /** Reports that a task is suspected to crash workers, cleared of that, or given up for it. */
+  void crash(Placement placement, String outcome) {
+    report(
+        CRASH,
+        placement.task().name(),
+        outcome,
+        "run="
+            + placement.run()
+            + " worker="
+            + placement.worker().id()
+            + " crashes="
+            + placement.task().crashCount()
+            + " start_losses="
+            + placement.task().startLossCount());
+  }
+
   private void report(String category, String id, String outcome, String inputs) {
     state.actions().add(new Action.ReportDecision(category, id, outcome, inputs));
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/RunEndHandler.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/RunEndHandler.java
@@ -31,7 +31,11 @@
     task.checkpoint(checkpoint);
     state.release(placement);
     if (kind == EndKind.DONE) {
-      placement.worker().succeeded();
+      placement.worker().quarantine().succeeded();
+    }
+    if (kind == EndKind.DONE || kind == EndKind.FAILED) {
+      // The worker has run the task to its end, so starting it does not crash workers.
+      task.members().forEach(member -> member.losses(0, 0));
     }
     if (task.step().job().phase().terminal() || task.done()) {
       return;
@@ -107,9 +111,8 @@
     if (!relevant || step.job().phase().terminal()) {
       return;
     }
-    List<Task> members = step.spec().gang() ? step.tasks() : List.of(task);
-    members.forEach(Task::markDone);
-    for (Task member : members) {
+    task.members().forEach(Task::markDone);
+    for (Task member : task.members()) {
       if (member.placement() != null) {
         state.stop(member.placement(), StopReason.DONE_BEFORE, now.monotonicMillis());
       }
@@ -138,7 +141,7 @@
   private void failed(Placement placement, ClockReading now) {
     Task task = placement.task();
     StepRun step = task.step();
-    placement.worker().failed(step.job().id(), now.monotonicMillis());
+    placement.worker().quarantine().failed(step.job().id(), now.monotonicMillis());
     task.failedOn().add(placement.worker().id());
     if (step.spec().gang()) {
       if (step.countFailureOnce(placement.run())) {
@@ -150,10 +153,7 @@
     }
     boolean exhausted = task.failedCount() >= state.queueOf(step.job()).maxAttempts();
     if (exhausted && !step.spec().longRunning()) {
-      endJob(step.job(), JobPhase.FAILED, now);
-      step.job()
-          .placements()
-          .forEach(other -> state.stop(other, StopReason.JOB_FAILED, now.monotonicMillis()));
+      failJob(step.job(), now);
       return;
     }
     requeue(placement, now);
@@ -171,6 +171,13 @@
     state.enqueueIfPlaceable(step);
   }
 
+  /** Ends a job as failed and stops its remaining runs. */
+  void failJob(Job job, ClockReading now) {
+    endJob(job, JobPhase.FAILED, now);
+    job.placements()
+        .forEach(other -> state.stop(other, StopReason.JOB_FAILED, now.monotonicMillis()));
+  }
+
   /** Ends a job; the caller stops its remaining runs. */
   void endJob(Job job, JobPhase phase, ClockReading now) {
     job.occurrences().values().forEach(steps -> steps.forEach(state.waiting()::remove));
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/SchedulableWorkerIndex.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/SchedulableWorkerIndex.java
@@ -121,7 +121,8 @@
         && !listing.draining()
         && !state.zonesOut().contains(listing.zone())
         && worker.reachable(nowMillis, state.settings().unreachableMillis())
-        && !worker.quarantined(nowMillis)
+        && !worker.quarantine().quarantined(nowMillis)
+        && worker.startSurvival().isolated().isEmpty()
         && !unreachableDetector.excludes(worker);
   }
 
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Task.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Task.java
@@ -1,6 +1,7 @@
 package org.cicadaford.cell;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 
 /** A task of a step in one occurrence of a job. */
@@ -12,6 +13,9 @@
   private boolean done;
   private int lastRun;
   private int failedCount;
+  private int crashCount;
+  private int startLossCount;
+  private int lastLostRun;
   private boolean preemptedBefore;
   private String checkpoint = "";
   private Placement placement;
@@ -62,6 +66,40 @@
     failedCount = count;
   }
 
+  /** Returns the number of workers whose connections closed right after they started the task. */
+  int crashCount() {
+    return crashCount;
+  }
+
+  /** Returns the number of workers that were lost and are not known to have survived its start. */
+  int startLossCount() {
+    return startLossCount;
+  }
+
+  void losses(int crashes, int startLosses) {
+    crashCount = crashes;
+    startLossCount = startLosses;
+  }
+
+  /** Returns the last run whose loss this coordinator has counted, or 0. */
+  int lastLostRun() {
+    return lastLostRun;
+  }
+
+  void lastLostRun(int run) {
+    lastLostRun = run;
+  }
+
+  /** Returns whether the last worker that started the task may have crashed because of it. */
+  boolean suspected() {
+    return startLossCount > 0;
+  }
+
+  /** Returns the tasks that start and end together with this one: all members of its gang. */
+  List<Task> members() {
+    return step.spec().gang() ? step.tasks() : List.of(this);
+  }
+
   /** Returns whether this coordinator has preempted the task. */
   boolean preemptedBefore() {
     return preemptedBefore;
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
@@ -1,7 +1,6 @@
 package org.cicadaford.cell;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -11,24 +10,15 @@
 /** A worker with its listing, its last reports and its placements. */
 final class Worker {
 
-  /** Number of different jobs that must fail in a row before a worker is quarantined. */
-  static final int FAILURES_BEFORE_QUARANTINE = 3;
-
-  /** Duration of the first quarantine, in milliseconds; it doubles with each further failure. */
-  private static final long FIRST_QUARANTINE_MILLIS = 1_000;
+  /** Assumed time until the shutdown of a draining worker; the minimum of the platform. */
+  private static final long DEFAULT_DRAIN_MILLIS = 2_000;
 
   /**
-   * Maximum duration of a quarantine, in milliseconds. It is below the 3 s for which tasks may wait
-   * while there is capacity, because all workers permitted for a step can be in quarantine at the
-   * same time.
+   * Time after which a renewal has reached a worker that is up, in milliseconds. A closed
+   * connection fails earlier after the expected answer, a silent one with the timeout of the
+   * answer.
    */
-  private static final long MAX_QUARANTINE_MILLIS = 2_000;
-
-  /** Pause after the worker refused a start, in milliseconds. */
-  private static final long REFUSED_START_PAUSE_MILLIS = 500;
-
-  /** Assumed time until the shutdown of a draining worker; the minimum of the platform. */
-  private static final long DEFAULT_DRAIN_MILLIS = 2_000;
+  private static final long MIN_PENDING_MILLIS = 20;
 
   private final String id;
   private long incarnation;
@@ -40,6 +30,8 @@
   private final Map<String, Placement> placements = new HashMap<>();
   private final Set<Placement> unconfirmed = new LinkedHashSet<>();
   private final EarlierOrders earlierOrders = new EarlierOrders();
+  private final WorkerQuarantine quarantine = new WorkerQuarantine();
+  private final StartSurvivalTracker startSurvival = new StartSurvivalTracker();
   private boolean unplacedRunReported;
   private long reportedClockMillis;
   private long reportedClockAtMillis;
@@ -54,10 +46,6 @@
   private OptionalLong renewalDueMillis = OptionalLong.empty();
   private OptionalLong nextRenewalAtMillis = OptionalLong.empty();
   private int failedRenewals;
-  private final Set<String> failedJobs = new HashSet<>();
-  private OptionalLong quarantinedUntilMillis = OptionalLong.empty();
-  private long quarantineMillis;
-  private OptionalLong pausedUntilMillis = OptionalLong.empty();
 
   Worker(String id, long incarnation) {
     this.id = id;
@@ -72,6 +60,14 @@
     return incarnation;
   }
 
+  /**
+   * Goes back to the incarnation of a restored placement if it is the earliest one, so that the
+   * first listing shows the end of all earlier incarnations.
+   */
+  void restoreIncarnation(long restored) {
+    incarnation = Math.min(incarnation, restored);
+  }
+
   /** Returns whether a request was sent when this incarnation was known. */
   boolean knownBefore(long requestNumber) {
     return incarnationEvent <= requestNumber;
@@ -118,9 +114,7 @@
     renewalDueMillis = OptionalLong.empty();
     processedEnd = 0;
     storedEnd = 0;
-    failedJobs.clear();
-    quarantineMillis = 0;
-    quarantinedUntilMillis = OptionalLong.empty();
+    quarantine.reset();
   }
 
   Map<String, Placement> placements() {
@@ -154,6 +148,17 @@
       used = used.minus(placement.reservation());
     }
     unconfirmed.remove(placement);
+    startSurvival.endIsolation(placement);
+  }
+
+  /** Returns the quarantine of the worker after failed runs. */
+  WorkerQuarantine quarantine() {
+    return quarantine;
+  }
+
+  /** Returns the tracker of the starts that the worker has to survive. */
+  StartSurvivalTracker startSurvival() {
+    return startSurvival;
   }
 
   Resources free() {
@@ -277,6 +282,24 @@
     renewalDueMillis = ElapsedTime.latest(renewalDueMillis, dueMillis);
   }
 
+  /**
+   * Returns whether the connection of a renewal that fails now was closed while the worker delayed
+   * its answer, which shows that the worker was alive until then.
+   */
+  boolean brokeOffRenewal(long waitMillis, long nowMillis) {
+    long pendingMillis = pendingMillis(waitMillis, nowMillis);
+    return failedRenewals == 0 && pendingMillis > MIN_PENDING_MILLIS && pendingMillis <= waitMillis;
+  }
+
+  /** Returns whether the connection of a renewal that fails now was closed or refused. */
+  boolean closedRenewal(long waitMillis, long nowMillis) {
+    return pendingMillis(waitMillis, nowMillis) <= waitMillis + MIN_PENDING_MILLIS;
+  }
+
+  private long pendingMillis(long waitMillis, long nowMillis) {
+    return nowMillis - (renewalDueMillis.orElse(nowMillis) - waitMillis);
+  }
+
   void renewalFinished() {
     renewalsInFlight = Math.max(0, renewalsInFlight - 1);
     if (renewalsInFlight == 0) {
@@ -334,36 +357,4 @@
   void renewalFailed() {
     failedRenewals++;
   }
-
-  void succeeded() {
-    failedJobs.clear();
-    quarantineMillis = 0;
-  }
-
-  /** Counts a failed run and quarantines the worker after consecutive failures of several jobs. */
-  void failed(String jobId, long nowMillis) {
-    failedJobs.add(jobId);
-    if (failedJobs.size() >= FAILURES_BEFORE_QUARANTINE) {
-      quarantineMillis =
-          quarantineMillis == 0
-              ? FIRST_QUARANTINE_MILLIS
-              : Math.min(2 * quarantineMillis, MAX_QUARANTINE_MILLIS);
-      quarantinedUntilMillis = OptionalLong.of(nowMillis + quarantineMillis);
-    }
-  }
-
-  /** Pauses placement on the worker after it refused a start. */
-  void startRefused(long nowMillis) {
-    pausedUntilMillis = OptionalLong.of(nowMillis + REFUSED_START_PAUSE_MILLIS);
-  }
-
-  boolean quarantined(long nowMillis) {
-    return ElapsedTime.isFuture(quarantinedUntilMillis, nowMillis)
-        || ElapsedTime.isFuture(pausedUntilMillis, nowMillis);
-  }
-
-  /** Returns the number of different jobs that failed since the last success. */
-  int failuresInARow() {
-    return failedJobs.size();
-  }
 }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerEvaluator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerEvaluator.java
@@ -35,9 +35,16 @@
     return limit <= 0 ? slots : Math.max(0, Math.min(slots, limit - step.placedOn(worker)));
   }
 
-  /** After several failures in a row, a worker gets tasks only while it has no placements. */
+  /**
+   * After several failures in a row, a worker gets tasks only while it has no placements; next to
+   * an isolated start it gets none.
+   */
   private static boolean acceptsTask(Worker worker) {
-    return worker.failuresInARow() < Worker.FAILURES_BEFORE_QUARANTINE
+    return worker.startSurvival().isolated().isEmpty() && acceptsTaskAfterFailures(worker);
+  }
+
+  private static boolean acceptsTaskAfterFailures(Worker worker) {
+    return worker.quarantine().failuresInARow() < WorkerQuarantine.FAILURES_BEFORE_QUARANTINE
         || worker.placements().isEmpty();
   }
 
@@ -57,7 +64,7 @@
     if (task.failedOn().contains(worker.id())) {
       penalty += FAILED_TASK_PENALTY;
     }
-    if (task.failedCount() > 0 && worker.failuresInARow() > 0) {
+    if (task.failedCount() > 0 && worker.quarantine().failuresInARow() > 0) {
       penalty += FAILED_OTHERS_PENALTY;
     }
     if (!dataRack.isEmpty() && !dataRack.equals(worker.listing().rack())) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -1,6 +1,7 @@
 package org.cicadaford.cell;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -30,11 +31,17 @@
   private final RunEndHandler endHandler;
   private final PlacementReporter reporter;
   private final UnknownRunHandler unknownRuns;
+  private final CrashAttributor crashes;
 
-  WorkerMonitor(CellState state, RunEndHandler endHandler, PlacementReporter reporter) {
+  WorkerMonitor(
+      CellState state,
+      RunEndHandler endHandler,
+      PlacementReporter reporter,
+      CrashAttributor crashes) {
     this.state = state;
     this.endHandler = endHandler;
     this.reporter = reporter;
+    this.crashes = crashes;
     this.unknownRuns = new UnknownRunHandler(state, reporter);
   }
 
@@ -66,12 +73,18 @@
   /** Returns the worker of a stored placement; it may no longer be listed. */
   Worker workerOfPlacement(String id, long incarnation, long nowMillis) {
     Worker worker = state.workers().computeIfAbsent(id, key -> new Worker(key, incarnation));
+    worker.restoreIncarnation(incarnation);
     worker.recordLeaseExpiry(nowMillis + state.settings().earlierLeaseExpiryMillis());
     return worker;
   }
 
   private void incarnationChanged(Worker worker, long incarnation, ClockReading now) {
     List<Placement> placements = new ArrayList<>(worker.placements().values());
+    List<Placement> lost =
+        ordered(placements).stream()
+            .filter(placement -> placement.incarnation() != incarnation)
+            .toList();
+    crashes.workerLost(worker, lost, CrashAttributor.Evidence.RESTARTED, now);
     long previousIncarnation = worker.incarnation();
     worker.beginIncarnation(incarnation, state.events().next());
     worker
@@ -88,6 +101,7 @@
         worker.recordLeaseExpiry(
             placement.orderedAtMillis() + state.settings().latestLateLeaseMillis());
         placement.forgetStops();
+        placement.incarnation(incarnation);
         placement.markUncertain(state.events().next(), now.monotonicMillis());
         if (placement.stopRequested()) {
           state.sendStop(placement, now.monotonicMillis());
@@ -115,14 +129,20 @@
       incarnationChanged(worker, report.incarnation(), now);
     }
     worker.answered(now.monotonicMillis());
+    worker.startSurvival().signOfLife(report.sentAtMillis());
     worker.clock(report.clockMillis(), now.monotonicMillis());
     worker.nextRenewalAtMillis(now.monotonicMillis());
     state.checkRenewal(worker);
     applyEnds(worker, report, now);
     applyRunning(worker, report, requestNumber, now);
+    crashes.answered(worker);
     state.markChanged(worker);
   }
 
+  private static List<Placement> ordered(Collection<Placement> placements) {
+    return placements.stream().filter(Placement::orderSent).toList();
+  }
+
   private void applyEnds(Worker worker, WorkerReport report, ClockReading now) {
     for (ReportedEnd end : report.ended()) {
       if (end.number() <= worker.processedEnd()) {
@@ -199,6 +219,12 @@
     if (worker == null) {
       return;
     }
+    if (worker.brokeOffRenewal(renewal.waitMillis(), now.monotonicMillis())) {
+      worker.startSurvival().signOfLife(now.monotonicMillis());
+    }
+    if (worker.closedRenewal(renewal.waitMillis(), now.monotonicMillis())) {
+      worker.startSurvival().disconnected(now.monotonicMillis());
+    }
     worker.renewalFinished();
     worker.renewalFailed();
     state.checkRenewal(worker);
@@ -213,11 +239,12 @@
             && worker.listing().address().equals(renewal.address());
     // The answer of an earlier address says nothing of the runs at the current one.
     if (gone && current) {
-      for (Placement placement : List.copyOf(worker.placements().values())) {
-        if (placement.orderSent()) {
-          endHandler.runLost(placement, ReleaseReason.REPLACED, now);
-        }
-      }
+      releaseLost(
+          worker,
+          ordered(worker.placements().values()),
+          CrashAttributor.Evidence.REPLACED,
+          ReleaseReason.REPLACED,
+          now);
     }
   }
 
@@ -227,6 +254,7 @@
     for (Worker worker : state.workers().values()) {
       expireLeases(worker, now);
       checkUnansweredStarts(worker, now);
+      checkIsolatedStarts(worker, now.monotonicMillis());
       stopEarlierOrders(worker, now.monotonicMillis());
       state.checkRenewal(worker);
       boolean idle = worker.placements().isEmpty() && !worker.renewalInFlight();
@@ -257,6 +285,15 @@
     }
   }
 
+  /** Requests a report as soon as it can show that the worker has survived an isolated start. */
+  private void checkIsolatedStarts(Worker worker, long nowMillis) {
+    for (Placement placement : worker.startSurvival().isolated()) {
+      if (placement.takeSurvivalCheck(nowMillis)) {
+        state.requestImmediateReport(worker);
+      }
+    }
+  }
+
   private void stopEarlierOrders(Worker worker, long nowMillis) {
     if (worker.listing() != null && worker.earlierOrders().mayStart()) {
       long lateOrderMillis = state.settings().lateOrderMillis();
@@ -273,13 +310,29 @@
     if (!unresponsive || !worker.leasesExpired(nowMillis, LEASE_MARGIN_MILLIS)) {
       return;
     }
-    for (Placement placement : List.copyOf(worker.placements().values())) {
-      boolean lateOrderPossible =
-          placement.stage() != Placement.Stage.RUNNING
-              && nowMillis - placement.orderedAtMillis() < state.settings().lateOrderMillis();
-      if (placement.orderSent() && !lateOrderPossible) {
-        endHandler.runLost(placement, ReleaseReason.LEASE_EXPIRED, now);
-      }
+    List<Placement> expired =
+        worker.placements().values().stream()
+            .filter(placement -> placement.orderSent() && !mayStartLate(placement, nowMillis))
+            .toList();
+    releaseLost(
+        worker, expired, CrashAttributor.Evidence.LEASE_EXPIRED, ReleaseReason.LEASE_EXPIRED, now);
+  }
+
+  private boolean mayStartLate(Placement placement, long nowMillis) {
+    return placement.stage() != Placement.Stage.RUNNING
+        && nowMillis - placement.orderedAtMillis() < state.settings().lateOrderMillis();
+  }
+
+  /** Releases the runs that are lost with their worker. */
+  private void releaseLost(
+      Worker worker,
+      List<Placement> lost,
+      CrashAttributor.Evidence evidence,
+      ReleaseReason reason,
+      ClockReading now) {
+    if (!lost.isEmpty()) {
+      crashes.workerLost(worker, lost, evidence, now);
+      lost.forEach(placement -> endHandler.runLost(placement, reason, now));
     }
   }
 
@@ -295,7 +348,7 @@
   private void stopIfStalled(Placement placement, ClockReading now) {
     long nowMillis = now.monotonicMillis();
     if (!placement.stopRequested() && stalled(placement, nowMillis)) {
-      placement.worker().failed(placement.task().step().job().id(), nowMillis);
+      placement.worker().quarantine().failed(placement.task().step().job().id(), nowMillis);
       placement.task().failedOn().add(placement.worker().id());
       state.stop(placement, StopReason.STALLED, nowMillis);
     }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/CrashingTaskTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CrashingTaskTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
@@ -22,6 +23,36 @@
     }
   }
 
+  /** Prints figures of a scenario, which no test bounds. */
+  private static void printFigures(String name, CrashingTaskScenarios.Result result) {
+    System.out.println(name + ": " + result.figures());
+  }
+
+  /** Guards against a task that takes one worker after the other out of the cell. */
+  @Property(tries = 20, seed = "4760")
+  void crashingTaskIsGivenUp(
+      @ForAll @LongRange(min = 1, max = 1_000_000) long seed, @ForAll boolean sameId) {
+    assertRulesHold(CrashingTaskScenarios.crashingTasks(seed, sameId));
+  }
+
+  /** Guards against crashes that the next coordinator does not know of. */
+  @Property(tries = 20, seed = "4761")
+  void crashesAreCountedOverTakeovers(
+      @ForAll @LongRange(min = 1, max = 1_000_000) long seed, @ForAll boolean sameId) {
+    assertRulesHold(CrashingTaskScenarios.takeovers(seed, sameId), "takeover after an order");
+  }
+
+  /** Guards against crashes that are missed, or counted twice, when answers are lost or late. */
+  @Property(tries = 20, seed = "4762")
+  void crashesAreCountedWithLostAnswers(
+      @ForAll @LongRange(min = 1, max = 1_000_000) long seed, @ForAll boolean sameId) {
+    assertRulesHold(
+        CrashingTaskScenarios.lostAnswers(seed, sameId),
+        "late start",
+        "cut-off",
+        "unanswered start");
+  }
+
   /** Guards against failing the jobs whose starts were in transit when a rack crashed. */
   @Property(tries = 20, seed = "4763")
   void crashOfARackFailsNoJob(
@@ -35,4 +66,23 @@
       @ForAll @LongRange(min = 1, max = 1_000_000) long seed, @ForAll boolean sameId) {
     assertRulesHold(CrashingTaskScenarios.randomCrashes(seed, sameId));
   }
+
+  /** Guards against gangs and long-running tasks that crash workers without end. */
+  @Property(tries = 20, seed = "4765")
+  void gangWithACrashingMemberIsGivenUp(
+      @ForAll @LongRange(min = 1, max = 1_000_000) long seed, @ForAll boolean sameId) {
+    assertRulesHold(CrashingTaskScenarios.gangsAndLongRunningTasks(seed, sameId));
+  }
+
+  /** Guards against jobs that fail when a fifth of the jobs crash workers for 10 s. */
+  @Example
+  void manyCrashingTasksFailNoOtherJob() {
+    for (long seed = 1; seed <= 3; seed++) {
+      CrashingTaskScenarios.Result result = CrashingTaskScenarios.manyCrashingTasks(seed, true);
+      printFigures("seed " + seed + " with crashing tasks", result);
+      printFigures(
+          "seed " + seed + " without", CrashingTaskScenarios.manyCrashingTasks(seed, false));
+      assertRulesHold(result);
+    }
+  }
 }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/PlacementPlannerTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/PlacementPlannerTest.java
@@ -167,8 +167,8 @@
           && spread
           && permitted
           && !worker.listing().draining()
-          && !worker.quarantined(nowMillis)
-          && (worker.failuresInARow() < Worker.FAILURES_BEFORE_QUARANTINE
+          && !worker.quarantine().quarantined(nowMillis)
+          && (worker.quarantine().failuresInARow() < WorkerQuarantine.FAILURES_BEFORE_QUARANTINE
               || worker.placements().isEmpty())
           && spec.reservation().fitsIn(worker.free())) {
         return worker;
