--- /dev/null
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CapacityScenarios.java
@@ -0,0 +1,101 @@
+package org.cicadaford.cell;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.cicadaford.model.Resources;
+
+/** Runs simulated cells whose workers change their capacities while other faults occur. */
+final class CapacityScenarios {
+
+  private static final int WORKERS = 4;
+  private static final int ROUNDS = 8;
+  private static final int JOBS_PER_ROUND = 5;
+  private static final Resources FULL = new Resources(16_000, 32_000, 0);
+
+  private CapacityScenarios() {}
+
+  private static SimulatedCell cell(long seed) {
+    SimulatedCell cell =
+        new SimulatedCell(seed, SimulatedJobs.config(Resources.NONE, AdvicePolicy.NONE), WORKERS);
+    cell.faults = new SimulatedCell.Faults(0.03, 0.06, 0.02);
+    return cell;
+  }
+
+  /** Changes the capacity of a worker; the platform lists it up to a heartbeat later. */
+  static void change(SimulatedCell cell, String workerId, Resources capacity, long listedMillis) {
+    SimulatedWorker worker = cell.workers.get(workerId);
+    boolean smaller = !worker.capacity.current().fitsIn(capacity);
+    cell.incident((smaller ? "shrunk " : "grown ") + workerId + " to " + capacity);
+    worker.capacity.change(capacity, cell.nowMillis);
+    cell.after(listedMillis, worker.capacity::publish);
+  }
+
+  private static void changeAny(SimulatedCell cell) {
+    long listedMillis = cell.random.nextInt((int) SimulatedCapacity.HEARTBEAT_MILLIS);
+    // A third of the changes restores the full capacity, so that work goes on.
+    Resources capacity =
+        cell.random.nextInt(3) == 0
+            ? FULL
+            : new Resources(
+                1_000L * cell.random.nextInt(17), cell.random.nextBoolean() ? 32_000 : 150, 0);
+    change(cell, "w" + cell.random.nextInt(WORKERS), capacity, listedMillis);
+  }
+
+  /**
+   * Submits more work than fits, changes capacities and lets a fault occur in each round, and
+   * restores the capacities at the end.
+   */
+  private static SimulatedCell run(SimulatedCell cell, String name, Consumer<SimulatedCell> fault) {
+    List<String> ids = new ArrayList<>();
+    for (int round = 0; round < ROUNDS; round++) {
+      for (int index = 0; index < JOBS_PER_ROUND; index++) {
+        String id = name + "-" + round + "-" + index;
+        long work = 300 + cell.random.nextInt(index == 0 ? 9_000 : 2_500);
+        int tasks = 1 + cell.random.nextInt(4);
+        long millicores = 2_000 + 1_000L * cell.random.nextInt(4);
+        cell.submit(id, SimulatedJobs.step(tasks, millicores, work, index == 1));
+        ids.add(id);
+        changeAny(cell);
+        cell.run(cell.random.nextInt(400));
+      }
+      // Runs that are being stopped still use the capacity of their worker.
+      cell.coordinator.cancel(ids.get(cell.random.nextInt(ids.size())), cell.moment());
+      fault.accept(cell);
+      cell.run(cell.random.nextInt(3_000));
+    }
+    cell.workers.keySet().forEach(id -> change(cell, id, FULL, 0));
+    cell.run(40_000);
+    return cell;
+  }
+
+  /** Answers are lost and orders are late. */
+  static SimulatedCell lostAnswersAndLateOrders(long seed) {
+    SimulatedCell cell = cell(seed);
+    cell.network.lateRenewal = 0.05;
+    cell.network.lateStop = 0.1;
+    cell.network.pausedRelay = 0.1;
+    return run(cell, "capacity" + seed, c -> {});
+  }
+
+  /** The coordinator is replaced, and the replaced one continues to send orders for a time. */
+  static SimulatedCell takeovers(long seed, boolean fencing) {
+    SimulatedCell cell = cell(seed);
+    cell.workers.values().forEach(worker -> worker.fencing = fencing);
+    return run(
+        cell,
+        "capacitytakeover" + seed + fencing,
+        c ->
+            c.takeOverWhileSending(
+                c.random.nextBoolean(),
+                5 + c.random.nextInt(1_500),
+                1_000 + c.random.nextInt(4_000)));
+  }
+
+  /** Returns the stored jobs that have not ended. */
+  static List<String> unfinishedJobs(SimulatedCell cell) {
+    return cell.accepted.keySet().stream()
+        .filter(id -> cell.coordinator.job(id).stream().noneMatch(job -> job.phase().terminal()))
+        .toList();
+  }
+}
