Check the capacity of a worker again when a start is sent

A placement is decided, stored, then sent. While the store takes no appends this lasts seconds, and the worker may have shrunk in between; StartIssuer checked drains, zones and tickets again, but not the capacity. Placement itself is no cause: it counts every placement, also those that are being stopped.

The starts of a stored batch are now checked together, then sent. One goes out if it fits the current capacity next to the runs that may be there, stopped ones included, and the starts admitted before it. A gang of which one member is dropped starts none; before, members were sent and stopped at once.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -353,7 +353,7 @@
       storedEnds.apply();
       state.checkRenewal(storedEnds.worker());
     }
-    batchStarts.forEach(placement -> startIssuer.issue(placement, now));
+    startIssuer.issue(batchStarts, now);
     state.actions().addAll(batchActions);
     batchJobs.clear();
     batchPhases.clear();
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StartIssuer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StartIssuer.java
@@ -1,6 +1,16 @@
 package org.cicadaford.cell;
 
-/** Sends the start orders of stored placements. */
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.cicadaford.model.Resources;
+
+/**
+ * Sends the start orders of stored placements.
+ *
+ * <p>The state in which a placement was decided may have changed while it was being stored, for up
+ * to several seconds if the store is slow. Its preconditions are therefore checked again.
+ */
 final class StartIssuer {
 
   private final CellState state;
@@ -11,30 +21,71 @@
     this.endHandler = endHandler;
   }
 
-  /** Sends the start order of a placement, or drops it if its preconditions no longer hold. */
-  void issue(Placement placement, ClockReading now) {
-    Task task = placement.task();
-    Worker worker = placement.worker();
-    StepRun step = task.step();
-    if (task.placement() != placement) {
-      return;
+  /**
+   * Sends the start orders of the placements whose preconditions still hold and drops the others.
+   *
+   * <p>All placements are checked before the first order is sent, so that no member of a gang
+   * starts if another one is dropped.
+   */
+  void issue(List<Placement> placements, ClockReading now) {
+    Set<Placement> admitted = new HashSet<>();
+    for (Placement placement : placements) {
+      if (placement.task().placement() != placement) {
+        continue;
+      }
+      if (mayStart(placement, now) && fitsCapacity(placement, admitted)) {
+        admitted.add(placement);
+      } else {
+        endHandler.runLost(placement, ReleaseReason.NOT_SENT, now);
+      }
     }
-    long nowMillis = now.monotonicMillis();
-    String ticket = "";
-    boolean permitted = true;
-    if (state.queueOf(step.job()).advice().required()) {
-      Ticket validTicket = step.ticketFor(worker, nowMillis);
-      permitted = validTicket != null;
-      ticket = validTicket == null ? "" : validTicket.value();
+    for (Placement placement : placements) {
+      if (admitted.contains(placement)) {
+        if (placement.stopRequested()) {
+          endHandler.runLost(placement, ReleaseReason.NOT_SENT, now);
+        } else {
+          send(placement, now);
+        }
+      }
     }
+  }
+
+  private boolean mayStart(Placement placement, ClockReading now) {
+    Worker worker = placement.worker();
+    StepRun step = placement.task().step();
+    boolean permitted =
+        !state.queueOf(step.job()).advice().required()
+            || step.ticketFor(worker, now.monotonicMillis()) != null;
     boolean sameIncarnation = worker.incarnation() == placement.incarnation();
     boolean zoneOpen =
         worker.listing() != null && !state.zonesOut().contains(worker.listing().zone());
     boolean schedulable = worker.listed() && !worker.listing().draining();
-    if (placement.stopRequested() || !permitted || !sameIncarnation || !zoneOpen || !schedulable) {
-      endHandler.runLost(placement, ReleaseReason.NOT_SENT, now);
-      return;
+    return !placement.stopRequested() && permitted && sameIncarnation && zoneOpen && schedulable;
+  }
+
+  /**
+   * Returns whether a placement fits the current capacity of its worker next to the runs that may
+   * be there, including those that are being stopped, and the other starts to be sent.
+   */
+  private static boolean fitsCapacity(Placement placement, Set<Placement> admitted) {
+    Worker worker = placement.worker();
+    Resources used = placement.reservation();
+    for (Placement other : worker.placements().values()) {
+      boolean admittedBefore = admitted.contains(other) && !other.stopRequested();
+      if (other.orderSent() || admittedBefore) {
+        used = used.plus(other.reservation());
+      }
     }
+    return used.fitsIn(worker.listing().capacity());
+  }
+
+  private void send(Placement placement, ClockReading now) {
+    Task task = placement.task();
+    Worker worker = placement.worker();
+    StepRun step = task.step();
+    long nowMillis = now.monotonicMillis();
+    boolean advised = state.queueOf(step.job()).advice().required();
+    String ticket = advised ? step.ticketFor(worker, nowMillis).value() : "";
     long deadlineMillis = worker.clockAt(nowMillis) + state.settings().startValidMillis();
     worker.deadlineSent(deadlineMillis, state.settings().maxClockSlowdown());
     placement.orderSent(nowMillis);
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/CapacityScenarios.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CapacityScenarios.java
@@ -92,6 +92,20 @@
                 1_000 + c.random.nextInt(4_000)));
   }
 
+  /** The store takes no appends for up to 9 s, so that starts wait while capacities change. */
+  static SimulatedCell storeOutages(long seed) {
+    SimulatedCell cell = cell(seed);
+    return run(
+        cell,
+        "capacitystore" + seed,
+        c -> {
+          long millis = 100 + c.random.nextInt(8_900);
+          c.incident("store-down for " + millis);
+          c.storeDown = true;
+          c.after(millis, () -> c.storeDown = false);
+        });
+  }
+
   /** Returns the stored jobs that have not ended. */
   static List<String> unfinishedJobs(SimulatedCell cell) {
     return cell.accepted.keySet().stream()
