Bound the age of the worker list that a start is based on

While the store does not answer this instance, the last worker list stayed in force without bound, so starts went by capacities and drain states of any age. An outage for all was hidden by the appends, which fail as well; a refusal of reads alone was not.

WorkerListAge knows when the list in force was requested, by both clocks. By one older than 2,000 ms nothing is placed, sent or preempted; the steps stay due until the next list. A start by a younger one is void 2,600 ms after the list, as an order may be in transit for 1.5 s. The change of state is one decision line, and the waiting report shows the age. Advice, renewals and stops go on. After a suspension, which only the Unix time counts, the list is read at once. CoordinatorDriver listed its worker once and now does each 300 ms; PlacementPlannerTest reads a list with each plan.

Ruled out: a bound in the service alone, as a batch may be stored long after it was decided; taking the workers out of the index, which discards refusals of advice.

A store that takes 250 ms a call holds no start.

--- a/cicadaford-bench/src/main/java/org/cicadaford/bench/CellLoadSimulator.java
+++ b/cicadaford-bench/src/main/java/org/cicadaford/bench/CellLoadSimulator.java
@@ -172,7 +172,7 @@
       }
       if (nowMillis % LIST_INTERVAL_MILLIS == 0) {
         List<ListedWorker> list = workers.values().stream().map(w -> w.listing).toList();
-        decide(() -> coordinator.workersListed(list, now()));
+        decide(() -> coordinator.workersListed(list, now(), now()));
       }
       if (roundDue || nowMillis % 25 == 0) {
         roundDue = false;
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
@@ -26,6 +26,7 @@
   private final LimitPreemptor preemptor = new LimitPreemptor(this);
   private final Set<Job> recurringJobs = new LinkedHashSet<>();
   private final WaitingSteps waiting = new WaitingSteps();
+  private final WorkerListAge workerListAge = new WorkerListAge(this);
   private final Set<Worker> changedWorkers = new LinkedHashSet<>();
   private final Set<Worker> workersWithUnstoredEnds = new LinkedHashSet<>();
   private final Set<Placement> stopping = new LinkedHashSet<>();
@@ -102,6 +103,11 @@
     return workers;
   }
 
+  /** Returns the age of the list that the workers were last updated from. */
+  WorkerListAge workerListAge() {
+    return workerListAge;
+  }
+
   /** Returns the sequence that orders answers of workers and requests to them. */
   EventSequence events() {
     return events;
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -65,8 +65,7 @@
 
   /** Restores the state from stored records; returns the keys of those that cannot be decoded. */
   public List<String> restore(List<RecordWrite> records, ClockReading now) {
-    List<String> unreadable = new JobRestorer(state, monitor).restore(records, now);
-    return unreadable;
+    return new JobRestorer(state, monitor).restore(records, now);
   }
 
   /** Applies a configuration unless its version is lower than that of the current one. */
@@ -82,9 +81,11 @@
     state.roleConfirmed(sentAt);
   }
 
-  /** Updates the workers from the list of the platform. */
-  public void workersListed(List<ListedWorker> workers, ClockReading now) {
+  /** Updates the workers from the list of the platform that was requested at a time. */
+  public void workersListed(
+      List<ListedWorker> workers, ClockReading requestedAt, ClockReading now) {
     monitor.updateListings(workers, now);
+    state.workerListAge().read(requestedAt);
   }
 
   /** Sets the instances that can make calls for placement advice. */
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CoordinatorWarmUp.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CoordinatorWarmUp.java
@@ -78,7 +78,7 @@
 
   /** Runs one round, which takes a few milliseconds; returns whether further rounds remain. */
   public boolean runRound() {
-    coordinator.workersListed(workers, now());
+    coordinator.workersListed(workers, now(), now());
     for (int job = 0; job < JOBS_PER_ROUND; job++) {
       submit(job % 2 == 0);
     }
@@ -167,7 +167,7 @@
   private void restore() {
     Coordinator next = coordinator();
     next.restore(List.copyOf(stored.values()), now());
-    next.workersListed(workers, now());
+    next.workersListed(workers, now(), now());
     next.advance(now());
   }
 
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
@@ -59,7 +59,10 @@
     workerIndex.tick(now.monotonicMillis());
     state.waiting().tick(now.monotonicMillis());
     state.limitReservations().renew(state.waiting().limitedByTeam(), now);
-    state.limitReservations().teams().forEach(team -> state.preemptor().preempt(team, now));
+    state.workerListAge().reportChange(now);
+    if (state.workerListAge().isCurrent(now)) {
+      state.limitReservations().teams().forEach(team -> state.preemptor().preempt(team, now));
+    }
     state.waiting().retryAllowed(step -> withinLimit(step, tasksAtOnce(step), now));
     reserve(now);
     for (StepRun step : state.waiting().all()) {
@@ -78,6 +81,10 @@
     if (workerIndex.majoritySchedulable() && workerIndex.takeWorkerAdded()) {
       state.waiting().retryAwaitingWorkers();
     }
+    if (!state.workerListAge().isCurrent(now)) {
+      // The steps stay due until a list is read.
+      return;
+    }
     unplaceableDemands.clear();
     for (StepRun step : state.waiting().takeDue(StepOrder.at(now.unixMillis()))) {
       attempt(step, now);
@@ -328,7 +335,11 @@
             + " asking="
             + step.adviceInFlight()
             + " within_limit="
-            + withinLimit(step, 1, now);
+            + withinLimit(step, 1, now)
+            + " list_current="
+            + state.workerListAge().isCurrent(now)
+            + " list_age_ms="
+            + state.workerListAge().ageMillis(now);
     state.actions().add(new Action.ReportWaitingStep(step.name(), inputs));
   }
 }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StartIssuer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StartIssuer.java
@@ -60,7 +60,13 @@
     boolean zoneOpen =
         worker.listing() != null && !state.zonesOut().contains(worker.listing().zone());
     boolean schedulable = worker.listed() && !worker.listing().draining();
-    return !placement.stopRequested() && permitted && sameIncarnation && zoneOpen && schedulable;
+    boolean listCurrent = state.workerListAge().isCurrent(now);
+    return listCurrent
+        && !placement.stopRequested()
+        && permitted
+        && sameIncarnation
+        && zoneOpen
+        && schedulable;
   }
 
   /**
@@ -86,7 +92,7 @@
     long nowMillis = now.monotonicMillis();
     boolean advised = state.queueOf(step.job()).advice().required();
     String ticket = advised ? step.ticketFor(worker, nowMillis).value() : "";
-    long deadlineMillis = worker.clockAt(nowMillis) + state.settings().startValidMillis();
+    long deadlineMillis = worker.clockAt(nowMillis) + state.workerListAge().startValidMillis(now);
     worker.deadlineSent(deadlineMillis, state.settings().maxClockSlowdown());
     placement.orderSent(nowMillis);
     worker
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/CapacityScenarios.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CapacityScenarios.java
@@ -106,6 +106,29 @@
         });
   }
 
+  /** The worker list cannot be read for up to 9 s, with or without appends and takeovers. */
+  static SimulatedCell unreadableLists(long seed) {
+    SimulatedCell cell = cell(seed);
+    return run(
+        cell,
+        "capacitylist" + seed,
+        c -> {
+          long millis = 100 + c.random.nextInt(8_900);
+          c.incident("list-unreadable for " + millis);
+          c.listUnreadable = true;
+          c.storeDown = c.random.nextInt(3) == 0;
+          c.after(
+              millis,
+              () -> {
+                c.listUnreadable = false;
+                c.storeDown = false;
+              });
+          if (c.random.nextInt(3) == 0) {
+            c.takeOverWhileSending(c.random.nextBoolean(), 5 + c.random.nextInt(1_500), 2_000);
+          }
+        });
+  }
+
   /** Returns the stored jobs that have not ended. */
   static List<String> unfinishedJobs(SimulatedCell cell) {
     return cell.accepted.keySet().stream()
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorDriver.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorDriver.java
@@ -19,12 +19,18 @@
   /** A renewal in transit. */
   record SentRenewal(Action.Renew order, long sentAtMillis, long requestNumber) {}
 
+  private static final long LIST_INTERVAL_MILLIS = 300;
+
   private static final Resources CAPACITY = new Resources(16_000, 32_000, 0);
 
   private final CellConfig config = SimulatedJobs.config(Resources.NONE, AdvicePolicy.NONE);
   private final Coordinator coordinator =
       new Coordinator(CoordinatorSettings.forPlatform(6_000, 600_000));
   private final List<Action> actions = new ArrayList<>();
+
+  /** Whether the worker list can be read. */
+  boolean listing = true;
+
   private long incarnation = 100;
   private long nowMillis = 1_000;
 
@@ -41,10 +47,15 @@
   }
 
   private void list() {
-    ListedWorker listing =
+    list(now());
+  }
+
+  /** Lists the worker; the request was sent at a time. */
+  void list(ClockReading requestedAt) {
+    ListedWorker listed =
         new ListedWorker(
             WORKER, incarnation, "svc", "w0:1", "zone", false, 0, CAPACITY, Set.of("a"), "rack");
-    coordinator.workersListed(List.of(listing), now());
+    coordinator.workersListed(List.of(listed), requestedAt, now());
   }
 
   /** Advances the time in steps of 5 ms. */
@@ -58,6 +69,9 @@
   }
 
   private void round() {
+    if (listing && nowMillis % LIST_INTERVAL_MILLIS == 0) {
+      list();
+    }
     coordinator.roleConfirmed(now());
     coordinator.advance(now());
     if (coordinator.takeBatch().isPresent()) {
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/PlacementPlannerTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/PlacementPlannerTest.java
@@ -121,6 +121,7 @@
   }
 
   private void plan() {
+    state.workerListAge().read(now());
     planner.plan(now());
     for (Action action : List.copyOf(state.actions())) {
       if (action instanceof Action.RequestAdvice ask) {
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
@@ -34,7 +34,7 @@
   final Map<String, byte[]> store = new LinkedHashMap<>();
   final Map<String, JobSpec> accepted = new HashMap<>();
   final Map<String, Long> cancelled = new HashMap<>();
-  private final Map<String, List<String>> traces = new HashMap<>();
+  final Map<String, List<String>> traces = new HashMap<>();
   final Map<String, Long> ended = new HashMap<>();
   private final Map<String, Long> draining = new HashMap<>();
   private final Map<String, ListedWorker> listings = new HashMap<>();
@@ -46,6 +46,9 @@
   Faults faults = Faults.NONE;
   boolean storeDown;
 
+  /** Whether the coordinator cannot read the worker list. */
+  boolean listUnreadable;
+
   /** Number of the next advice calls that permit no worker. */
   int emptyAdvice;
 
@@ -207,13 +210,16 @@
   }
 
   void list() {
+    if (listUnreadable) {
+      return;
+    }
     List<ListedWorker> listed = new ArrayList<>();
     for (SimulatedWorker worker : workers.values()) {
       if (worker.up && worker.listed) {
         listed.add(listingOf(worker));
       }
     }
-    coordinator.workersListed(listed, moment());
+    coordinator.workersListed(listed, moment(), moment());
   }
 
   /** Submits a job of these steps for the team of the simulation. */
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
@@ -65,7 +65,7 @@
   private ScheduledFuture<?> rounds;
   private boolean running;
   private boolean roundScheduled;
-  private OptionalLong nextWorkerListMillis = OptionalLong.empty();
+  private ClockReading listEndedAt;
   private OptionalLong nextHelpersMillis = OptionalLong.empty();
   private boolean workerListPending;
 
@@ -287,7 +287,10 @@
   }
 
   private void readWorkers(ClockReading now) {
-    if (workerListPending || ElapsedTime.isFuture(nextWorkerListMillis, now.monotonicMillis())) {
+    // A list from before a suspension, which only the Unix time counts, is replaced at once.
+    boolean recent =
+        listEndedAt != null && now.millisSince(listEndedAt) < WORKER_LIST_INTERVAL_MILLIS;
+    if (workerListPending || recent) {
       return;
     }
     workerListPending = true;
@@ -295,12 +298,10 @@
         .listWorkers()
         .whenComplete(
             (workers, failure) -> {
-              ClockReading later = clock.get();
               workerListPending = false;
-              nextWorkerListMillis =
-                  OptionalLong.of(later.monotonicMillis() + WORKER_LIST_INTERVAL_MILLIS);
+              listEndedAt = clock.get();
               if (failure == null && running) {
-                coordinator.workersListed(workers, later);
+                coordinator.workersListed(workers, now, listEndedAt);
                 scheduleRound();
               }
             })
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.channel.embedded.EmbeddedChannel;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -54,6 +55,11 @@
   private boolean storing = true;
   private boolean deposed;
 
+  /** Time in which the worker list is read. */
+  private long listMillis;
+
+  private boolean listFails;
+
   private static StepSpec step() {
     Resources demand = new Resources(1_000, 100, 0);
     return new StepSpec(
@@ -123,7 +129,7 @@
     return new WorkerClient.RenewalAnswer(WorkerClient.RenewalOutcome.REPORTED, report);
   }
 
-  private static CellDirectory directory() {
+  private CellDirectory directory() {
     return new CellDirectory() {
       @Override
       public CompletableFuture<PublishedConfig> awaitConfigChange(long waitMillis) {
@@ -132,10 +138,16 @@
 
       @Override
       public CompletableFuture<List<ListedWorker>> listWorkers() {
+        if (listFails) {
+          return CompletableFuture.failedFuture(new IOException("the store refuses reads"));
+        }
         Resources capacity = new Resources(8_000, 8_000, 0);
-        return CompletableFuture.completedFuture(
+        List<ListedWorker> workers =
             List.of(
-                new ListedWorker("w", 1, "svc", "w:1", "z", false, 0, capacity, Set.of(), "rack")));
+                new ListedWorker("w", 1, "svc", "w:1", "z", false, 0, capacity, Set.of(), "rack"));
+        return listMillis == 0
+            ? CompletableFuture.completedFuture(workers)
+            : answer(listMillis, () -> workers);
       }
     };
   }
@@ -288,4 +300,25 @@
         .allMatch(renewal -> renewal.deadlineMillis() <= reachMillis)
         .anyMatch(renewal -> renewal.deadlineMillis() > workerClockMillis());
   }
+
+  /** Guards against starts by an old worker list, and against none while the store is only slow. */
+  @Example
+  void unreadableWorkerListHoldsStartsAndASlowOneDoesNot() {
+    CoordinatorService service = service();
+    listMillis = 250;
+    advanceTime(3_000);
+    service.submit("slow", QUEUE, new Submitter("t", "z"), SPEC);
+    advanceTime(100);
+    assertThat(starts).hasSize(1);
+    listFails = true;
+    advanceTime(2_600);
+    service.submit("held", QUEUE, new Submitter("t", "z"), SPEC);
+    renewals.clear();
+    advanceTime(6_400);
+    assertThat(starts).hasSize(1);
+    assertThat(renewals).anyMatch(renewal -> renewal.deadlineMillis() > workerClockMillis());
+    listFails = false;
+    advanceTime(700);
+    assertThat(starts).hasSize(2);
+  }
 }
