Test workers whose capacity has shrunk below what their runs use

Free capacity is then negative, and growth must be used at once. Checked: fitsIn, slotsIn, FreeCapacityTree, SchedulableWorkerIndex, GangPlacer, GangReservations, AdvicePlanner, WaitingSteps and the planner's report. All compare each amount with a demand that is 0 or more and count no negative slots, so no code changes. No run is stopped: LIMIT is broken by starts only, and a stop throws work away. A task that needs none of an exceeded amount is not started there either.

FreeCapacityTreeTest now draws negative amounts as well.

--- a/cicadaford-model/src/test/java/org/cicadaford/model/capacity/FreeCapacityTreeTest.java
+++ b/cicadaford-model/src/test/java/org/cicadaford/model/capacity/FreeCapacityTreeTest.java
@@ -65,7 +65,8 @@
   private static void change(
       Random random, int step, FreeCapacityTree<String> tree, List<Entry> entries) {
     if (entries.isEmpty() || random.nextInt(3) > 0) {
-      Entry entry = new Entry("w" + step, random.nextInt(20), random.nextInt(20));
+      // A worker that has shrunk below its use has negative free capacity.
+      Entry entry = new Entry("w" + step, random.nextInt(30) - 10, random.nextInt(30) - 10);
       entries.add(entry);
       tree.insert(entry.id(), entry.millicores(), entry.mebibytes());
     } else {
