Test workers that return under their id with another capacity

Placements of the earlier life stay until stopped or reported, and must count against the capacity of the next one. They do: an incarnation that is known from a report makes the worker unschedulable until its new listing, StartIssuer drops starts for the earlier one, and restored placements get the listing of the first list. No code changes; with a capacity of 8,000 and 48,000 millicores after 16,000, with and without a takeover, one and eight tasks of 5,000 run, and no rule is broken.

--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/CapacityChangeTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CapacityChangeTest.java
@@ -105,4 +105,36 @@
     cell.run(1_000);
     assertThat(cell.starts).isZero();
   }
+
+  /** Guards against counting the runs of a restarted worker against its earlier capacity. */
+  @Property(tries = 20, seed = "4754")
+  void restartsAsAnotherKindCauseNoOverload(
+      @ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    assertRulesHold(CapacityScenarios.restartsAsAnotherKind(seed), "another-kind", "shrunk");
+  }
+
+  /** Guards against starts by the capacity of the earlier life, with and without a takeover. */
+  @Example
+  void placementsOfAnEarlierLifeCountAgainstTheCapacityOfTheNext() {
+    for (boolean takeover : new boolean[] {false, true}) {
+      for (long millicores : new long[] {8_000, 48_000}) {
+        SimulatedCell cell = cell(1);
+        String id = "kind" + takeover + millicores;
+        cell.submit(id, SimulatedJobs.step(8, 5_000, 2_000, false));
+        cell.run(1_000);
+        SimulatedWorker worker = cell.workers.get("w0");
+        assertThat(worker.runs).hasSize(3);
+        worker.crash();
+        worker.restart(200, new Resources(millicores, 32_000, 0));
+        if (takeover) {
+          cell.takeOver();
+        }
+        cell.run(1_900);
+        assertThat(worker.runs).hasSize((int) Math.min(8, millicores / 5_000));
+        cell.run(20_000);
+        assertThat(cell.coordinator.job(id).orElseThrow().phase()).isEqualTo(JobPhase.COMPLETED);
+        assertThat(cell.violations).isEmpty();
+      }
+    }
+  }
 }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/CapacityScenarios.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CapacityScenarios.java
@@ -129,6 +129,34 @@
         });
   }
 
+  /** Workers return under their ids with another kind of capacity, also beside takeovers. */
+  static SimulatedCell restartsAsAnotherKind(long seed) {
+    SimulatedCell cell = cell(seed);
+    return run(
+        cell,
+        "capacitykind" + seed,
+        c -> {
+          restart(c, 600);
+          if (c.random.nextInt(3) == 0) {
+            c.run(c.random.nextInt(700));
+            c.takeOver();
+          }
+        });
+  }
+
+  private static void restart(SimulatedCell cell, int maxDownMillis) {
+    SimulatedWorker hit = cell.workers.get("w" + cell.random.nextInt(WORKERS));
+    if (!hit.up) {
+      return;
+    }
+    long millis = 5 + cell.random.nextInt(maxDownMillis);
+    Resources kind = new Resources(4_000L * (1 + cell.random.nextInt(6)), 32_000, 0);
+    cell.incident("another-kind " + hit.id + " after " + millis + " " + kind);
+    long next = hit.incarnation + 100;
+    hit.crash();
+    cell.after(millis, () -> hit.restart(next, kind));
+  }
+
   /** Returns the stored jobs that have not ended. */
   static List<String> unfinishedJobs(SimulatedCell cell) {
     return cell.accepted.keySet().stream()
