--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -86,9 +86,11 @@
     state.roleConfirmed(sentAt);
   }
 
-  /** Updates the workers from the list of the platform. */
-  public void workersListed(List<ListedWorker> workers, ClockReading now) {
+  /** Updates the workers from the list of the platform that was requested at a time. */
+  public void workersListed(
+      List<ListedWorker> workers, ClockReading requestedAt, ClockReading now) {
     monitor.updateListings(workers, now);
+    state.workerListAge().read(requestedAt);
   }
 
   /** Sets the instances that can make calls for placement advice. */
@@ -306,7 +308,7 @@
       storedEnds.apply();
       state.checkRenewal(storedEnds.worker());
     }
-    batchStarts.forEach(placement -> startIssuer.issue(placement, now));
+    startIssuer.issue(batchStarts, now);
     state.actions().addAll(batchActions);
     batchJobs.clear();
     batchPhases.clear();
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
@@ -34,7 +34,7 @@
   final Map<String, byte[]> store = new LinkedHashMap<>();
   final Map<String, JobSpec> accepted = new HashMap<>();
   final Map<String, Long> cancelled = new HashMap<>();
-  private final Map<String, List<String>> traces = new HashMap<>();
+  final Map<String, List<String>> traces = new HashMap<>();
   final Map<String, Long> ended = new HashMap<>();
   private final Map<String, Long> draining = new HashMap<>();
   private final Map<String, ListedWorker> listings = new HashMap<>();
@@ -47,6 +47,9 @@
   Faults faults = Faults.NONE;
   boolean storeDown;
 
+  /** Whether the coordinator cannot read the worker list. */
+  boolean listUnreadable;
+
   /** Number of the next advice calls that permit no worker. */
   int emptyAdvice;
 
@@ -192,6 +195,7 @@
     boolean changed =
         known == null
             || known.incarnation() != worker.incarnation
+            || known.capacity() != worker.capacity.listed()
             || known.draining() != (leavesAt != null);
     if (changed) {
       long remainingMillis = leavesAt == null ? 0 : leavesAt - nowMillis;
@@ -207,6 +211,9 @@
   }
 
   void list() {
+    if (listUnreadable) {
+      return;
+    }
     List<ListedWorker> listed = new ArrayList<>();
     for (SimulatedWorker worker : workers.values()) {
       if (worker.up && worker.listed) {
@@ -214,7 +221,7 @@
       }
     }
     listed.addAll(crashes.entriesOfCrashedWorkers());
-    coordinator.workersListed(listed, moment());
+    coordinator.workersListed(listed, moment(), moment());
   }
 
   /** Submits a job of these steps for the team of the simulation. */
@@ -240,7 +247,7 @@
     long endMillis = nowMillis + millis;
     while (nowMillis < endMillis) {
       nowMillis += STEP_MILLIS;
-      Map<String, Integer> gangs = countRunsByGang();
+      Map<String, Integer> gangs = SimulatedWorker.countRunsByGang(workers.values());
       workers.values().forEach(worker -> worker.updateGangs(gangs));
       workers.values().forEach(worker -> worker.advance(STEP_MILLIS, nowMillis));
       while (!events.isEmpty() && events.peek().atMillis() <= nowMillis) {
@@ -259,18 +266,6 @@
     }
   }
 
-  private Map<String, Integer> countRunsByGang() {
-    Map<String, Integer> present = new HashMap<>();
-    for (SimulatedWorker worker : workers.values()) {
-      for (SimulatedWorker.Run run : worker.runs.values()) {
-        if (run.gangSize > 1) {
-          present.merge(SimulatedWorker.gangKeyOf(run), 1, Integer::sum);
-        }
-      }
-    }
-    return present;
-  }
-
   void after(long delayMillis, Runnable action) {
     events.add(new Event(nowMillis + delayMillis, order++, action));
   }
