--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/http/HttpRequestException.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/http/HttpRequestException.java
@@ -12,7 +12,7 @@
    *
    * @param mayBeReceived whether the server may have received the request
    */
-  HttpRequestException(String message, boolean mayBeReceived, Throwable cause) {
+  public HttpRequestException(String message, boolean mayBeReceived, Throwable cause) {
     super(message, cause);
     this.mayBeReceived = mayBeReceived;
   }
