Restore the other jobs when a stored record has odd values

Cause: the decoder of records fills in null or 0 for values that are missing, and JobRestorer catches MalformedRecordException only. A record with such a value, with a worker index out of range or with steps that wait for each other failed the start of each coordinator. A count of 2^30 exhausted the heap.

Ruled out: EndedJobCodec, whose fuzz test covers damaged bytes.

Change: StoredRecordChecker checks each record after its decoding; one that fails counts as unreadable like one that cannot be decoded. JobSpecValidator also refuses values that are missing. A job whose progress cannot be read still begins anew, as before.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
@@ -20,7 +20,10 @@
     this.monitor = monitor;
   }
 
-  /** Restores all jobs; returns the keys of records that cannot be decoded. */
+  /**
+   * Restores all jobs; returns the keys of records that cannot be decoded. A job whose progress
+   * cannot be decoded begins anew.
+   */
   List<String> restore(List<RecordWrite> records, ClockReading now) {
     List<String> unreadable = new ArrayList<>();
     Map<String, JobProgress> progressById = new HashMap<>();
@@ -39,8 +42,10 @@
         });
     for (Job job : state.jobs().values()) {
       JobProgress progress = progressById.get(job.id());
-      if (progress != null) {
+      if (progress != null && StoredRecordChecker.fits(progress, job.spec())) {
         apply(job, progress, now);
+      } else if (progress != null) {
+        unreadable.add(JobRecordFactory.PROGRESS_PREFIX + job.id());
       }
       state.markStored(job, job.phase());
       if (job.definitionObsolete()) {
@@ -62,15 +67,17 @@
       throws MalformedRecordException {
     if (write.key().startsWith(JobRecordFactory.DEFINITION_PREFIX)) {
       JobDefinition definition = RecordCodec.decode(write.value(), JobDefinition.class);
+      StoredRecordChecker.check(
+          definition, write.key().substring(JobRecordFactory.DEFINITION_PREFIX.length()));
       state.jobs().put(definition.jobId(), new Job(definition));
     } else if (write.key().startsWith(JobRecordFactory.PROGRESS_PREFIX)) {
       String jobId = write.key().substring(JobRecordFactory.PROGRESS_PREFIX.length());
-      boolean ended = EndedJobCodec.isCompact(write.value());
-      progressById.put(
-          jobId,
-          ended
+      JobProgress progress =
+          EndedJobCodec.isCompact(write.value())
               ? EndedJobCodec.decode(write.value())
-              : RecordCodec.decode(write.value(), JobProgress.class));
+              : RecordCodec.decode(write.value(), JobProgress.class);
+      StoredRecordChecker.check(progress);
+      progressById.put(jobId, progress);
     }
   }
 
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobSpecValidator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobSpecValidator.java
@@ -23,6 +23,9 @@
    * @throws InvalidJobException if the job can never run
    */
   public static void check(JobSpec spec) throws InvalidJobException {
+    // A peer or a stored record may lack values, which are null then.
+    require(
+        spec.payload() != null && spec.steps() != null, "a job has a payload and a list of steps");
     require(
         spec.payload().getBytes(StandardCharsets.UTF_8).length <= MAX_PAYLOAD_BYTES,
         "the payload exceeds " + MAX_PAYLOAD_BYTES + " bytes; shorten it");
@@ -42,6 +45,13 @@
   }
 
   private static void checkStep(StepSpec step, int stepCount) throws InvalidJobException {
+    require(
+        step != null
+            && step.demand() != null
+            && step.after() != null
+            && step.requiredLabel() != null
+            && step.dataRack() != null,
+        "a step lacks a value");
     require(
         step.taskCount() > 0 && step.taskCount() <= MAX_TASKS,
         "a step has 1 to " + MAX_TASKS + " tasks");
@@ -53,9 +63,9 @@
     require(
         step.maxTasksPerWorker() >= 0 && step.maxUnavailable() >= 0,
         "limits of a step must not be negative");
-    for (int earlier : step.after()) {
+    for (Integer earlier : step.after()) {
       require(
-          earlier >= 0 && earlier < stepCount,
+          earlier != null && earlier >= 0 && earlier < stepCount,
           "a step waits for step " + earlier + ", which does not exist");
     }
   }
