Check the values of relayed answers and of peers' submissions

Cause: an answer of a relay that lacks its outcome, its report or a value of a row was passed on, and the coordinator ended at the null. An answer without content threw after the timer of the direct order had been cancelled, so that the order stayed open.

Change: RelayedAnswers checks an answer; one that is not usable counts as none, and the order is sent directly. A report under the id of another worker is not used. Submissions of peers that lack values are answered as invalid. Advice without tickets counts as refused.

Conclusion: an instance of an incompatible build could end the coordinator.

--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorRequestHandler.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorRequestHandler.java
@@ -1,7 +1,9 @@
 package org.cicadaford.coordinator;
 
 import java.util.concurrent.CompletableFuture;
+import org.cicadaford.cell.InvalidJobException;
 import org.cicadaford.cell.JobSpec;
+import org.cicadaford.cell.JobSpecValidator;
 import org.cicadaford.cell.Queue;
 import org.cicadaford.cell.Submitter;
 import org.cicadaford.model.MalformedRecordException;
@@ -45,6 +47,10 @@
       String queueName,
       Submitter submitter,
       byte[] spec) {
+    if (jobId == null || submitter.team() == null || spec == null) {
+      return CompletableFuture.completedFuture(
+          CellReply.of(CellOutcome.INVALID, "the submission lacks a value"));
+    }
     Queue queue = config.published().config().queue(queueName).orElse(null);
     if (queue == null) {
       return CompletableFuture.completedFuture(
@@ -52,8 +58,11 @@
               CellOutcome.NOT_COORDINATOR, "the queue is not configured on the coordinator yet"));
     }
     try {
-      return coordinator.submit(jobId, queue, submitter, RecordCodec.decode(spec, JobSpec.class));
-    } catch (MalformedRecordException e) {
+      JobSpec decoded = RecordCodec.decode(spec, JobSpec.class);
+      // The decoder fills in null for values that the message lacks.
+      JobSpecValidator.check(decoded);
+      return coordinator.submit(jobId, queue, submitter, decoded);
+    } catch (MalformedRecordException | InvalidJobException e) {
       return CompletableFuture.completedFuture(
           CellReply.of(
               CellOutcome.INVALID, "cannot decode the job description: " + e.getMessage()));
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/HelperPool.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/HelperPool.java
@@ -227,7 +227,7 @@
 
   private static void complete(
       CompletableFuture<AdviceClient.Advice> result, PeerMessage answer, Throwable failure) {
-    if (answer instanceof PeerMessage.AdviceAnswer advice) {
+    if (answer instanceof PeerMessage.AdviceAnswer advice && advice.tickets() != null) {
       result.complete(new AdviceClient.Advice(advice.tickets(), advice.validMillis()));
     } else {
       result.completeExceptionally(
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/RelayingWorkerClient.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/RelayingWorkerClient.java
@@ -8,6 +8,7 @@
 import java.util.function.Function;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 import org.apache.logging.log4j.LogManager;
@@ -95,6 +96,7 @@
                     relay,
                     new RelayedOrder(OrderRelay.START, epoch, order),
                     StartAnswer.class,
+                    RelayedAnswers::isUsable,
                     HEDGE_DELAY_MILLIS,
                     sendDirect,
                     RelayingWorkerClient::resolveDuplicateStart))
@@ -123,6 +125,7 @@
                     relay,
                     new RelayedOrder(OrderRelay.STOP, epoch, order),
                     Boolean.class,
+                    confirmed -> true,
                     HEDGE_DELAY_MILLIS,
                     sendDirect,
                     UnaryOperator.identity()))
@@ -146,6 +149,7 @@
                         relay,
                         new RelayedOrder(OrderRelay.RENEW, epoch, order),
                         RenewalAnswer.class,
+                        answer -> RelayedAnswers.isUsable(answer, order.workerId()),
                         order.waitMillis() + HEDGE_DELAY_MILLIS,
                         () -> direct.renew(order.withoutWait(), epoch, nowMillis),
                         UnaryOperator.identity())
@@ -182,6 +186,7 @@
       String relay,
       RelayedOrder relayed,
       Class<T> answerType,
+      Predicate<T> usable,
       long hedgeDelayMillis,
       Supplier<CompletableFuture<T>> sendDirect,
       UnaryOperator<T> resolveDuplicate) {
@@ -190,7 +195,8 @@
     relays
         .relay(relay, relayed.request())
         .whenCompleteAsync(
-            (answer, failure) -> hedged.handleRelayAnswer(answer, failure, answerType), loop);
+            (answer, failure) -> hedged.handleRelayAnswer(answer, failure, answerType, usable),
+            loop);
     return hedged.result;
   }
 
@@ -225,18 +231,22 @@
       }
     }
 
-    private void handleRelayAnswer(PeerMessage answer, Throwable failure, Class<T> answerType) {
+    private void handleRelayAnswer(
+        PeerMessage answer, Throwable failure, Class<T> answerType, Predicate<T> usable) {
       if (result.isDone()) {
         return;
       }
-      try {
-        if (answer instanceof PeerMessage.OrderAnswer orderAnswer) {
-          timer.cancel(false);
-          complete(RecordCodec.decode(orderAnswer.content(), answerType));
-          return;
+      if (answer instanceof PeerMessage.OrderAnswer orderAnswer && orderAnswer.content() != null) {
+        try {
+          T decoded = RecordCodec.decode(orderAnswer.content(), answerType);
+          if (usable.test(decoded)) {
+            timer.cancel(false);
+            complete(decoded);
+            return;
+          }
+        } catch (MalformedRecordException e) {
+          LOGGER.debug("cannot decode the answer of relay {}", relay, e);
         }
-      } catch (MalformedRecordException e) {
-        LOGGER.warn("cannot decode the answer of relay {}", relay, e);
       }
       LOGGER.debug("no usable answer from relay {}: {}", relay, answer, failure);
       relays.markUnresponsive(relay);
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/RelayingWorkerClientTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/RelayingWorkerClientTest.java
@@ -4,6 +4,7 @@
 
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -15,6 +16,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import org.cicadaford.cell.Action;
+import org.cicadaford.cell.ReportedEnd;
+import org.cicadaford.cell.ReportedRun;
 import org.cicadaford.cell.StartOutcome;
 import org.cicadaford.cell.StopReason;
 import org.cicadaford.cell.WorkerReport;
@@ -124,6 +127,43 @@
     assertThat(unresponsive).isEmpty();
   }
 
+  /**
+   * Guards against answers of an incompatible relay: a value that is null ended the coordinator,
+   * and an answer without content left the order open for ever.
+   */
+  @Example
+  void incompleteRelayAnswersAreNotUsed() {
+    List<Object> odd = new ArrayList<>();
+    odd.add(new StartAnswer(null, 77, "200"));
+    odd.add("text");
+    for (Object content : odd) {
+      CompletableFuture<StartAnswer> answer = client().start(START, 9);
+      answer(content);
+      assertThat(answer).as(content.toString()).isCompletedWithValue(STARTED);
+    }
+    CompletableFuture<StartAnswer> empty = client().start(START, 9);
+    relayAnswers.getLast().complete(new PeerMessage.OrderAnswer(null));
+    channel.runPendingTasks();
+    assertThat(empty).isCompletedWithValue(STARTED);
+    Action.Renew renewal = new Action.Renew("w", 1, "w:1", 0, 0, 0, 1_000);
+    ReportedRun run = new ReportedRun(null, 1, "", 0, 0);
+    ReportedEnd end = new ReportedEnd(1, "j.0.0.0", 1, null, "");
+    for (WorkerReport report :
+        Arrays.asList(
+            null,
+            new WorkerReport("w", 1, 1, 1, null, List.of(), true),
+            new WorkerReport("w", 1, 1, 1, List.of(run), List.of(), true),
+            new WorkerReport("w", 1, 1, 1, List.of(), List.of(end), true),
+            new WorkerReport("w", 1, 1, 1, List.of(), Arrays.asList((ReportedEnd) null), true),
+            new WorkerReport("other", 1, 1, 1, List.of(), List.of(), true))) {
+      CompletableFuture<RenewalAnswer> answer = client().renew(renewal, 9, nowMillis);
+      answer(new RenewalAnswer(RenewalOutcome.REPORTED, report));
+      assertThat(answer)
+          .as("%s", report)
+          .isCompletedWithValue(RenewalAnswer.of(RenewalOutcome.NO_ANSWER));
+    }
+  }
+
   /** Guards against starts that wait for a frozen or partitioned relay. */
   @Example
   void unresponsiveRelayIsBypassedAndMarked() {
