Name each entry that cannot be used in one bounded line, and count it

Cause: the line of an entry that cannot be used held the reason of the parser, with line feeds and without a bound, and the key as it is. An entry that changes wrote a line at each change, and an unchanged list was decoded and logged again after each read as a whole. An announcement that cannot be decoded was logged with its stack at each poll. Nothing counted such entries.

Change: RejectedEntryLog writes one line per key and content, at most five a second, with key and reason cut and escaped, and counts all in cicadaford_cell_rejected_entries_total by kind.

Conclusion: an operator sees which entry is odd and why, whatever it holds.

--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellMetrics.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellMetrics.java
@@ -46,6 +46,16 @@
           "cicadaford_cell_log_lines_dropped_total",
           "Log lines dropped above the rate limit.",
           "category");
+  private final Counter rejectedEntries =
+      counter(
+          "cicadaford_cell_rejected_entries_total",
+          "Entries of other writers that cannot be used, by kind.",
+          "kind");
+  private final Counter failedReads =
+      counter(
+          "cicadaford_cell_failed_reads_total",
+          "Failed reads of what an instance follows, such as the worker list.",
+          "what");
   private final Histogram requestSeconds =
       histogram("cicadaford_cell_request_seconds", "Time to answer a request.", "kind");
   private final Histogram appendSeconds =
@@ -116,6 +126,14 @@
     droppedLogLines.labelValues(category).inc();
   }
 
+  void recordRejectedEntry(String kind) {
+    rejectedEntries.labelValues(kind).inc();
+  }
+
+  void recordFailedRead(String what) {
+    failedReads.labelValues(what).inc();
+  }
+
   void setStateGauge(String what, long value) {
     state.labelValues(what).set(value);
   }
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellPlatform.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellPlatform.java
@@ -1,5 +1,6 @@
 package org.cicadaford.coordinator;
 
+import org.cicadaford.coordinator.http.HttpClient;
 import org.cicadaford.coordinator.http.RequestHandler;
 
 /**
@@ -13,6 +14,18 @@
 public record CellPlatform(
     CellStore store, WorkerClient workers, AdviceClient advice, CellDirectory directory) {
 
+  /** Creates the clients of a platform. */
+  public interface Factory {
+
+    /** Returns clients that use {@code http} and report entries that cannot be used. */
+    CellPlatform create(HttpClient http, RejectedEntryLog rejected);
+  }
+
+  /** Returns these clients with another directory. */
+  CellPlatform withDirectory(CellDirectory other) {
+    return new CellPlatform(store, workers, advice, other);
+  }
+
   /** Creates the responder that decodes callers' requests. */
   public interface ResponderFactory {
 
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellProcess.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellProcess.java
@@ -7,7 +7,6 @@
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -39,7 +38,7 @@
   private static final long DRAIN_POLL_INTERVAL_MILLIS = 20;
 
   private final InstanceSettings settings;
-  private final Function<HttpClient, CellPlatform> platform;
+  private final CellPlatform.Factory platform;
   private final CellPlatform.ResponderFactory responders;
   private final String readinessPath;
   private final CountDownLatch stopRequested = new CountDownLatch(1);
@@ -47,12 +46,12 @@
   /**
    * Creates the process.
    *
-   * @param platform creates the platform clients from an HTTP client
+   * @param platform creates the platform clients
    * @param readinessPath path of the load balancer's readiness check
    */
   public CellProcess(
       InstanceSettings settings,
-      Function<HttpClient, CellPlatform> platform,
+      CellPlatform.Factory platform,
       CellPlatform.ResponderFactory responders,
       String readinessPath) {
     this.settings = settings;
@@ -84,7 +83,7 @@
     CellNode node =
         new CellNode(
             settings.cellSettings(),
-            platform.apply(http),
+            platform.create(http, new RejectedEntryLog(metrics, nowMillis)),
             loop,
             () -> new ClockReading(nowMillis.getAsLong(), System.currentTimeMillis()),
             metrics,
