Report a worker list that cannot be read, and read it again in any case

Cause: a failure to read or to apply the worker list was logged at debug level only. A read that throws ended the coordinator.

Ruled out: a read that stays pending. CompletableFuture passes on any Throwable, and each call of the store has a timeout.

WorkerListFollower holds the reads of the coordinator and goes on after a listing that cannot be applied. The line of a restore states the number of unreadable records and a bounded part of their keys.

Evidence: coordinatorGoesOnWhenTheListCannotBeReadOrApplied failed on: the coordinator was deposed.

Conclusion: neither a read nor a listing ends the coordinator, and an operator sees that the list is not followed.

--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellNode.java
@@ -82,10 +82,19 @@
     this.loop = loop;
     this.clock = clock;
     this.log = log;
+    CellDirectory directory = new ObservedDirectory(platform.directory(), metrics);
     PeerMessage.Hello self = new PeerMessage.Hello(settings.instanceId(), settings.zone());
     this.role =
         new CoordinatorRole(
-            self, settings, platform, config, loop, clock, metrics, log, () -> endRole("deposed"));
+            self,
+            settings,
+            platform.withDirectory(directory),
+            config,
+            loop,
+            clock,
+            metrics,
+            log,
+            () -> endRole("deposed"));
     PeerMessageHandler messageHandler =
         new PeerMessageHandler(role, requests, relay, platform.advice());
     this.server =
@@ -96,7 +105,7 @@
             messageHandler::handle,
             loop);
     this.standby =
-        new StandbyFollower(store, platform.directory(), loop, settings.hasCoordinatorResources());
+        new StandbyFollower(store, directory, loop, settings.hasCoordinatorResources(), metrics);
     this.link =
         new CoordinatorLink(
             self,
@@ -106,7 +115,7 @@
             standby::handleOfferAnswer,
             loop);
     this.configFollower =
-        new ConfigFollower(platform.directory(), config, loop, clock, log, this::applyConfig);
+        new ConfigFollower(directory, config, loop, clock, log, this::applyConfig);
     this.leadershipFollower = new LeadershipFollower(store, loop, this::handleAnnouncement);
     this.client =
         new CellClient(this::routeRequest, this::isTakeoverExpected, loop, this::nowMillis);
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
@@ -22,6 +22,7 @@
 import org.cicadaford.cell.ElapsedTime;
 import org.cicadaford.cell.JobSpec;
 import org.cicadaford.cell.JobView;
+import org.cicadaford.cell.ListedWorker;
 import org.cicadaford.cell.Queue;
 import org.cicadaford.cell.RecordWrite;
 import org.cicadaford.cell.Submitter;
@@ -41,8 +42,8 @@
   private static final CellReply STORE_UNRESPONSIVE =
       CellReply.of(CellOutcome.REFUSED, "the store is not responding");
 
-  /** Interval between reads of the worker list, in milliseconds. */
-  private static final long WORKER_LIST_INTERVAL_MILLIS = 300;
+  /** Maximum length of the keys of unreadable records in a log line. */
+  private static final int MAX_LOGGED_KEYS_LENGTH = 400;
 
   /** Interval between updates of the reachable helpers, in milliseconds. */
   private static final long HELPERS_INTERVAL_MILLIS = 20;
@@ -52,7 +53,7 @@
   private final OrderDispatcher dispatcher;
   private final JournalWriter journal;
   private final HelperPool helpers;
-  private final CellDirectory directory;
+  private final WorkerListFollower workerList;
   private final ScheduledExecutorService loop;
   private final Supplier<ClockReading> clock;
   private final CellMetrics metrics;
@@ -65,9 +66,7 @@
   private ScheduledFuture<?> rounds;
   private boolean running;
   private boolean roundScheduled;
-  private OptionalLong nextWorkerListMillis = OptionalLong.empty();
   private OptionalLong nextHelpersMillis = OptionalLong.empty();
-  private boolean workerListPending;
 
   /**
    * Creates the service of an epoch that this instance has claimed.
@@ -111,7 +110,7 @@
             this::stepDown,
             this::handleFault);
     this.helpers = helpers;
-    this.directory = directory;
+    this.workerList = new WorkerListFollower(directory, clock, metrics, this::applyWorkerList);
     this.loop = loop;
     this.clock = clock;
     this.metrics = metrics;
@@ -127,7 +126,13 @@
         "restore",
         "epoch-" + epoch,
         "restored",
-        "records=" + records.size() + " unreadable=" + unreadable);
+        "records="
+            + records.size()
+            + " unreadable="
+            + unreadable.size()
+            + " keys="
+            + LogText.bounded(unreadable.toString(), MAX_LOGGED_KEYS_LENGTH));
+    unreadable.forEach(key -> metrics.recordRejectedEntry("stored-record"));
     coordinator.configure(published.config(), published.zonesOut());
     coordinator.roleConfirmed(journal.lastStoredAt());
     running = true;
@@ -272,7 +277,7 @@
       coordinator.advance(now);
       coordinator.takeActions().forEach(this::execute);
       storeNextBatch();
-      readWorkers(now);
+      workerList.readIfDue(now);
     } catch (RuntimeException e) {
       handleFault(e);
     }
@@ -286,30 +291,11 @@
     stepDown();
   }
 
-  private void readWorkers(ClockReading now) {
-    if (workerListPending || ElapsedTime.isFuture(nextWorkerListMillis, now.monotonicMillis())) {
-      return;
+  private void applyWorkerList(List<ListedWorker> workers) {
+    if (running) {
+      coordinator.workersListed(workers, clock.get());
+      scheduleRound();
     }
-    workerListPending = true;
-    directory
-        .listWorkers()
-        .whenComplete(
-            (workers, failure) -> {
-              ClockReading later = clock.get();
-              workerListPending = false;
-              nextWorkerListMillis =
-                  OptionalLong.of(later.monotonicMillis() + WORKER_LIST_INTERVAL_MILLIS);
-              if (failure == null && running) {
-                coordinator.workersListed(workers, later);
-                scheduleRound();
-              }
-            })
-        .exceptionally(
-            failure -> {
-              // The read is repeated; the current worker list stays in force.
-              LOGGER.debug("failed to read the worker list", failure);
-              return null;
-            });
   }
 
   private void storeNextBatch() {
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/StandbyFollower.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/StandbyFollower.java
@@ -3,8 +3,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.cicadaford.cell.CoordinatorWarmUp;
 import org.cicadaford.wire.PeerMessage;
 
@@ -16,8 +14,6 @@
  */
 final class StandbyFollower {
 
-  private static final Logger LOGGER = LogManager.getLogger(StandbyFollower.class);
-
   /**
    * Interval between refreshes of the journal copy, in milliseconds; each one costs store calls.
    */
@@ -40,6 +36,7 @@
   private final CellDirectory directory;
   private final ScheduledExecutorService loop;
   private final boolean hasCoordinatorResources;
+  private final DependencyStatus journalCopy;
   private boolean designated;
   private boolean othersDesignated;
   private boolean warmUpScheduled;
@@ -54,7 +51,10 @@
       CellStore store,
       CellDirectory directory,
       ScheduledExecutorService loop,
-      boolean hasCoordinatorResources) {
+      boolean hasCoordinatorResources,
+      CellMetrics metrics) {
+    this.journalCopy =
+        new DependencyStatus("journal copy", "a takeover would load more records", metrics);
     this.store = store;
     this.directory = directory;
     this.loop = loop;
@@ -122,21 +122,17 @@
 
   private void refresh() {
     refreshing = true;
-    CompletableFuture<Void> list =
-        refreshCount++ % REFRESHES_PER_WORKER_LIST == 0
-            ? directory.listWorkers().thenAccept(workers -> {})
-            : CompletableFuture.completedFuture(null);
-    CompletableFuture.allOf(store.refreshLocalCopy(), list)
-        .exceptionally(
-            failure -> {
-              // ConfigFollower logs that the store is unreachable.
-              LOGGER.debug("failed to refresh the journal copy", failure);
-              return null;
-            })
-        .thenRun(
-            () -> {
-              loop.schedule(this::refreshAgain, REFRESH_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-            });
+    boolean listDue = refreshCount++ % REFRESHES_PER_WORKER_LIST == 0;
+    CompletableFuture<?> list =
+        listDue ? Futures.call(directory::listWorkers) : CompletableFuture.completedFuture(null);
+    CompletableFuture<Void> copy =
+        Futures.call(store::refreshLocalCopy)
+            .whenComplete((done, failure) -> journalCopy.record(failure));
+    // ObservedDirectory reports failures of the list.
+    CompletableFuture.allOf(copy, list)
+        .handle(
+            (done, failure) ->
+                loop.schedule(this::refreshAgain, REFRESH_INTERVAL_MILLIS, TimeUnit.MILLISECONDS));
   }
 
   private void refreshAgain() {
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceTest.java
@@ -5,6 +5,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.List;
 import java.util.Set;
@@ -53,6 +54,8 @@
   private long workerClockOffsetMillis;
   private boolean storing = true;
   private boolean deposed;
+  private Supplier<CompletableFuture<List<ListedWorker>>> listing =
+      CoordinatorServiceTest::soundListing;
 
   private static StepSpec step() {
     Resources demand = new Resources(1_000, 100, 0);
@@ -123,7 +126,7 @@
     return new WorkerClient.RenewalAnswer(WorkerClient.RenewalOutcome.REPORTED, report);
   }
 
-  private static CellDirectory directory() {
+  private CellDirectory directory() {
     return new CellDirectory() {
       @Override
       public CompletableFuture<PublishedConfig> awaitConfigChange(long waitMillis) {
@@ -132,14 +135,17 @@
 
       @Override
       public CompletableFuture<List<ListedWorker>> listWorkers() {
-        Resources capacity = new Resources(8_000, 8_000, 0);
-        return CompletableFuture.completedFuture(
-            List.of(
-                new ListedWorker("w", 1, "svc", "w:1", "z", false, 0, capacity, Set.of(), "rack")));
+        return listing.get();
       }
     };
   }
 
+  private static CompletableFuture<List<ListedWorker>> soundListing() {
+    Resources capacity = new Resources(8_000, 8_000, 0);
+    return CompletableFuture.completedFuture(
+        List.of(new ListedWorker("w", 1, "svc", "w:1", "z", false, 0, capacity, Set.of(), "rack")));
+  }
+
   private CoordinatorService service() {
     return service(now());
   }
@@ -199,6 +205,28 @@
     throw new IllegalStateException("no placement was appended");
   }
 
+  /**
+   * Guards against a worker list that ends each coordinator which reads it, and against one that is
+   * not read again after a failure.
+   */
+  @Example
+  void coordinatorGoesOnWhenTheListCannotBeReadOrApplied() {
+    listing =
+        () -> {
+          throw new IllegalStateException("unexpected");
+        };
+    CoordinatorService service = service();
+    advanceTime(400);
+    assertThat(deposed).isFalse();
+    listing = () -> CompletableFuture.completedFuture(Collections.singletonList(null));
+    advanceTime(400);
+    assertThat(deposed).isFalse();
+    listing = CoordinatorServiceTest::soundListing;
+    service.submit("job", QUEUE, new Submitter("t", "z"), SPEC);
+    advanceTime(800);
+    assertThat(starts).hasSize(1);
+  }
+
   /** Guards against starts by a coordinator that was replaced while its process was paused. */
   @Example
   void pausedProcessStartsNothingBeforeItsRoleIsConfirmed() {
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/StandbyFollowerTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/StandbyFollowerTest.java
@@ -47,7 +47,7 @@
             return CompletableFuture.completedFuture(List.of());
           }
         };
-    return new StandbyFollower(store, directory, channel.eventLoop(), fit);
+    return new StandbyFollower(store, directory, channel.eventLoop(), fit, new CellMetrics());
   }
 
   private void advanceTime(long millis) {
