--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobProgress.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobProgress.java
@@ -1,6 +1,7 @@
 package org.cicadaford.cell;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonValue;
 import java.util.List;
 
 /**
@@ -68,5 +69,19 @@
       int workerIndex,
       String checkpoint,
       int crashCount,
-      int startLossCount) {}
+      int startLossCount) {
+
+    /**
+     * Returns the stored elements: without the two counts, as before they existed, if both are 0.
+     */
+    @JsonValue
+    Object[] elements() {
+      boolean counted = crashCount != 0 || startLossCount != 0;
+      return counted
+          ? new Object[] {
+            done, lastRun, failedCount, workerIndex, checkpoint, crashCount, startLossCount
+          }
+          : new Object[] {done, lastRun, failedCount, workerIndex, checkpoint};
+    }
+  }
 }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/JobProgressTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/JobProgressTest.java
@@ -49,6 +49,21 @@
     assertThat(RecordCodec.decode(content, JobProgress.class)).isEqualTo(progress());
   }
 
+  /** Guards against larger records of the tasks that have crashed no worker, which are most. */
+  @Example
+  void recordWithoutCountsIsWrittenAsBefore() {
+    assertThat(HexFormat.of().formatHex(RecordCodec.encode(progress())))
+        .isEqualTo(RECORD_WITHOUT_CRASH_COUNT);
+  }
+
+  /** Guards against counts that a takeover forgets. */
+  @Example
+  void countsAreStored() throws Exception {
+    TaskProgress counted = new TaskProgress(false, 3, 2, 0, "00ff", 1, 2);
+    assertThat(RecordCodec.decode(RecordCodec.encode(counted), TaskProgress.class))
+        .isEqualTo(counted);
+  }
+
   /** Guards against records that the version before cannot read when it takes over. */
   @Example
   void versionBeforeReadsTheProgressOfATask() throws Exception {
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCrashes.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCrashes.java
@@ -119,7 +119,8 @@
     }
     String id = worker.id.split("-")[0] + "-" + ++returned;
     SimulatedWorker next =
-        new SimulatedWorker(id, worker.zone, worker.capacity, worker.clockRate, incarnation);
+        new SimulatedWorker(
+            id, worker.zone, worker.capacity.current(), worker.clockRate, incarnation);
     next.address = worker.address;
     next.fencing = worker.fencing;
     cell.workers.remove(worker.id);
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.List;
 import java.util.Set;
@@ -54,6 +55,8 @@
   private long workerClockOffsetMillis;
   private boolean storing = true;
   private boolean deposed;
+  private Supplier<CompletableFuture<List<ListedWorker>>> listing =
+      CoordinatorServiceTest::soundListing;
 
   /** Time in which the worker list is read. */
   private long listMillis;
@@ -141,17 +144,23 @@
         if (listFails) {
           return CompletableFuture.failedFuture(new IOException("the store refuses reads"));
         }
-        Resources capacity = new Resources(8_000, 8_000, 0);
-        List<ListedWorker> workers =
-            List.of(
-                new ListedWorker("w", 1, "svc", "w:1", "z", false, 0, capacity, Set.of(), "rack"));
         return listMillis == 0
-            ? CompletableFuture.completedFuture(workers)
-            : answer(listMillis, () -> workers);
+            ? listing.get()
+            : answer(listMillis, CoordinatorServiceTest::soundWorkers);
       }
     };
   }
 
+  private static CompletableFuture<List<ListedWorker>> soundListing() {
+    return CompletableFuture.completedFuture(soundWorkers());
+  }
+
+  private static List<ListedWorker> soundWorkers() {
+    Resources capacity = new Resources(8_000, 8_000, 0);
+    return List.of(
+        new ListedWorker("w", 1, "svc", "w:1", "z", false, 0, capacity, Set.of(), "rack"));
+  }
+
   private CoordinatorService service() {
     return service(now());
   }
@@ -211,6 +220,28 @@
     throw new IllegalStateException("no placement was appended");
   }
 
+  /**
+   * Guards against a worker list that ends each coordinator which reads it, and against one that is
+   * not read again after a failure.
+   */
+  @Example
+  void coordinatorGoesOnWhenTheListCannotBeReadOrApplied() {
+    listing =
+        () -> {
+          throw new IllegalStateException("unexpected");
+        };
+    CoordinatorService service = service();
+    advanceTime(400);
+    assertThat(deposed).isFalse();
+    listing = () -> CompletableFuture.completedFuture(Collections.singletonList(null));
+    advanceTime(400);
+    assertThat(deposed).isFalse();
+    listing = CoordinatorServiceTest::soundListing;
+    service.submit("job", QUEUE, new Submitter("t", "z"), SPEC);
+    advanceTime(800);
+    assertThat(starts).hasSize(1);
+  }
+
   /** Guards against starts by a coordinator that was replaced while its process was paused. */
   @Example
   void pausedProcessStartsNothingBeforeItsRoleIsConfirmed() {
