Fail a job whose progress cannot be read instead of starting it again

A job whose stored progress was damaged began anew after a takeover, so that tasks that had run ran again. What has run cannot be known, so the job is shown as failed; the key of its record is logged by the restore line. JobRestorerTest.jobWithUnreadableProgressIsNotStartedAgain showed PENDING before.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
@@ -22,7 +22,7 @@
 
   /**
    * Restores all jobs; returns the keys of records that cannot be decoded. A job whose progress
-   * cannot be decoded begins anew.
+   * cannot be decoded fails, because its tasks must not run again.
    */
   List<String> restore(List<RecordWrite> records, ClockReading now) {
     List<String> unreadable = new ArrayList<>();
@@ -48,6 +48,11 @@
       } else if (progress != null) {
         unreadable.add(progressKey);
       }
+      if (unreadable.contains(progressKey)) {
+        job.phase(JobPhase.FAILED);
+        job.endedAtMillis(now.unixMillis());
+        state.markForStore(job);
+      }
       state.markStored(job, job.phase());
       if (job.definitionObsolete()) {
         state.markForStore(job);
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/JobRestorerTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/JobRestorerTest.java
@@ -144,6 +144,18 @@
     assertThat(taken).isEmpty();
   }
 
+  /** Guards against tasks that run again because the record of their runs is damaged. */
+  @Example
+  void jobWithUnreadableProgressIsNotStartedAgain() {
+    Coordinator coordinator = coordinator();
+    coordinator.restore(
+        List.of(
+            write("d/", ODD, definition(ODD, QUEUE, "t", spec())),
+            write("p/", ODD, progress(List.of(task(-1, 0, ""))))),
+        NOW);
+    assertThat(coordinator.job(ODD).orElseThrow().phase()).isEqualTo(JobPhase.FAILED);
+  }
+
   private static boolean restoresWithout(String prefix, RecordWrite... records) {
     try {
       return restoreBeside(records).equals(List.of(prefix + ODD));
