Raise the fencing token of a worker with each of its lives

Cause: a worker that starts again under its id has seen no fencing token and carries out late orders to its earlier life. The starts of the last 12.5 s are stopped there one by one, but a late renewal carries the acknowledgements of the earlier life and removes ends of the next before they are reported.

Ruled out: a token shifted left, as an earlier build that takes over would be refused by every worker for good; epochs in multiples of 65,536, as they would grow by up to 2^36 a claim.

Change: the token of an order is the epoch plus the number of lives of the worker that the coordinator has learnt of in its epoch. A claim is at least 65,536 above the highest known epoch. Relays still compare epochs; the difference is a field of its own in their requests, left out when it is 0. A relay of an earlier build sends the epoch, so an order that is refused through a relay is repeated directly if its token is higher. A refusal does not end the role if the worker has received a higher token of this coordinator. A worker stays known for 12.5 s after the last renewal, and its offset is kept when it is removed. The stops are unchanged, for workers that check no token. The simulation answers refused renewals.

Conclusion: orders to an earlier life are refused from the first contact with the next one on.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
@@ -20,6 +20,10 @@
   private final CoordinatorSettings settings;
   private final Map<String, Job> jobs = new LinkedHashMap<>();
   private final Map<String, Worker> workers = new LinkedHashMap<>();
+
+  /** Token offsets above 0 of removed workers, which have seen them and may be listed again. */
+  private final Map<String, Integer> removedTokenOffsets = new HashMap<>();
+
   private final EventSequence events = new EventSequence();
   private final TeamUsageTracker usageTracker = new TeamUsageTracker();
   private final LimitReservations limitReservations = new LimitReservations(this);
@@ -102,6 +106,26 @@
     return workers;
   }
 
+  /** Returns the worker with that id, which is added if it is not known. */
+  Worker workerOrNew(String id, long incarnation) {
+    return workers.computeIfAbsent(
+        id, key -> new Worker(key, incarnation, removedTokenOffsets.getOrDefault(key, 0)));
+  }
+
+  void removeWorker(Worker worker) {
+    workers.remove(worker.id());
+    if (worker.tokenOffset() > 0) {
+      removedTokenOffsets.put(worker.id(), worker.tokenOffset());
+    }
+  }
+
+  /** Returns the placement of a run on a worker, or null. */
+  Placement placement(String workerId, String task, int run) {
+    Worker worker = workers.get(workerId);
+    Placement placement = worker == null ? null : worker.placements().get(task);
+    return placement != null && placement.run() == run ? placement : null;
+  }
+
   /** Returns the sequence that orders answers of workers and requests to them. */
   EventSequence events() {
     return events;
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -65,8 +65,7 @@
 
   /** Restores the state from stored records; returns the keys of those that cannot be decoded. */
   public List<String> restore(List<RecordWrite> records, ClockReading now) {
-    List<String> unreadable = new JobRestorer(state, monitor).restore(records, now);
-    return unreadable;
+    return new JobRestorer(state, monitor).restore(records, now);
   }
 
   /** Applies a configuration unless its version is lower than that of the current one. */
@@ -163,7 +162,7 @@
       StartOutcome outcome,
       long clockMillis,
       ClockReading now) {
-    Placement placement = placement(workerId, task, run);
+    Placement placement = state.placement(workerId, task, run);
     if (placement == null || placement.stage() != Placement.Stage.STARTING) {
       return;
     }
@@ -210,7 +209,7 @@
       return;
     }
     worker.earlierOrders().remove(task, run);
-    Placement placement = placement(workerId, task, run);
+    Placement placement = state.placement(workerId, task, run);
     if (placement != null) {
       placement.stopConfirmed(state.events().next(), now.monotonicMillis());
       if (placement.stage() == Placement.Stage.STARTING) {
@@ -222,12 +221,6 @@
     }
   }
 
-  private Placement placement(String workerId, String task, int run) {
-    Worker worker = state.workers().get(workerId);
-    Placement placement = worker == null ? null : worker.placements().get(task);
-    return placement != null && placement.run() == run ? placement : null;
-  }
-
   /** Returns the number of the last event, which a request that is sent now follows. */
   public long lastEventNumber() {
     return state.events().last();
@@ -375,6 +368,12 @@
     return taken;
   }
 
+  /** Returns the offset of the {@link FencingToken} of an order to a worker that is sent now. */
+  public int tokenOffset(String workerId) {
+    Worker worker = state.workers().get(workerId);
+    return worker == null ? 0 : worker.tokenOffset();
+  }
+
   /** Returns the number of known workers. */
   public int workerCount() {
     return state.workers().size();
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
@@ -33,6 +33,7 @@
   private final String id;
   private long incarnation;
   private long incarnationEvent;
+  private int tokenOffset;
   private ListedWorker listing;
   private boolean listed;
   private OptionalLong shutdownAtMillis = OptionalLong.empty();
@@ -52,6 +53,7 @@
   private int renewalsInFlight;
   private boolean immediateReportRequested;
   private OptionalLong renewalDueMillis = OptionalLong.empty();
+  private OptionalLong renewalSentAtMillis = OptionalLong.empty();
   private OptionalLong nextRenewalAtMillis = OptionalLong.empty();
   private int failedRenewals;
   private final Set<String> failedJobs = new HashSet<>();
@@ -60,8 +62,14 @@
   private OptionalLong pausedUntilMillis = OptionalLong.empty();
 
   Worker(String id, long incarnation) {
+    this(id, incarnation, 0);
+  }
+
+  /** Creates a worker that may have received tokens up to an offset from this coordinator. */
+  Worker(String id, long incarnation, int tokenOffset) {
     this.id = id;
     this.incarnation = incarnation;
+    this.tokenOffset = tokenOffset;
   }
 
   String id() {
@@ -77,6 +85,11 @@
     return incarnationEvent <= requestNumber;
   }
 
+  /** Returns the offset of the {@link FencingToken} of orders to the current incarnation. */
+  int tokenOffset() {
+    return tokenOffset;
+  }
+
   ListedWorker listing() {
     return listing;
   }
@@ -111,6 +124,7 @@
   void beginIncarnation(long newIncarnation, long eventNumber) {
     incarnation = newIncarnation;
     incarnationEvent = eventNumber;
+    tokenOffset = Math.min(tokenOffset + 1, FencingToken.COUNT_PER_EPOCH - 1);
     clockKnown = false;
     highestDeadlineMillis = 0;
     leaseExpiryMillis = OptionalLong.empty();
@@ -271,12 +285,17 @@
    * Records that a renewal was sent whose answer is due at a time. An immediate renewal may be in
    * flight next to a delayed one; the later time applies, as answers cannot be told apart.
    */
-  void renewalSent(long dueMillis) {
+  void renewalSent(long nowMillis, long dueMillis) {
     renewalsInFlight++;
+    renewalSentAtMillis = OptionalLong.of(nowMillis);
     immediateReportRequested = false;
     renewalDueMillis = ElapsedTime.latest(renewalDueMillis, dueMillis);
   }
 
+  boolean renewalSentWithin(long nowMillis, long millis) {
+    return ElapsedTime.within(renewalSentAtMillis, nowMillis, millis);
+  }
+
   void renewalFinished() {
     renewalsInFlight = Math.max(0, renewalsInFlight - 1);
     if (renewalsInFlight == 0) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -45,10 +45,7 @@
   void updateListings(List<ListedWorker> listings, ClockReading now) {
     Set<String> present = new HashSet<>();
     for (ListedWorker listing : listings) {
-      Worker worker =
-          state
-              .workers()
-              .computeIfAbsent(listing.id(), id -> new Worker(id, listing.incarnation()));
+      Worker worker = state.workerOrNew(listing.id(), listing.incarnation());
       present.add(listing.id());
       if (listing.incarnation() < worker.incarnation()) {
         continue;
@@ -68,7 +65,7 @@
 
   /** Returns the worker of a stored placement; it may no longer be listed. */
   Worker workerOfPlacement(String id, long incarnation, long nowMillis) {
-    Worker worker = state.workers().computeIfAbsent(id, key -> new Worker(key, incarnation));
+    Worker worker = state.workerOrNew(id, incarnation);
     worker.recordLeaseExpiry(nowMillis + state.settings().earlierLeaseExpiryMillis());
     return worker;
   }
@@ -237,14 +234,16 @@
         removed.add(worker);
       }
     }
-    removed.forEach(worker -> state.workers().remove(worker.id()));
+    removed.forEach(state::removeWorker);
     List.copyOf(state.stopping()).forEach(placement -> repeatStop(placement, now));
   }
 
   /** Returns whether the worker may come back while orders to it are in transit. */
   private boolean mayExecuteOrders(Worker worker, ClockReading now) {
+    long nowMillis = now.monotonicMillis();
     long lateOrderMillis = state.settings().lateOrderMillis();
-    return worker.earlierOrders().inTransit(now.monotonicMillis(), lateOrderMillis);
+    return worker.earlierOrders().inTransit(nowMillis, lateOrderMillis)
+        || worker.renewalSentWithin(nowMillis, lateOrderMillis);
   }
 
   /**
@@ -353,7 +352,7 @@
       deadlineMillis = worker.clockAt(nowMillis) + leaseMillis;
       worker.deadlineSent(deadlineMillis, settings.maxClockSlowdown());
     }
-    worker.renewalSent(nowMillis + waitMillis);
+    worker.renewalSent(nowMillis, nowMillis + waitMillis);
     return new Action.Renew(
         worker.id(),
         worker.incarnation(),
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorFaultTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorFaultTest.java
@@ -118,6 +118,36 @@
     assertThat(FaultScenarios.duplicatesAndOverloads(cell)).isEmpty();
   }
 
+  /**
+   * Guards against a renewal to an earlier life that removes the ends of the new one before they
+   * are reported, so that a completed task is run again.
+   */
+  @Property(tries = 20, seed = "4740")
+  void lateRenewalToAnEarlierLifeRemovesNoEnds(
+      @ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+    SimulatedCell cell =
+        new SimulatedCell(seed, SimulatedJobs.config(Resources.NONE, AdvicePolicy.NONE), 1);
+    SimulatedWorker worker = cell.workers.get("w0");
+    cell.network.earlierLifeOrders = true;
+    cell.submit("first" + seed, SimulatedJobs.step(1, 9_000, 300, false));
+    cell.run(1_000);
+    cell.network.lateRenewal = 1;
+    cell.run(1_800);
+    cell.network.lateRenewal = 0;
+    worker.crash();
+    worker.restart(200);
+    cell.run(900);
+    cell.submit("second" + seed, SimulatedJobs.step(1, 9_000, 1_000, false));
+    cell.run(500);
+    assertThat(cell.starts).isEqualTo(2);
+    worker.reachable = false;
+    cell.run(4_000);
+    worker.reachable = true;
+    cell.run(12_000);
+    assertThat(cell.violations).isEmpty();
+    assertThat(cell.starts).isEqualTo(2);
+  }
+
   /** Guards against giving up the runs of a new life for an answer from its earlier address. */
   @Example
   void refusalAtAnEarlierAddressEndsNoRunOfTheNewLife() {
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
@@ -97,7 +97,7 @@
 
   /** Replaces the coordinator by one with a higher epoch and the stored state. */
   void takeOver() {
-    epoch++;
+    epoch += FencingToken.COUNT_PER_EPOCH;
     appendOpen = false;
     coordinator = new Coordinator(CoordinatorSettings.forPlatform(6_000, 600_000));
     List<RecordWrite> records = new ArrayList<>();
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedNetwork.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedNetwork.java
@@ -14,7 +14,13 @@
   private static final long ORDER_TIMEOUT_MILLIS = 300;
 
   /** A coordinator and the epoch of its orders. */
-  record Sender(Coordinator coordinator, long epoch) {}
+  record Sender(Coordinator coordinator, long epoch) {
+
+    /** Returns the fencing token of an order that is sent now. */
+    long token(String workerId) {
+      return new FencingToken(epoch, coordinator.tokenOffset(workerId)).value();
+    }
+  }
 
   /** A worker process in one life, as the receiver of an order. */
   record Receiver(SimulatedWorker worker, long incarnation) {}
@@ -153,6 +159,7 @@
   }
 
   void start(Action.StartTask order, Sender sender) {
+    long token = sender.token(order.workerId());
     FirstAnswer<StartAnswer> first =
         new FirstAnswer<>(
             answer -> {
@@ -176,19 +183,19 @@
           () ->
               deliverStart(
                   order,
-                  sender,
+                  token,
                   atAddress(order.address(), receiver),
                   true,
                   "relayed start",
                   answer -> first.accept(first.sentTwice ? resolveDuplicate(answer) : answer)),
           () -> {
             first.sentTwice = true;
-            sendStart(order, sender, answer -> first.accept(resolveDuplicate(answer)));
+            sendStart(order, token, answer -> first.accept(resolveDuplicate(answer)));
           },
           () -> first.answered);
       return;
     }
-    sendStart(order, sender, first::accept);
+    sendStart(order, token, first::accept);
   }
 
   /** Returns the outcome of a start that was sent twice, like the client of the coordinator. */
@@ -198,7 +205,7 @@
         : new StartAnswer(StartOutcome.UNKNOWN, answer.worker());
   }
 
-  private void sendStart(Action.StartTask order, Sender sender, Consumer<StartAnswer> answer) {
+  private void sendStart(Action.StartTask order, long token, Consumer<StartAnswer> answer) {
     Receiver receiver = receiver(order.address());
     boolean late = cell.random.nextDouble() < cell.faults.lateOrder();
     boolean lost = late || cell.random.nextDouble() < cell.faults.lostAnswer();
@@ -211,7 +218,7 @@
           () -> {
             if (reaches(receiver, "start") && receiver.worker().id.equals(order.workerId())) {
               countLate(receiver, "start");
-              cell.carryOutStart(receiver.worker(), order, sender.epoch());
+              cell.carryOutStart(receiver.worker(), order, token);
             }
           });
       return;
@@ -221,7 +228,7 @@
         () -> {
           boolean arrives = reaches(receiver, "start") && receiver.worker().reachable;
           if (arrives) {
-            deliverStart(order, sender, receiver, !lost, "start", answer);
+            deliverStart(order, token, receiver, !lost, "start", answer);
           }
           if (lost || !arrives) {
             cell.after(ORDER_TIMEOUT_MILLIS, () -> answer.accept(StartAnswer.NONE));
@@ -231,7 +238,7 @@
 
   private void deliverStart(
       Action.StartTask order,
-      Sender sender,
+      long token,
       Receiver receiver,
       boolean answers,
       String what,
@@ -249,7 +256,7 @@
       count("refused start");
       outcome = StartOutcome.NOT_STARTED;
     } else {
-      outcome = cell.carryOutStart(worker, order, sender.epoch());
+      outcome = cell.carryOutStart(worker, order, token);
     }
     if (relayed) {
       count("relayed start " + outcome);
@@ -261,6 +268,7 @@
   }
 
   void stop(Action.StopTask order, Sender sender) {
+    long token = sender.token(order.workerId());
     long requestNumber = sender.coordinator().lastEventNumber();
     FirstAnswer<Boolean> first =
         new FirstAnswer<>(
@@ -280,17 +288,17 @@
             Receiver now = atAddress(order.address(), receiver);
             if (reaches(now, "relayed stop")) {
               count("relayed stop");
-              deliverStop(order, sender, now.worker(), first::accept);
+              deliverStop(order, token, now.worker(), first::accept);
             }
           },
-          () -> sendStop(order, sender, first::accept),
+          () -> sendStop(order, token, first::accept),
           () -> first.answered);
       return;
     }
-    sendStop(order, sender, first::accept);
+    sendStop(order, token, first::accept);
   }
 
-  private void sendStop(Action.StopTask order, Sender sender, Consumer<Boolean> answer) {
+  private void sendStop(Action.StopTask order, long token, Consumer<Boolean> answer) {
     Receiver receiver = receiver(order.address());
     boolean lost = cell.random.nextDouble() < cell.faults.lostAnswer();
     boolean late = occurs(lateStop);
@@ -304,15 +312,15 @@
           if (late) {
             countLate(receiver, "stop");
           }
-          deliverStop(order, sender, receiver.worker(), lost || late ? ok -> {} : answer);
+          deliverStop(order, token, receiver.worker(), lost || late ? ok -> {} : answer);
         });
   }
 
   private void deliverStop(
-      Action.StopTask order, Sender sender, SimulatedWorker worker, Consumer<Boolean> answer) {
+      Action.StopTask order, long token, SimulatedWorker worker, Consumer<Boolean> answer) {
     boolean confirmed =
         worker.id.equals(order.workerId())
-            && worker.stop(order.task(), order.run(), sender.epoch(), cell.nowMillis);
+            && worker.stop(order.task(), order.run(), token, cell.nowMillis);
     if (delayedAnswer > 0) {
       cell.after(answerMillis("stop answer"), () -> answer.accept(confirmed));
     } else {
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedRenewals.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedRenewals.java
@@ -34,6 +34,7 @@
   }
 
   void renew(Action.Renew order, Sender sender) {
+    long token = sender.token(order.workerId());
     long sentAtMillis = cell.nowMillis;
     long requestNumber = sender.coordinator().lastEventNumber();
     FirstAnswer<RenewalAnswer> first =
@@ -60,18 +61,18 @@
             Receiver now = network.atAddress(order.address(), receiver);
             if (network.reaches(now, "relayed renewal")) {
               network.count("relayed renewal");
-              deliverRenewal(order, sender, now.worker(), sentAtMillis, first::accept);
+              deliverRenewal(order, token, now.worker(), sentAtMillis, first::accept);
             }
           },
-          () -> sendRenewal(order.withoutWait(), sender, sentAtMillis, first::accept),
+          () -> sendRenewal(order.withoutWait(), token, sentAtMillis, first::accept),
           () -> first.answered);
       return;
     }
-    sendRenewal(order, sender, sentAtMillis, first::accept);
+    sendRenewal(order, token, sentAtMillis, first::accept);
   }
 
   private void sendRenewal(
-      Action.Renew order, Sender sender, long sentAtMillis, Consumer<RenewalAnswer> answer) {
+      Action.Renew order, long token, long sentAtMillis, Consumer<RenewalAnswer> answer) {
     Receiver receiver = network.receiver(order.address());
     if (network.occurs(network.lateRenewal)) {
       cell.after(order.timeoutMillis(), () -> answer.accept(RenewalAnswer.NONE));
@@ -82,7 +83,7 @@
             if (network.reaches(receiver, "renewal")
                 && receiver.worker().id.equals(order.workerId())) {
               network.countLate(receiver, "renewal");
-              receiver.worker().renew(sender.epoch(), order);
+              receiver.worker().renew(token, order);
             }
           });
       return;
@@ -91,12 +92,12 @@
       cell.after(order.timeoutMillis(), () -> answer.accept(RenewalAnswer.NONE));
       return;
     }
-    deliverRenewal(order, sender, receiver.worker(), sentAtMillis, answer);
+    deliverRenewal(order, token, receiver.worker(), sentAtMillis, answer);
   }
 
   private void deliverRenewal(
       Action.Renew order,
-      Sender sender,
+      long token,
       SimulatedWorker worker,
       long sentAtMillis,
       Consumer<RenewalAnswer> answer) {
@@ -105,10 +106,13 @@
       cell.after(network.answerMillis("refusal"), () -> answer.accept(RenewalAnswer.GONE));
       return;
     }
-    if (worker.renew(sender.epoch(), order)) {
+    if (worker.renew(token, order)) {
       long untilMillis = cell.nowMillis + order.waitMillis();
       Receiver life = new Receiver(worker, worker.incarnation);
       pollRenewal(order, life, sentAtMillis, untilMillis, answer);
+    } else {
+      network.count("fenced renewal");
+      cell.after(network.answerMillis("refusal"), () -> answer.accept(RenewalAnswer.NONE));
     }
   }
 
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/WorkerMonitorTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/WorkerMonitorTest.java
@@ -62,6 +62,28 @@
     assertThat(cell.ordersTo("w0")).isEqualTo(before);
   }
 
+  /**
+   * Guards against late renewals to the earlier life of a worker that was not listed for a while,
+   * and against orders with a lower token to a worker that has received a higher one.
+   */
+  @Example
+  void tokenOfAWorkerThatIsListedAgainIsNotLowered() {
+    SimulatedCell cell = cell(1, 1);
+    SimulatedWorker worker = cell.workers.get("w0");
+    cell.run(1_000);
+    worker.crash();
+    cell.run(3_000);
+    worker.restart(200);
+    cell.run(1_000);
+    assertThat(cell.coordinator.tokenOffset("w0")).isEqualTo(1);
+    worker.listed = false;
+    cell.run(20_000);
+    assertThat(cell.coordinator.workerCount()).isZero();
+    worker.listed = true;
+    cell.run(1_000);
+    assertThat(cell.coordinator.tokenOffset("w0")).isEqualTo(1);
+  }
+
   /**
    * Guards against an exception in the coordinator because of a report with invalid names or
    * numbers.
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorCandidate.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorCandidate.java
@@ -6,6 +6,7 @@
 import java.util.function.Supplier;
 import org.cicadaford.cell.ClockReading;
 import org.cicadaford.cell.ElapsedTime;
+import org.cicadaford.cell.FencingToken;
 
 /**
  * Observes the journal while the coordinator is not heard from, and claims it when {@link
@@ -163,7 +164,7 @@
   private void claim(long end) {
     claiming = true;
     claimDelayMillis = randomClaimDelayMillis();
-    long epoch = highestEpoch + 1 + random.nextInt(EPOCH_JITTER);
+    long epoch = highestEpoch + FencingToken.COUNT_PER_EPOCH + random.nextInt(EPOCH_JITTER);
     highestEpoch = epoch;
     ClockReading requestedAt = clock.get();
     store
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/OrderDispatcher.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/OrderDispatcher.java
@@ -5,6 +5,7 @@
 import org.cicadaford.cell.Action;
 import org.cicadaford.cell.ClockReading;
 import org.cicadaford.cell.Coordinator;
+import org.cicadaford.cell.FencingToken;
 import org.cicadaford.cell.StartOutcome;
 import org.cicadaford.coordinator.WorkerClient.RenewalOutcome;
 
@@ -55,8 +56,9 @@
   /** Sends an order to start a task. */
   void sendStart(Action.StartTask order) {
     long sentAtMillis = clock.get().monotonicMillis();
+    FencingToken token = token(order.workerId());
     workers
-        .start(order, epoch)
+        .start(order, token)
         .thenAccept(
             answer -> {
               ClockReading now = clock.get();
@@ -80,7 +82,8 @@
                   answer.outcome(),
                   answer.clockMillis(),
                   now);
-              afterAnswer(answer.outcome() == StartOutcome.FENCED);
+              afterAnswer(
+                  answer.outcome() == StartOutcome.FENCED && isNewest(order.workerId(), token));
             })
         .exceptionally(this::reportFault);
   }
@@ -89,7 +92,7 @@
   void sendStop(Action.StopTask order) {
     long requestNumber = coordinator.lastEventNumber();
     workers
-        .stop(order, epoch)
+        .stop(order, token(order.workerId()))
         .thenAccept(
             confirmed -> {
               metrics.recordOrderOutcome("stop", confirmed ? "CONFIRMED" : "NO_ANSWER");
@@ -110,8 +113,9 @@
   /** Sends a lease renewal. */
   void sendRenewal(Action.Renew order) {
     long requestNumber = coordinator.lastEventNumber();
+    FencingToken token = token(order.workerId());
     workers
-        .renew(order, epoch, clock.get().monotonicMillis())
+        .renew(order, token, clock.get().monotonicMillis())
         .thenAccept(
             answer -> {
               metrics.recordOrderOutcome("renew", answer.outcome().name());
@@ -126,11 +130,24 @@
                     "incarnation=" + order.incarnation());
                 coordinator.renewalFailed(order, answer.outcome() == RenewalOutcome.GONE, now);
               }
-              afterAnswer(answer.outcome() == RenewalOutcome.FENCED);
+              afterAnswer(
+                  answer.outcome() == RenewalOutcome.FENCED && isNewest(order.workerId(), token));
             })
         .exceptionally(this::reportFault);
   }
 
+  private FencingToken token(String workerId) {
+    return new FencingToken(epoch, coordinator.tokenOffset(workerId));
+  }
+
+  /**
+   * Returns whether the worker has received no higher token from this coordinator. If it has, its
+   * refusal of this one does not tell of another coordinator.
+   */
+  private boolean isNewest(String workerId, FencingToken token) {
+    return token.offset() >= coordinator.tokenOffset(workerId);
+  }
+
   private <T> T reportFault(Throwable failure) {
     onFault.accept(failure);
     return null;
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/OrderRelay.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/OrderRelay.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.CompletableFuture;
 import org.cicadaford.cell.Action;
+import org.cicadaford.cell.FencingToken;
 import org.cicadaford.cell.StartOutcome;
 import org.cicadaford.model.MalformedRecordException;
 import org.cicadaford.model.RecordCodec;
@@ -11,7 +12,8 @@
  * Relays the coordinator's orders from this instance to workers.
  *
  * <p>It rejects orders of epochs below the highest one it has seen, so that orders of a replaced
- * coordinator are stopped even if the workers do not check epochs.
+ * coordinator are stopped even if the workers do not check epochs. Fencing tokens are not compared
+ * here, as they differ between workers.
  */
 final class OrderRelay {
 
@@ -37,22 +39,23 @@
   CompletableFuture<PeerMessage> handle(PeerMessage.OrderRequest request) {
     boolean fenced = request.epoch() < highestEpoch;
     observeEpoch(request.epoch());
+    FencingToken token = new FencingToken(request.epoch(), request.tokenOffset());
     try {
       CompletableFuture<?> answer =
           switch (request.order()) {
             case START -> {
               Action.StartTask order = decode(request, Action.StartTask.class);
-              yield fenced ? completed(fencedStartAnswer()) : workers.start(order, request.epoch());
+              yield fenced ? completed(fencedStartAnswer()) : workers.start(order, token);
             }
             case STOP -> {
               Action.StopTask order = decode(request, Action.StopTask.class);
-              yield fenced ? completed(false) : workers.stop(order, request.epoch());
+              yield fenced ? completed(false) : workers.stop(order, token);
             }
             case RENEW -> {
               Action.Renew order = decode(request, Action.Renew.class);
               yield fenced
                   ? completed(WorkerClient.RenewalAnswer.of(WorkerClient.RenewalOutcome.FENCED))
-                  : workers.renew(order, request.epoch(), 0);
+                  : workers.renew(order, token, 0);
             }
             default -> CompletableFuture.failedFuture(unknownKind(request));
           };
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/RelayingWorkerClient.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/RelayingWorkerClient.java
@@ -8,11 +8,13 @@
 import java.util.function.Function;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.cicadaford.cell.Action;
+import org.cicadaford.cell.FencingToken;
 import org.cicadaford.cell.StartOutcome;
 import org.cicadaford.model.MalformedRecordException;
 import org.cicadaford.model.RecordCodec;
@@ -86,15 +88,19 @@
   }
 
   @Override
-  public CompletableFuture<StartAnswer> start(Action.StartTask order, long epoch) {
-    Supplier<CompletableFuture<StartAnswer>> sendDirect = () -> direct.start(order, epoch);
+  public CompletableFuture<StartAnswer> start(Action.StartTask order, FencingToken token) {
+    Supplier<CompletableFuture<StartAnswer>> sendDirect = () -> direct.start(order, token);
     return chooseRelay(order.workerId())
         .map(
             relay ->
                 relay(
                     relay,
-                    new RelayedOrder(OrderRelay.START, epoch, order),
-                    StartAnswer.class,
+                    new RelayedOrder<>(
+                        OrderRelay.START,
+                        token,
+                        order,
+                        StartAnswer.class,
+                        answer -> answer.outcome() == StartOutcome.FENCED),
                     HEDGE_DELAY_MILLIS,
                     sendDirect,
                     RelayingWorkerClient::resolveDuplicateStart))
@@ -114,15 +120,15 @@
   }
 
   @Override
-  public CompletableFuture<Boolean> stop(Action.StopTask order, long epoch) {
-    Supplier<CompletableFuture<Boolean>> sendDirect = () -> direct.stop(order, epoch);
+  public CompletableFuture<Boolean> stop(Action.StopTask order, FencingToken token) {
+    Supplier<CompletableFuture<Boolean>> sendDirect = () -> direct.stop(order, token);
     return chooseRelay(order.workerId())
         .map(
             relay ->
                 relay(
                     relay,
-                    new RelayedOrder(OrderRelay.STOP, epoch, order),
-                    Boolean.class,
+                    new RelayedOrder<>(
+                        OrderRelay.STOP, token, order, Boolean.class, confirmed -> !confirmed),
                     HEDGE_DELAY_MILLIS,
                     sendDirect,
                     UnaryOperator.identity()))
@@ -130,11 +136,12 @@
   }
 
   @Override
-  public CompletableFuture<RenewalAnswer> renew(Action.Renew order, long epoch, long nowMillis) {
+  public CompletableFuture<RenewalAnswer> renew(
+      Action.Renew order, FencingToken token, long nowMillis) {
     if (isRelayExpected(order.workerId())) {
       CompletableFuture<RenewalAnswer> answer = new CompletableFuture<>();
       loop.schedule(
-          () -> renew(order, epoch, nowMillis).thenAccept(answer::complete),
+          () -> renew(order, token, nowMillis).thenAccept(answer::complete),
           RELAY_POLL_INTERVAL_MILLIS,
           TimeUnit.MILLISECONDS);
       return answer;
@@ -144,13 +151,17 @@
             relay ->
                 relay(
                         relay,
-                        new RelayedOrder(OrderRelay.RENEW, epoch, order),
-                        RenewalAnswer.class,
+                        new RelayedOrder<>(
+                            OrderRelay.RENEW,
+                            token,
+                            order,
+                            RenewalAnswer.class,
+                            answer -> answer.outcome() == RenewalOutcome.FENCED),
                         order.waitMillis() + HEDGE_DELAY_MILLIS,
-                        () -> direct.renew(order.withoutWait(), epoch, nowMillis),
+                        () -> direct.renew(order.withoutWait(), token, nowMillis),
                         UnaryOperator.identity())
                     .thenApply(answer -> answer.sentAt(nowMillis)))
-        .orElseGet(() -> direct.renew(order, epoch, nowMillis));
+        .orElseGet(() -> direct.renew(order, token, nowMillis));
   }
 
   /** Returns whether this new coordinator is still waiting for a relay's first offer. */
@@ -171,26 +182,39 @@
     return relay;
   }
 
-  /** Holds an order to be relayed. */
-  private record RelayedOrder(String kind, long epoch, Action order) {
+  /**
+   * Holds an order to be relayed.
+   *
+   * @param refused whether an answer may be the refusal of a lower fencing token
+   */
+  private record RelayedOrder<T>(
+      String kind, FencingToken token, Action order, Class<T> answerType, Predicate<T> refused) {
+
+    /**
+     * Returns whether the worker may have refused a token that the relay has put in the place of
+     * this one: a relay of an earlier build sends the epoch, which is lower.
+     */
+    private boolean refusedOtherToken(T answer) {
+      return token.offset() > 0 && refused.test(answer);
+    }
+
     private PeerMessage.OrderRequest request() {
-      return new PeerMessage.OrderRequest(kind, epoch, RecordCodec.encode(order));
+      return new PeerMessage.OrderRequest(
+          kind, token.epoch(), RecordCodec.encode(order), token.offset());
     }
   }
 
   private <T> CompletableFuture<T> relay(
       String relay,
-      RelayedOrder relayed,
-      Class<T> answerType,
+      RelayedOrder<T> relayed,
       long hedgeDelayMillis,
       Supplier<CompletableFuture<T>> sendDirect,
       UnaryOperator<T> resolveDuplicate) {
-    HedgedOrder<T> hedged = new HedgedOrder<>(relay, sendDirect, resolveDuplicate);
+    HedgedOrder<T> hedged = new HedgedOrder<>(relay, relayed, sendDirect, resolveDuplicate);
     hedged.timer = loop.schedule(hedged::onTimeout, hedgeDelayMillis, TimeUnit.MILLISECONDS);
     relays
         .relay(relay, relayed.request())
-        .whenCompleteAsync(
-            (answer, failure) -> hedged.handleRelayAnswer(answer, failure, answerType), loop);
+        .whenCompleteAsync((answer, failure) -> hedged.handleRelayAnswer(answer, failure), loop);
     return hedged.result;
   }
 
@@ -198,6 +222,7 @@
   private final class HedgedOrder<T> {
 
     private final String relay;
+    private final RelayedOrder<T> relayed;
     private final Supplier<CompletableFuture<T>> sendDirect;
     private final UnaryOperator<T> resolveDuplicate;
     private final CompletableFuture<T> result = new CompletableFuture<>();
@@ -206,9 +231,11 @@
 
     private HedgedOrder(
         String relay,
+        RelayedOrder<T> relayed,
         Supplier<CompletableFuture<T>> sendDirect,
         UnaryOperator<T> resolveDuplicate) {
       this.relay = relay;
+      this.relayed = relayed;
       this.sendDirect = sendDirect;
       this.resolveDuplicate = resolveDuplicate;
     }
@@ -225,14 +252,19 @@
       }
     }
 
-    private void handleRelayAnswer(PeerMessage answer, Throwable failure, Class<T> answerType) {
+    private void handleRelayAnswer(PeerMessage answer, Throwable failure) {
       if (result.isDone()) {
         return;
       }
       try {
         if (answer instanceof PeerMessage.OrderAnswer orderAnswer) {
           timer.cancel(false);
-          complete(RecordCodec.decode(orderAnswer.content(), answerType));
+          T content = RecordCodec.decode(orderAnswer.content(), relayed.answerType());
+          if (relayed.refusedOtherToken(content)) {
+            sendDirectOnce();
+          } else {
+            complete(content);
+          }
           return;
         }
       } catch (MalformedRecordException e) {
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/WorkerClient.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/WorkerClient.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonFormat;
 import java.util.concurrent.CompletableFuture;
 import org.cicadaford.cell.Action;
+import org.cicadaford.cell.FencingToken;
 import org.cicadaford.cell.StartOutcome;
 import org.cicadaford.cell.WorkerReport;
 
@@ -24,7 +25,7 @@
     REPORTED,
     /** Another instance or incarnation uses the worker's address. */
     GONE,
-    /** The worker follows a coordinator with a higher epoch. */
+    /** The worker has received a higher fencing token. */
     FENCED,
     /** No usable answer arrived. */
     NO_ANSWER
@@ -49,11 +50,11 @@
   }
 
   /** Orders a worker to start a task. */
-  CompletableFuture<StartAnswer> start(Action.StartTask order, long epoch);
+  CompletableFuture<StartAnswer> start(Action.StartTask order, FencingToken token);
 
   /** Orders a worker to stop a task; returns whether the worker confirmed it. */
-  CompletableFuture<Boolean> stop(Action.StopTask order, long epoch);
+  CompletableFuture<Boolean> stop(Action.StopTask order, FencingToken token);
 
   /** Renews a worker's lease and requests a report. */
-  CompletableFuture<RenewalAnswer> renew(Action.Renew order, long epoch, long nowMillis);
+  CompletableFuture<RenewalAnswer> renew(Action.Renew order, FencingToken token, long nowMillis);
 }
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceTest.java
@@ -17,6 +17,7 @@
 import org.cicadaford.cell.CellConfig;
 import org.cicadaford.cell.ClockReading;
 import org.cicadaford.cell.CoordinatorSettings;
+import org.cicadaford.cell.FencingToken;
 import org.cicadaford.cell.JobSpec;
 import org.cicadaford.cell.ListedWorker;
 import org.cicadaford.cell.Queue;
@@ -86,19 +87,19 @@
   private WorkerClient workerClient() {
     return new WorkerClient() {
       @Override
-      public CompletableFuture<StartAnswer> start(Action.StartTask order, long epoch) {
+      public CompletableFuture<StartAnswer> start(Action.StartTask order, FencingToken token) {
         starts.add(order);
         return answer(5, () -> new StartAnswer(StartOutcome.STARTED, workerClockMillis(), ""));
       }
 
       @Override
-      public CompletableFuture<Boolean> stop(Action.StopTask order, long epoch) {
+      public CompletableFuture<Boolean> stop(Action.StopTask order, FencingToken token) {
         return answer(5, () -> true);
       }
 
       @Override
       public CompletableFuture<RenewalAnswer> renew(
-          Action.Renew order, long epoch, long nowMillis) {
+          Action.Renew order, FencingToken token, long nowMillis) {
         renewals.add(order);
         return answer(5 + order.waitMillis(), () -> report(nowMillis));
       }
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/OrderRelayTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/OrderRelayTest.java
@@ -10,6 +10,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.cicadaford.cell.Action;
+import org.cicadaford.cell.FencingToken;
 import org.cicadaford.cell.StartOutcome;
 import org.cicadaford.cell.StopReason;
 import org.cicadaford.model.MalformedRecordException;
@@ -22,33 +23,34 @@
   private static final Action.StartTask START =
       new Action.StartTask("w", "w:1", "job.0.0.0", 1, "payload", "", "", 5_000);
 
-  private final List<Long> sentEpochs = new ArrayList<>();
+  private final List<Long> sentTokens = new ArrayList<>();
   private final OrderRelay relay =
       new OrderRelay(
           new WorkerClient() {
             @Override
-            public CompletableFuture<StartAnswer> start(Action.StartTask order, long epoch) {
-              sentEpochs.add(epoch);
+            public CompletableFuture<StartAnswer> start(
+                Action.StartTask order, FencingToken token) {
+              sentTokens.add(token.value());
               return CompletableFuture.completedFuture(
                   new StartAnswer(StartOutcome.STARTED, 1, "200"));
             }
 
             @Override
-            public CompletableFuture<Boolean> stop(Action.StopTask order, long epoch) {
-              sentEpochs.add(epoch);
+            public CompletableFuture<Boolean> stop(Action.StopTask order, FencingToken token) {
+              sentTokens.add(token.value());
               return CompletableFuture.completedFuture(true);
             }
 
             @Override
             public CompletableFuture<RenewalAnswer> renew(
-                Action.Renew order, long epoch, long nowMillis) {
-              sentEpochs.add(epoch);
+                Action.Renew order, FencingToken token, long nowMillis) {
+              sentTokens.add(token.value());
               return CompletableFuture.completedFuture(RenewalAnswer.of(RenewalOutcome.GONE));
             }
           });
 
   private static PeerMessage.OrderRequest request(String kind, long epoch, Action order) {
-    return new PeerMessage.OrderRequest(kind, epoch, RecordCodec.encode(order));
+    return new PeerMessage.OrderRequest(kind, epoch, RecordCodec.encode(order), 0);
   }
 
   private <T> T answer(PeerMessage.OrderRequest request, Class<T> type)
@@ -75,7 +77,19 @@
     Action.StopTask stop = new Action.StopTask("w", "w:1", "t", 1, StopReason.STALLED);
     assertThat(answer(request(OrderRelay.STOP, 6, stop), Boolean.class)).isFalse();
     assertThat(answer(request(OrderRelay.STOP, 8, stop), Boolean.class)).isTrue();
-    assertThat(sentEpochs).containsExactly(5L, 8L);
+    assertThat(sentTokens).containsExactly(5L, 8L);
+  }
+
+  /**
+   * Guards against a relay that refuses the orders to all other workers once a worker has
+   * restarted, or sends orders to the restarted one with the token of its earlier incarnation.
+   */
+  @Example
+  void relaySendsTheTokenOfTheOrderAndComparesEpochs() {
+    byte[] content = RecordCodec.encode(START);
+    relay.handle(new PeerMessage.OrderRequest(OrderRelay.START, 5, content, 3));
+    relay.handle(new PeerMessage.OrderRequest(OrderRelay.START, 5, content, 0));
+    assertThat(sentTokens).containsExactly(8L, 5L);
   }
 
   /** Guards against a malformed order that ends the process or breaks the relay. */
@@ -89,7 +103,7 @@
     byte[] cut = java.util.Arrays.copyOf(content, random.nextInt(content.length + 1));
     String kind = List.of(OrderRelay.START, OrderRelay.STOP, "other").get(random.nextInt(3));
     CompletableFuture<PeerMessage> answer =
-        relay.handle(new PeerMessage.OrderRequest(kind, 3, cut));
+        relay.handle(new PeerMessage.OrderRequest(kind, 3, cut, 0));
     assertThat(answer).isDone();
     assertThat(relay.handle(request(OrderRelay.START, 3, START))).isCompleted();
   }
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/RelayingWorkerClientTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/RelayingWorkerClientTest.java
@@ -15,6 +15,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import org.cicadaford.cell.Action;
+import org.cicadaford.cell.FencingToken;
 import org.cicadaford.cell.StartOutcome;
 import org.cicadaford.cell.StopReason;
 import org.cicadaford.cell.WorkerReport;
@@ -29,6 +30,7 @@
 
   private static final Action.StartTask START =
       new Action.StartTask("w", "w:1", "job.0.0.0", 1, "payload", "", "ticket", 5_000);
+  private static final FencingToken TOKEN = new FencingToken(9, 0);
   private static final StartAnswer STARTED = new StartAnswer(StartOutcome.STARTED, 77, "200");
 
   private final EmbeddedChannel channel = new EmbeddedChannel();
@@ -67,7 +69,7 @@
   private final WorkerClient direct =
       new WorkerClient() {
         @Override
-        public CompletableFuture<StartAnswer> start(Action.StartTask order, long epoch) {
+        public CompletableFuture<StartAnswer> start(Action.StartTask order, FencingToken token) {
           sentDirect.add(order);
           return pendingDirectAnswer != null
               ? pendingDirectAnswer
@@ -75,14 +77,14 @@
         }
 
         @Override
-        public CompletableFuture<Boolean> stop(Action.StopTask order, long epoch) {
+        public CompletableFuture<Boolean> stop(Action.StopTask order, FencingToken token) {
           sentDirect.add(order);
           return CompletableFuture.completedFuture(true);
         }
 
         @Override
         public CompletableFuture<RenewalAnswer> renew(
-            Action.Renew order, long epoch, long nowMillis) {
+            Action.Renew order, FencingToken token, long nowMillis) {
           sentDirect.add(order);
           return CompletableFuture.completedFuture(RenewalAnswer.of(RenewalOutcome.NO_ANSWER));
         }
@@ -115,7 +117,7 @@
   /** Guards against sending an order twice although the relay has answered. */
   @Example
   void relayAnswerIsUsed() {
-    CompletableFuture<StartAnswer> answer = client().start(START, 9);
+    CompletableFuture<StartAnswer> answer = client().start(START, TOKEN);
     assertThat(relayed).singleElement().satisfies(order -> assertThat(order.epoch()).isEqualTo(9));
     answer(STARTED);
     assertThat(answer).isCompletedWithValue(STARTED);
@@ -127,7 +129,7 @@
   /** Guards against starts that wait for a frozen or partitioned relay. */
   @Example
   void unresponsiveRelayIsBypassedAndMarked() {
-    CompletableFuture<StartAnswer> answer = client().start(START, 9);
+    CompletableFuture<StartAnswer> answer = client().start(START, TOKEN);
     advanceTime(79);
     assertThat(sentDirect).isEmpty();
     advanceTime(1);
@@ -146,11 +148,11 @@
   @Example
   void rejectedDuplicateStartHasUnknownOutcome() {
     directAnswer = new StartAnswer(StartOutcome.BAD_TICKET, 77, "409ticket");
-    CompletableFuture<StartAnswer> answer = client().start(START, 9);
+    CompletableFuture<StartAnswer> answer = client().start(START, TOKEN);
     advanceTime(80);
     assertThat(answer.join().outcome()).isEqualTo(StartOutcome.UNKNOWN);
     workerCount = 32;
-    assertThat(client().start(START, 9).join().outcome()).isEqualTo(StartOutcome.BAD_TICKET);
+    assertThat(client().start(START, TOKEN).join().outcome()).isEqualTo(StartOutcome.BAD_TICKET);
   }
 
   /** Guards against a second run of a task whose directly sent order is executed afterwards. */
@@ -159,7 +161,7 @@
       @ForAll("rejections") StartOutcome rejection) {
     sentDirect.clear();
     pendingDirectAnswer = new CompletableFuture<>();
-    CompletableFuture<StartAnswer> answer = client().start(START, 9);
+    CompletableFuture<StartAnswer> answer = client().start(START, TOKEN);
     advanceTime(80);
     assertThat(sentDirect).containsExactly(START);
     answer(new StartAnswer(rejection, 77, "rejected"));
@@ -171,11 +173,43 @@
     return Arbitraries.of(StartOutcome.NO_ROOM, StartOutcome.NOT_STARTED, StartOutcome.BAD_TICKET);
   }
 
+  /**
+   * Guards against workers that get no orders during an upgrade: a relay of the earlier build sends
+   * the epoch instead of the token, which a worker that has restarted refuses.
+   */
+  @Example
+  void orderRefusedThroughARelayIsSentDirectlyIfItsTokenIsNotTheEpoch() {
+    FencingToken raised = new FencingToken(9, 2);
+    CompletableFuture<StartAnswer> start = client().start(START, raised);
+    assertThat(relayed.getLast().epoch()).isEqualTo(9);
+    assertThat(relayed.getLast().tokenOffset()).isEqualTo(2);
+    answer(new StartAnswer(StartOutcome.FENCED, 0, "409fence"));
+    assertThat(start).isCompletedWithValue(STARTED);
+    Action.StopTask stop = new Action.StopTask("w", "w:1", "t", 1, StopReason.CANCELLED);
+    CompletableFuture<Boolean> stopped = client().stop(stop, raised);
+    answer(false);
+    assertThat(stopped).isCompletedWithValue(true);
+    Action.Renew renewal = new Action.Renew("w", 1, "w:1", 4, 9_000, 0, 600);
+    client().renew(renewal, raised, 500);
+    answer(RenewalAnswer.of(RenewalOutcome.FENCED));
+    assertThat(sentDirect).containsExactly(START, stop, renewal);
+    assertThat(unresponsive).isEmpty();
+  }
+
+  /** Guards against orders of a replaced coordinator that pass a relay which refuses its epoch. */
+  @Example
+  void orderRefusedThroughARelayIsNotRepeatedIfItsTokenIsTheEpoch() {
+    CompletableFuture<StartAnswer> start = client().start(START, TOKEN);
+    answer(new StartAnswer(StartOutcome.FENCED, 0, "a coordinator with a higher epoch is known"));
+    assertThat(start.join().outcome()).isEqualTo(StartOutcome.FENCED);
+    assertThat(sentDirect).isEmpty();
+  }
+
   /** Guards against waiting for a killed relay. */
   @Example
   void failedRelayIsBypassedImmediately() {
     CompletableFuture<Boolean> answer =
-        client().stop(new Action.StopTask("w", "w:1", "t", 1, StopReason.CANCELLED), 9);
+        client().stop(new Action.StopTask("w", "w:1", "t", 1, StopReason.CANCELLED), TOKEN);
     relayAnswers.getLast().completeExceptionally(new IllegalStateException("closed"));
     channel.runPendingTasks();
     assertThat(answer).isCompletedWithValue(true);
@@ -188,11 +222,11 @@
   @Example
   void unreadableAnswerOfARelayIsAFailure() {
     RelayingWorkerClient client = client();
-    CompletableFuture<StartAnswer> refused = client.start(START, 9);
+    CompletableFuture<StartAnswer> refused = client.start(START, TOKEN);
     relayAnswers.getLast().complete(new PeerMessage.Refusal("no"));
     channel.runPendingTasks();
     assertThat(refused).isCompletedWithValue(STARTED);
-    CompletableFuture<StartAnswer> malformed = client.start(START, 9);
+    CompletableFuture<StartAnswer> malformed = client.start(START, TOKEN);
     relayAnswers.getLast().complete(new PeerMessage.OrderAnswer(new byte[] {(byte) 0xc1, 7}));
     channel.runPendingTasks();
     assertThat(malformed).isCompletedWithValue(STARTED);
@@ -203,13 +237,13 @@
   @Example
   void delayedRenewalIsRepeatedOnlyAfterItsWait() {
     Action.Renew renewal = new Action.Renew("w", 1, "w:1", 4, 9_000, 1_000, 1_600);
-    CompletableFuture<RenewalAnswer> answer = client().renew(renewal, 9, 500);
+    CompletableFuture<RenewalAnswer> answer = client().renew(renewal, TOKEN, 500);
     advanceTime(1_000);
     assertThat(sentDirect).isEmpty();
     WorkerReport report = new WorkerReport("w", 1, 60, 0, List.of(), List.of(), true);
     answer(new RenewalAnswer(RenewalOutcome.REPORTED, report));
     assertThat(answer.join().report().sentAtMillis()).isEqualTo(500);
-    client().renew(renewal, 9, 700);
+    client().renew(renewal, TOKEN, 700);
     advanceTime(1_080);
     assertThat(sentDirect)
         .singleElement()
@@ -220,7 +254,7 @@
   @Example
   void ordersOfASmallCellAreSentDirectly() {
     workerCount = 32;
-    assertThat(client().start(START, 9)).isCompletedWithValue(STARTED);
+    assertThat(client().start(START, TOKEN)).isCompletedWithValue(STARTED);
     assertThat(relayed).isEmpty();
   }
 
@@ -228,7 +262,7 @@
   @Example
   void withoutARelayOrdersAreSentDirectly() {
     relay = Optional.empty();
-    assertThat(client().start(START, 9)).isCompletedWithValue(STARTED);
+    assertThat(client().start(START, TOKEN)).isCompletedWithValue(STARTED);
     assertThat(relayed).isEmpty();
   }
 
@@ -241,7 +275,7 @@
     relay = Optional.empty();
     Action.Renew renewal = new Action.Renew("w", 1, "w:1", 4, 9_000, 0, 600);
     RelayingWorkerClient client = client();
-    client.renew(renewal, 9, 500);
+    client.renew(renewal, TOKEN, 500);
     advanceTime(10);
     assertThat(sentDirect).isEmpty();
     relay = Optional.of("e1");
@@ -249,7 +283,7 @@
     assertThat(relayed).hasSize(1);
     answer(RenewalAnswer.of(RenewalOutcome.NO_ANSWER));
     relay = Optional.empty();
-    client.renew(renewal, 9, 500);
+    client.renew(renewal, TOKEN, 500);
     for (int round = 0; round < 10; round++) {
       advanceTime(10);
     }
@@ -264,7 +298,7 @@
   void renewalThatIsSentDirectlyKeepsItsWait() {
     workerCount = 32;
     Action.Renew renewal = new Action.Renew("w", 1, "w:1", 4, 9_000, 1_000, 1_600);
-    client().renew(renewal, 9, 500);
+    client().renew(renewal, TOKEN, 500);
     assertThat(sentDirect).containsExactly(renewal);
   }
 }
--- a/cicadaford-wire/src/main/java/org/cicadaford/wire/PeerMessage.java
+++ b/cicadaford-wire/src/main/java/org/cicadaford/wire/PeerMessage.java
@@ -1,5 +1,6 @@
 package org.cicadaford.wire;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
@@ -147,8 +148,15 @@
    * @param order kind of order
    * @param epoch epoch of the coordinator
    * @param content the order in MessagePack
+   * @param tokenOffset difference between the fencing token of the order and the epoch; earlier
+   *     builds neither send nor read it
    */
-  record OrderRequest(String order, long epoch, byte[] content) implements CellMessage {}
+  record OrderRequest(
+      String order,
+      long epoch,
+      byte[] content,
+      @JsonInclude(JsonInclude.Include.NON_DEFAULT) int tokenOffset)
+      implements CellMessage {}
 
   /**
    * Answers an {@link OrderRequest}.
--- a/cicadaford-wire/src/test/java/org/cicadaford/wire/PeerMessageFuzzTest.java
+++ b/cicadaford-wire/src/test/java/org/cicadaford/wire/PeerMessageFuzzTest.java
@@ -25,7 +25,7 @@
           new PeerMessage.SubmitJob("j", "q", "t", new byte[] {1, 2, 3}),
           new PeerMessage.CellAnswer("DONE", "stored", 5),
           new PeerMessage.HelperOffer("e1", "10.0.0.1:7", true),
-          new PeerMessage.OrderRequest("start", 9, new byte[] {4, 5}),
+          new PeerMessage.OrderRequest("start", 9, new byte[] {4, 5}, 1),
           new PeerMessage.OrderAnswer(new byte[] {6}),
           new PeerMessage.AdviceAnswer(Map.of("w", "ticket"), 2_500));
 
