Follow a worker whose clock was set back before it restarted

Cause: the start of a worker on its own clock tells its lives apart, and a lower one was taken for a stale list or an overtaken report. After a clock was set back the worker was skipped for ever: it got no work, and the placements of the earlier life stayed where its lease was not known to be over.

Ruled out: following the newest list alone, as lists may be stale; following a report alone, as answers may overtake each other; suspending acknowledgements while the list is not confirmed, as the worker would then answer each renewal at once.

Change: IncarnationTracker holds the incarnations of a worker. A lower one is the current one if the newest list shows it and a report agrees that was requested, by event number, after that list was read. The new list is followed by an immediate report. An incarnation that was followed by a lower one does not return.

Conclusion: a clock that was set back costs a list and a report.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
@@ -114,8 +114,9 @@
 
   void removeWorker(Worker worker) {
     workers.remove(worker.id());
-    if (worker.tokenOffset() > 0) {
-      removedTokenOffsets.put(worker.id(), worker.tokenOffset());
+    int tokenOffset = worker.incarnations().tokenOffset();
+    if (tokenOffset > 0) {
+      removedTokenOffsets.put(worker.id(), tokenOffset);
     }
   }
 
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -205,7 +205,7 @@
   public void stopConfirmed(
       String workerId, String task, int run, long requestNumber, ClockReading now) {
     Worker worker = state.workers().get(workerId);
-    if (worker == null || !worker.knownBefore(requestNumber)) {
+    if (worker == null || !worker.incarnations().knownBefore(requestNumber)) {
       return;
     }
     worker.earlierOrders().remove(task, run);
@@ -371,7 +371,7 @@
   /** Returns the offset of the {@link FencingToken} of an order to a worker that is sent now. */
   public int tokenOffset(String workerId) {
     Worker worker = state.workers().get(workerId);
-    return worker == null ? 0 : worker.tokenOffset();
+    return worker == null ? 0 : worker.incarnations().tokenOffset();
   }
 
   /** Returns the number of known workers. */
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
@@ -31,9 +31,7 @@
   private static final long DEFAULT_DRAIN_MILLIS = 2_000;
 
   private final String id;
-  private long incarnation;
-  private long incarnationEvent;
-  private int tokenOffset;
+  private final IncarnationTracker incarnations;
   private ListedWorker listing;
   private boolean listed;
   private OptionalLong shutdownAtMillis = OptionalLong.empty();
@@ -68,8 +66,7 @@
   /** Creates a worker that may have received tokens up to an offset from this coordinator. */
   Worker(String id, long incarnation, int tokenOffset) {
     this.id = id;
-    this.incarnation = incarnation;
-    this.tokenOffset = tokenOffset;
+    this.incarnations = new IncarnationTracker(incarnation, tokenOffset);
   }
 
   String id() {
@@ -77,17 +74,11 @@
   }
 
   long incarnation() {
-    return incarnation;
+    return incarnations.current();
   }
 
-  /** Returns whether a request was sent when this incarnation was known. */
-  boolean knownBefore(long requestNumber) {
-    return incarnationEvent <= requestNumber;
-  }
-
-  /** Returns the offset of the {@link FencingToken} of orders to the current incarnation. */
-  int tokenOffset() {
-    return tokenOffset;
+  IncarnationTracker incarnations() {
+    return incarnations;
   }
 
   ListedWorker listing() {
@@ -109,6 +100,7 @@
     }
     listing = newListing;
     listed = true;
+    incarnations.clearLowerListing();
   }
 
   /** Returns the earliest time at which a draining worker shuts down. */
@@ -118,13 +110,12 @@
 
   void unlist() {
     listed = false;
+    incarnations.clearLowerListing();
   }
 
   /** Resets the clock, the run ends and the failures for a new incarnation of the worker. */
   void beginIncarnation(long newIncarnation, long eventNumber) {
-    incarnation = newIncarnation;
-    incarnationEvent = eventNumber;
-    tokenOffset = Math.min(tokenOffset + 1, FencingToken.COUNT_PER_EPOCH - 1);
+    incarnations.begin(newIncarnation, eventNumber);
     clockKnown = false;
     highestDeadlineMillis = 0;
     leaseExpiryMillis = OptionalLong.empty();
@@ -272,6 +263,17 @@
     return renewalsInFlight > 0;
   }
 
+  /**
+   * Returns the address to which renewals are sent: that of a lower incarnation if the current one
+   * has no listing or does not answer.
+   */
+  String renewalAddress(long nowMillis, long unreachableMillis) {
+    boolean lower =
+        incarnations.lowerListing() != null
+            && (listing == null || !answeredWithin(nowMillis, unreachableMillis));
+    return lower ? incarnations.lowerListing().address() : listing.address();
+  }
+
   /** Requests an immediate report, even if an earlier renewal is still unanswered. */
   void requestImmediateReport() {
     immediateReportRequested = true;
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /** Monitors workers by their listings and reports, and decides which runs have ended. */
@@ -47,11 +48,14 @@
     for (ListedWorker listing : listings) {
       Worker worker = state.workerOrNew(listing.id(), listing.incarnation());
       present.add(listing.id());
-      if (listing.incarnation() < worker.incarnation()) {
-        continue;
-      }
-      if (listing.incarnation() > worker.incarnation()) {
+      if (worker.incarnations().isLater(listing.incarnation())) {
         incarnationChanged(worker, listing.incarnation(), now);
+      } else if (listing.incarnation() != worker.incarnation()) {
+        long nowMillis = now.monotonicMillis();
+        if (worker.incarnations().lowerListed(listing, state.events().next(), nowMillis)) {
+          state.requestImmediateReport(worker);
+        }
+        continue;
       }
       worker.updateListing(listing, now.monotonicMillis());
     }
@@ -108,11 +112,16 @@
       return;
     }
     worker.renewalFinished();
-    if (report.incarnation() < worker.incarnation()) {
-      return;
-    }
-    if (report.incarnation() > worker.incarnation()) {
+    if (worker.incarnations().isLater(report.incarnation())) {
+      incarnationChanged(worker, report.incarnation(), now);
+    } else if (report.incarnation() != worker.incarnation()) {
+      Optional<ListedWorker> listing =
+          worker.incarnations().confirmedListing(report.incarnation(), requestNumber);
+      if (listing.isEmpty()) {
+        return;
+      }
       incarnationChanged(worker, report.incarnation(), now);
+      worker.updateListing(listing.get(), now.monotonicMillis());
     }
     worker.answered(now.monotonicMillis());
     worker.clock(report.clockMillis(), now.monotonicMillis());
@@ -318,8 +327,9 @@
   List<Action.Renew> dueRenewals(List<Worker> workers, ClockReading now) {
     List<Action.Renew> due = new ArrayList<>();
     for (Worker worker : workers) {
-      boolean monitored = worker.listed() || !worker.placements().isEmpty();
-      if (monitored && worker.listing() != null && renewalDue(worker, now.monotonicMillis())) {
+      boolean listed = worker.listed() || worker.incarnations().lowerListing() != null;
+      boolean monitored = listed || worker.listing() != null && !worker.placements().isEmpty();
+      if (monitored && renewalDue(worker, now.monotonicMillis())) {
         due.add(renewal(worker, now));
       }
     }
@@ -356,8 +366,8 @@
     return new Action.Renew(
         worker.id(),
         worker.incarnation(),
-        worker.listing().address(),
-        worker.storedEnd(),
+        worker.renewalAddress(nowMillis, settings.unreachableMillis()),
+        worker.incarnations().mayBeLower(worker.lastAnswerAtMillis()) ? 0 : worker.storedEnd(),
         deadlineMillis,
         waitMillis,
         waitMillis + settings.answerMillis());
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorDriver.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorDriver.java
@@ -15,6 +15,7 @@
 final class CoordinatorDriver {
 
   static final String WORKER = "w0";
+  static final long FIRST_INCARNATION = 100;
 
   /** A renewal in transit. */
   record SentRenewal(Action.Renew order, long sentAtMillis, long requestNumber) {}
@@ -25,13 +26,12 @@
   private final Coordinator coordinator =
       new Coordinator(CoordinatorSettings.forPlatform(6_000, 600_000));
   private final List<Action> actions = new ArrayList<>();
-  private long incarnation = 100;
   private long nowMillis = 1_000;
 
   CoordinatorDriver() {
     coordinator.restore(List.of(), now());
     coordinator.configure(config, Set.of());
-    list();
+    list(FIRST_INCARNATION);
     advance(0);
     answer(sent(next(Action.Renew.class).orElseThrow()), List.of());
   }
@@ -40,7 +40,8 @@
     return new ClockReading(nowMillis, 1_700_000_000_000L + nowMillis);
   }
 
-  private void list() {
+  /** Lists the worker with an incarnation. */
+  void list(long incarnation) {
     ListedWorker listing =
         new ListedWorker(
             WORKER, incarnation, "svc", "w0:1", "zone", false, 0, CAPACITY, Set.of("a"), "rack");
@@ -133,19 +134,46 @@
 
   /** Answers a renewal with a complete report of these runs. */
   void answer(SentRenewal renewal, List<ReportedRun> running) {
+    answer(renewal, renewal.order().incarnation(), running);
+  }
+
+  /** Answers a renewal with a complete report of an incarnation. */
+  void answer(SentRenewal renewal, long incarnation, List<ReportedRun> running) {
+    coordinator.reportReceived(
+        new WorkerReport(
+            WORKER, incarnation, nowMillis, renewal.sentAtMillis(), running, List.of(), true),
+        renewal.requestNumber(),
+        now());
+  }
+
+  /** Answers a renewal with a complete report of an end and no runs. */
+  void answerEnd(SentRenewal renewal, ReportedEnd end) {
     coordinator.reportReceived(
         new WorkerReport(
             WORKER,
             renewal.order().incarnation(),
             nowMillis,
             renewal.sentAtMillis(),
-            running,
             List.of(),
+            List.of(end),
             true),
         renewal.requestNumber(),
         now());
   }
 
+  /** Lets a renewal fail without an answer. */
+  void fail(SentRenewal renewal) {
+    coordinator.renewalFailed(renewal.order(), false, now());
+  }
+
+  /** Returns the stops that have been ordered. */
+  List<Action.StopTask> stops() {
+    return actions.stream()
+        .filter(Action.StopTask.class::isInstance)
+        .map(Action.StopTask.class::cast)
+        .toList();
+  }
+
   /** Returns the starts that are ordered within a time. */
   List<Action.StartTask> starts(long millis) {
     advance(millis);
