Give up runs for a refused renewal only if they precede its request

Cause: an answer 421 proves that the worker's life was not at that address when the answer was given. It was applied to all orders and runs known when it arrived. An answer may take 0.5 s; meanwhile the worker may have started again at that address, carried out a start and confirmed it, before the coordinator knows of the new life.

Ruled out: keeping unanswered starts from before the request for 12.5 s. Only a new life under the same id at the same address, after another worker was there, could carry them out, and its first contact is covered as after a crash.

Change: RUNNING placements are given up if their confirmation precedes the request, STARTING and UNCERTAIN ones if their order does, by event numbers. An answer from before the last change of the address, as listed, counts for nothing. The next renewal decides on what is kept.

Conclusion: a refusal counts for what was known when it was asked for.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -235,9 +235,14 @@
     monitor.report(report, requestNumber, now);
   }
 
-  /** Handles a failed renewal; {@code gone} means that another worker has the address. */
-  public void renewalFailed(Action.Renew renewal, boolean gone, ClockReading now) {
-    monitor.renewalFailed(renewal, gone, now);
+  /**
+   * Handles a failed renewal; {@code gone} means that another worker has the address.
+   *
+   * @param requestNumber {@link #lastEventNumber} when the renewal was sent
+   */
+  public void renewalFailed(
+      Action.Renew renewal, boolean gone, long requestNumber, ClockReading now) {
+    monitor.renewalFailed(renewal, gone, requestNumber, now);
   }
 
   /** Handles the answer to a call for advice: the tickets by worker id. */
@@ -322,19 +327,7 @@
       boolean ended = batchPhases.get(index).terminal() && !job.storedPhase().terminal();
       state.markStored(job, batchPhases.get(index));
       if (ended) {
-        long ageMillis = now.unixMillis() - job.definition().acceptedAtMillis();
-        long objectiveMillis = job.objective().objectiveMillis();
-        state
-            .actions()
-            .add(
-                new Action.ReportJobEnd(
-                    job.id(),
-                    job.phase(),
-                    job.queueName(),
-                    job.team(),
-                    ageMillis,
-                    objectiveMillis,
-                    job.waitTimes().summary()));
+        state.actions().add(job.endReport(now.unixMillis()));
       }
     }
     for (Job job : batchJobs) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/IncarnationTracker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/IncarnationTracker.java
@@ -17,6 +17,7 @@
 
   private long current;
   private long currentEvent;
+  private long addressEvent;
   private int tokenOffset;
   private final Set<Long> followedByLower = new HashSet<>();
   private ListedWorker lowerListing;
@@ -37,6 +38,16 @@
     return currentEvent <= requestNumber;
   }
 
+  /** Records that the current incarnation is listed at another address. */
+  void addressChanged(long eventNumber) {
+    addressEvent = eventNumber;
+  }
+
+  /** Returns whether a request was sent when the current address was known. */
+  boolean addressKnownBefore(long requestNumber) {
+    return addressEvent <= requestNumber;
+  }
+
   int tokenOffset() {
     return tokenOffset;
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Job.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Job.java
@@ -208,4 +208,16 @@
     }
     return placements;
   }
+
+  /** Returns the report that the end of the job is stored. */
+  Action.ReportJobEnd endReport(long unixMillis) {
+    return new Action.ReportJobEnd(
+        id(),
+        phase(),
+        queueName(),
+        team(),
+        unixMillis - definition().acceptedAtMillis(),
+        objective().objectiveMillis(),
+        waitTimes().summary());
+  }
 }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
@@ -33,6 +33,7 @@
   private long confirmedEvent;
   private long uncertainEvent;
   private long stopConfirmedEvent;
+  private long orderedEvent;
   private long orderedAtMillis;
   private int progressPercent = -1;
   private long progressAtMillis;
@@ -77,8 +78,9 @@
     return orderSent;
   }
 
-  void orderSent(long nowMillis) {
+  void orderSent(long eventNumber, long nowMillis) {
     orderSent = true;
+    orderedEvent = eventNumber;
     orderedAtMillis = nowMillis;
     progressAtMillis = nowMillis;
   }
@@ -119,13 +121,19 @@
     return confirmedAtMillis.isPresent() && confirmedEvent <= requestNumber;
   }
 
+  /** Returns whether the order, and the confirmation if there is one, precede a request. */
+  boolean precedes(long requestNumber) {
+    long event = stage == Stage.RUNNING ? confirmedEvent : orderedEvent;
+    return orderSent && event <= requestNumber;
+  }
+
   /**
    * Takes over a run that an earlier coordinator may have ordered just before. Its order may arrive
    * after the worker has reported to this coordinator, and not all workers refuse orders of an
    * earlier epoch; therefore a run that is not reported is stopped before its task is placed again.
    */
   void markRestored(long eventNumber, long nowMillis) {
-    orderSent(nowMillis);
+    orderSent(eventNumber, nowMillis);
     markUncertain(eventNumber, nowMillis);
   }
 
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StartIssuer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StartIssuer.java
@@ -37,7 +37,7 @@
     }
     long deadlineMillis = worker.clockAt(nowMillis) + state.settings().startValidMillis();
     worker.deadlineSent(deadlineMillis, state.settings().maxClockSlowdown());
-    placement.orderSent(nowMillis);
+    placement.orderSent(state.events().next(), nowMillis);
     worker
         .earlierOrders()
         .recordStart(task.name(), placement.run(), nowMillis, state.settings().lateOrderMillis());
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/UnknownRunHandler.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/UnknownRunHandler.java
@@ -50,7 +50,7 @@
     state.place(placement);
     state.waiting().remove(task.step());
     state.enqueueIfPlaceable(task.step());
-    placement.orderSent(nowMillis);
+    placement.orderSent(state.events().next(), nowMillis);
     placement.markConfirmed(state.events().next(), nowMillis);
     placement.progress(row.progressPercent(), row.checkpoint(), nowMillis);
     Job job = task.step().job();
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -57,7 +57,7 @@
         }
         continue;
       }
-      worker.updateListing(listing, now.monotonicMillis());
+      updateListing(worker, listing, now);
     }
     for (Worker worker : state.workers().values()) {
       if (!present.contains(worker.id())) {
@@ -67,6 +67,13 @@
     state.workers().values().forEach(state::markChanged);
   }
 
+  private void updateListing(Worker worker, ListedWorker listing, ClockReading now) {
+    if (worker.listing() != null && !worker.listing().address().equals(listing.address())) {
+      worker.incarnations().addressChanged(state.events().next());
+    }
+    worker.updateListing(listing, now.monotonicMillis());
+  }
+
   /** Returns the worker of a stored placement; it may no longer be listed. */
   Worker workerOfPlacement(String id, long incarnation, long nowMillis) {
     Worker worker = state.workerOrNew(id, incarnation);
@@ -121,7 +128,7 @@
         return;
       }
       incarnationChanged(worker, report.incarnation(), now);
-      worker.updateListing(listing.get(), now.monotonicMillis());
+      updateListing(worker, listing.get(), now);
     }
     worker.answered(now.monotonicMillis());
     worker.clock(report.clockMillis(), now.monotonicMillis());
@@ -202,8 +209,12 @@
     }
   }
 
-  /** Handles a failed renewal; {@code gone} means that another worker has the address. */
-  void renewalFailed(Action.Renew renewal, boolean gone, ClockReading now) {
+  /**
+   * Handles a failed renewal; {@code gone} means that another worker has the address.
+   *
+   * @param requestNumber number of the last event before the renewal was sent
+   */
+  void renewalFailed(Action.Renew renewal, boolean gone, long requestNumber, ClockReading now) {
     Worker worker = state.workers().get(renewal.workerId());
     if (worker == null) {
       return;
@@ -219,11 +230,13 @@
     boolean current =
         worker.incarnation() == renewal.incarnation()
             && worker.listing() != null
-            && worker.listing().address().equals(renewal.address());
-    // The answer of an earlier address says nothing of the runs at the current one.
+            && worker.listing().address().equals(renewal.address())
+            && worker.incarnations().addressKnownBefore(requestNumber);
+    // The answer of an earlier address says nothing of the runs at the current one, nor of what was
+    // ordered or confirmed since the request.
     if (gone && current) {
       for (Placement placement : List.copyOf(worker.placements().values())) {
-        if (placement.orderSent()) {
+        if (placement.precedes(requestNumber)) {
           endHandler.runLost(placement, ReleaseReason.REPLACED, now);
         }
       }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorDriver.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorDriver.java
@@ -16,6 +16,7 @@
 
   static final String WORKER = "w0";
   static final long FIRST_INCARNATION = 100;
+  static final String ADDRESS = "w0:1";
 
   /** A renewal in transit. */
   record SentRenewal(Action.Renew order, long sentAtMillis, long requestNumber) {}
@@ -42,9 +43,14 @@
 
   /** Lists the worker with an incarnation. */
   void list(long incarnation) {
+    list(incarnation, ADDRESS);
+  }
+
+  /** Lists the worker with an incarnation and an address. */
+  void list(long incarnation, String address) {
     ListedWorker listing =
         new ListedWorker(
-            WORKER, incarnation, "svc", "w0:1", "zone", false, 0, CAPACITY, Set.of("a"), "rack");
+            WORKER, incarnation, "svc", address, "zone", false, 0, CAPACITY, Set.of("a"), "rack");
     coordinator.workersListed(List.of(listing), now());
   }
 
@@ -163,7 +169,12 @@
 
   /** Lets a renewal fail without an answer. */
   void fail(SentRenewal renewal) {
-    coordinator.renewalFailed(renewal.order(), false, now());
+    coordinator.renewalFailed(renewal.order(), false, renewal.requestNumber(), now());
+  }
+
+  /** Refuses a renewal in the name of another worker. */
+  void refuse(SentRenewal renewal) {
+    coordinator.renewalFailed(renewal.order(), true, renewal.requestNumber(), now());
   }
 
   /** Returns the stops that have been ordered. */
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorFaultTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorFaultTest.java
@@ -162,7 +162,8 @@
     cell.run(100);
     assertThat(worker.runs).hasSize(1);
     Action.Renew earlier = new Action.Renew("w0", 100, "w0:1", 0, 0, 0, 600);
-    cell.coordinator.renewalFailed(earlier, true, cell.moment());
+    cell.coordinator.renewalFailed(
+        earlier, true, cell.coordinator.lastEventNumber(), cell.moment());
     cell.run(1_000);
     assertThat(FaultScenarios.duplicatesAndOverloads(cell)).isEmpty();
   }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedRenewals.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedRenewals.java
@@ -47,7 +47,9 @@
                 cell.incident("gone " + order.workerId() + " renewal of " + sentAtMillis);
               }
               if (answer.report() == null) {
-                sender.coordinator().renewalFailed(order, answer.gone(), cell.moment());
+                sender
+                    .coordinator()
+                    .renewalFailed(order, answer.gone(), requestNumber, cell.moment());
               } else {
                 countOvertaken(answer.report());
                 cell.reportArrived(answer.report(), sender, requestNumber);
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/OrderDispatcher.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/OrderDispatcher.java
@@ -128,7 +128,8 @@
                     order.workerId(),
                     answer.outcome().name(),
                     "incarnation=" + order.incarnation());
-                coordinator.renewalFailed(order, answer.outcome() == RenewalOutcome.GONE, now);
+                boolean gone = answer.outcome() == RenewalOutcome.GONE;
+                coordinator.renewalFailed(order, gone, requestNumber, now);
               }
               afterAnswer(
                   answer.outcome() == RenewalOutcome.FENCED && isNewest(order.workerId(), token));
