--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CrashAttributor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CrashAttributor.java
@@ -83,7 +83,7 @@
     for (Placement placement : List.copyOf(starts.isolated())) {
       if (starts.survived(placement)) {
         starts.endIsolation(placement);
-        if (placement.task().suspected()) {
+        if (placement.task().suspected() && allSurvived(placement.task())) {
           setLosses(placement.task(), 0, 0);
           reporter.crash(placement, "cleared");
         }
@@ -91,6 +91,15 @@
     }
   }
 
+  /** Returns whether all workers of a gang, or the one of another task, survived the start. */
+  private static boolean allSurvived(Task task) {
+    return task.members().stream()
+        .map(Task::placement)
+        .allMatch(
+            placement ->
+                placement != null && placement.worker().startSurvival().survived(placement));
+  }
+
   /**
    * Counts the loss of a worker against the tasks that may have caused it.
    *
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/OrderAnswerHandler.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/OrderAnswerHandler.java
@@ -18,7 +18,7 @@
       StartOutcome outcome,
       long clockMillis,
       ClockReading now) {
-    Placement placement = placement(workerId, task, run);
+    Placement placement = state.placement(workerId, task, run);
     if (placement == null || placement.stage() != Placement.Stage.STARTING) {
       return;
     }
@@ -55,11 +55,11 @@
 
   void stopConfirmed(String workerId, String task, int run, long requestNumber, ClockReading now) {
     Worker worker = state.workers().get(workerId);
-    if (worker == null || !worker.knownBefore(requestNumber)) {
+    if (worker == null || !worker.incarnations().knownBefore(requestNumber)) {
       return;
     }
     worker.earlierOrders().remove(task, run);
-    Placement placement = placement(workerId, task, run);
+    Placement placement = state.placement(workerId, task, run);
     if (placement != null) {
       placement.stopConfirmed(state.events().next(), now.monotonicMillis());
       if (placement.stage() == Placement.Stage.STARTING) {
@@ -70,10 +70,4 @@
       }
     }
   }
-
-  private Placement placement(String workerId, String task, int run) {
-    Worker worker = state.workers().get(workerId);
-    Placement placement = worker == null ? null : worker.placements().get(task);
-    return placement != null && placement.run() == run ? placement : null;
-  }
 }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
@@ -49,6 +49,7 @@
   private long confirmedEvent;
   private long uncertainEvent;
   private long stopConfirmedEvent;
+  private long orderedEvent;
   private long orderedAtMillis;
   private int progressPercent = -1;
   private long progressAtMillis;
@@ -100,8 +101,9 @@
     return orderSent;
   }
 
-  void orderSent(long nowMillis) {
+  void orderSent(long eventNumber, long nowMillis) {
     orderSent = true;
+    orderedEvent = eventNumber;
     orderedAtMillis = nowMillis;
     progressAtMillis = nowMillis;
   }
@@ -174,6 +176,12 @@
     return confirmedAtMillis.isPresent() && confirmedEvent <= requestNumber;
   }
 
+  /** Returns whether the order, and the confirmation if there is one, precede a request. */
+  boolean precedes(long requestNumber) {
+    long event = stage == Stage.RUNNING ? confirmedEvent : orderedEvent;
+    return orderSent && event <= requestNumber;
+  }
+
   /**
    * Takes over a run that an earlier coordinator may have ordered just before. Its order may arrive
    * after the worker has reported to this coordinator, and not all workers refuse orders of an
@@ -181,7 +189,7 @@
    */
   void markRestored(long eventNumber, long nowMillis) {
     restored = true;
-    orderSent(nowMillis);
+    orderSent(eventNumber, nowMillis);
     markUncertain(eventNumber, nowMillis);
   }
 
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/RenewalPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/RenewalPlanner.java
@@ -19,8 +19,9 @@
   List<Action.Renew> dueRenewals(List<Worker> workers, ClockReading now) {
     List<Action.Renew> due = new ArrayList<>();
     for (Worker worker : workers) {
-      boolean monitored = worker.listed() || !worker.placements().isEmpty();
-      if (monitored && worker.listing() != null && renewalDue(worker, now.monotonicMillis())) {
+      boolean listed = worker.listed() || worker.incarnations().lowerListing() != null;
+      boolean monitored = listed || worker.listing() != null && !worker.placements().isEmpty();
+      if (monitored && renewalDue(worker, now.monotonicMillis())) {
         due.add(renewal(worker, now));
       }
     }
@@ -53,12 +54,12 @@
       deadlineMillis = worker.clockAt(nowMillis) + leaseMillis;
       worker.deadlineSent(deadlineMillis, settings.maxClockSlowdown());
     }
-    worker.renewalSent(nowMillis + waitMillis);
+    worker.renewalSent(nowMillis, nowMillis + waitMillis);
     return new Action.Renew(
         worker.id(),
         worker.incarnation(),
-        worker.listing().address(),
-        worker.storedEnd(),
+        worker.renewalAddress(nowMillis, settings.unreachableMillis()),
+        worker.incarnations().mayBeLower(worker.lastAnswerAtMillis()) ? 0 : worker.storedEnd(),
         deadlineMillis,
         waitMillis,
         waitMillis + settings.answerMillis());
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/RunEndHandler.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/RunEndHandler.java
@@ -33,8 +33,10 @@
     if (kind == EndKind.DONE) {
       placement.worker().quarantine().succeeded();
     }
-    if (kind == EndKind.DONE || kind == EndKind.FAILED) {
-      // The worker has run the task to its end, so starting it does not crash workers.
+    boolean gang = task.step().spec().gang();
+    if (kind == EndKind.DONE || kind == EndKind.FAILED && !gang) {
+      // The worker has run the task to its end, so starting it does not crash workers. Of a gang,
+      // one member may fail while another one crashes its worker.
       task.members().forEach(member -> member.losses(0, 0));
     }
     if (task.step().job().phase().terminal() || task.done()) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StartIssuer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StartIssuer.java
@@ -94,7 +94,7 @@
     String ticket = advised ? step.ticketFor(worker, nowMillis).value() : "";
     long deadlineMillis = worker.clockAt(nowMillis) + state.workerListAge().startValidMillis(now);
     worker.deadlineSent(deadlineMillis, state.settings().maxClockSlowdown());
-    placement.orderSent(nowMillis);
+    placement.orderSent(state.events().next(), nowMillis);
     worker
         .earlierOrders()
         .recordStart(task.name(), placement.run(), nowMillis, state.settings().lateOrderMillis());
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
@@ -21,8 +21,7 @@
   private static final long MIN_PENDING_MILLIS = 20;
 
   private final String id;
-  private long incarnation;
-  private long incarnationEvent;
+  private final IncarnationTracker incarnations;
   private ListedWorker listing;
   private boolean listed;
   private OptionalLong shutdownAtMillis = OptionalLong.empty();
@@ -44,12 +43,18 @@
   private int renewalsInFlight;
   private boolean immediateReportRequested;
   private OptionalLong renewalDueMillis = OptionalLong.empty();
+  private OptionalLong renewalSentAtMillis = OptionalLong.empty();
   private OptionalLong nextRenewalAtMillis = OptionalLong.empty();
   private int failedRenewals;
 
   Worker(String id, long incarnation) {
+    this(id, incarnation, 0);
+  }
+
+  /** Creates a worker that may have received tokens up to an offset from this coordinator. */
+  Worker(String id, long incarnation, int tokenOffset) {
     this.id = id;
-    this.incarnation = incarnation;
+    this.incarnations = new IncarnationTracker(incarnation, tokenOffset);
   }
 
   String id() {
@@ -57,20 +62,11 @@
   }
 
   long incarnation() {
-    return incarnation;
-  }
-
-  /**
-   * Goes back to the incarnation of a restored placement if it is the earliest one, so that the
-   * first listing shows the end of all earlier incarnations.
-   */
-  void restoreIncarnation(long restored) {
-    incarnation = Math.min(incarnation, restored);
+    return incarnations.current();
   }
 
-  /** Returns whether a request was sent when this incarnation was known. */
-  boolean knownBefore(long requestNumber) {
-    return incarnationEvent <= requestNumber;
+  IncarnationTracker incarnations() {
+    return incarnations;
   }
 
   ListedWorker listing() {
@@ -92,6 +88,7 @@
     }
     listing = newListing;
     listed = true;
+    incarnations.clearLowerListing();
   }
 
   /** Returns the earliest time at which a draining worker shuts down. */
@@ -101,12 +98,12 @@
 
   void unlist() {
     listed = false;
+    incarnations.clearLowerListing();
   }
 
   /** Resets the clock, the run ends and the failures for a new incarnation of the worker. */
   void beginIncarnation(long newIncarnation, long eventNumber) {
-    incarnation = newIncarnation;
-    incarnationEvent = eventNumber;
+    incarnations.begin(newIncarnation, eventNumber);
     clockKnown = false;
     highestDeadlineMillis = 0;
     leaseExpiryMillis = OptionalLong.empty();
@@ -263,6 +260,17 @@
     return renewalsInFlight > 0;
   }
 
+  /**
+   * Returns the address to which renewals are sent: that of a lower incarnation if the current one
+   * has no listing or does not answer.
+   */
+  String renewalAddress(long nowMillis, long unreachableMillis) {
+    boolean lower =
+        incarnations.lowerListing() != null
+            && (listing == null || !answeredWithin(nowMillis, unreachableMillis));
+    return lower ? incarnations.lowerListing().address() : listing.address();
+  }
+
   /** Requests an immediate report, even if an earlier renewal is still unanswered. */
   void requestImmediateReport() {
     immediateReportRequested = true;
@@ -276,8 +284,9 @@
    * Records that a renewal was sent whose answer is due at a time. An immediate renewal may be in
    * flight next to a delayed one; the later time applies, as answers cannot be told apart.
    */
-  void renewalSent(long dueMillis) {
+  void renewalSent(long nowMillis, long dueMillis) {
     renewalsInFlight++;
+    renewalSentAtMillis = OptionalLong.of(nowMillis);
     immediateReportRequested = false;
     renewalDueMillis = ElapsedTime.latest(renewalDueMillis, dueMillis);
   }
@@ -300,6 +309,10 @@
     return nowMillis - (renewalDueMillis.orElse(nowMillis) - waitMillis);
   }
 
+  boolean renewalSentWithin(long nowMillis, long millis) {
+    return ElapsedTime.within(renewalSentAtMillis, nowMillis, millis);
+  }
+
   void renewalFinished() {
     renewalsInFlight = Math.max(0, renewalsInFlight - 1);
     if (renewalsInFlight == 0) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /** Monitors workers by their listings and reports, and decides which runs have ended. */
@@ -49,18 +50,18 @@
   void updateListings(List<ListedWorker> listings, ClockReading now) {
     Set<String> present = new HashSet<>();
     for (ListedWorker listing : listings) {
-      Worker worker =
-          state
-              .workers()
-              .computeIfAbsent(listing.id(), id -> new Worker(id, listing.incarnation()));
+      Worker worker = state.workerOrNew(listing.id(), listing.incarnation());
       present.add(listing.id());
-      if (listing.incarnation() < worker.incarnation()) {
-        continue;
-      }
-      if (listing.incarnation() > worker.incarnation()) {
+      if (worker.incarnations().isLater(listing.incarnation())) {
         incarnationChanged(worker, listing.incarnation(), now);
+      } else if (listing.incarnation() != worker.incarnation()) {
+        long nowMillis = now.monotonicMillis();
+        if (worker.incarnations().lowerListed(listing, state.events().next(), nowMillis)) {
+          state.requestImmediateReport(worker);
+        }
+        continue;
       }
-      worker.updateListing(listing, now.monotonicMillis());
+      updateListing(worker, listing, now);
     }
     for (Worker worker : state.workers().values()) {
       if (!present.contains(worker.id())) {
@@ -70,10 +71,17 @@
     state.workers().values().forEach(state::markChanged);
   }
 
+  private void updateListing(Worker worker, ListedWorker listing, ClockReading now) {
+    if (worker.listing() != null && !worker.listing().address().equals(listing.address())) {
+      worker.incarnations().addressChanged(state.events().next());
+    }
+    worker.updateListing(listing, now.monotonicMillis());
+  }
+
   /** Returns the worker of a stored placement; it may no longer be listed. */
   Worker workerOfPlacement(String id, long incarnation, long nowMillis) {
-    Worker worker = state.workers().computeIfAbsent(id, key -> new Worker(key, incarnation));
-    worker.restoreIncarnation(incarnation);
+    Worker worker = state.workerOrNew(id, incarnation);
+    worker.incarnations().restore(incarnation);
     worker.recordLeaseExpiry(nowMillis + state.settings().earlierLeaseExpiryMillis());
     return worker;
   }
@@ -122,11 +130,16 @@
       return;
     }
     worker.renewalFinished();
-    if (report.incarnation() < worker.incarnation()) {
-      return;
-    }
-    if (report.incarnation() > worker.incarnation()) {
+    if (worker.incarnations().isLater(report.incarnation())) {
+      incarnationChanged(worker, report.incarnation(), now);
+    } else if (report.incarnation() != worker.incarnation()) {
+      Optional<ListedWorker> listing =
+          worker.incarnations().confirmedListing(report.incarnation(), requestNumber);
+      if (listing.isEmpty()) {
+        return;
+      }
       incarnationChanged(worker, report.incarnation(), now);
+      updateListing(worker, listing.get(), now);
     }
     worker.answered(now.monotonicMillis());
     worker.startSurvival().signOfLife(report.sentAtMillis());
@@ -213,8 +226,12 @@
     }
   }
 
-  /** Handles a failed renewal; {@code gone} means that another worker has the address. */
-  void renewalFailed(Action.Renew renewal, boolean gone, ClockReading now) {
+  /**
+   * Handles a failed renewal; {@code gone} means that another worker has the address.
+   *
+   * @param requestNumber number of the last event before the renewal was sent
+   */
+  void renewalFailed(Action.Renew renewal, boolean gone, long requestNumber, ClockReading now) {
     Worker worker = state.workers().get(renewal.workerId());
     if (worker == null) {
       return;
@@ -236,12 +253,16 @@
     boolean current =
         worker.incarnation() == renewal.incarnation()
             && worker.listing() != null
-            && worker.listing().address().equals(renewal.address());
-    // The answer of an earlier address says nothing of the runs at the current one.
+            && worker.listing().address().equals(renewal.address())
+            && worker.incarnations().addressKnownBefore(requestNumber);
+    // The answer of an earlier address says nothing of the runs at the current one, nor of what was
+    // ordered or confirmed since the request.
     if (gone && current) {
       releaseLost(
           worker,
-          ordered(worker.placements().values()),
+          worker.placements().values().stream()
+              .filter(placement -> placement.precedes(requestNumber))
+              .toList(),
           CrashAttributor.Evidence.REPLACED,
           ReleaseReason.REPLACED,
           now);
@@ -262,14 +283,16 @@
         removed.add(worker);
       }
     }
-    removed.forEach(worker -> state.workers().remove(worker.id()));
+    removed.forEach(state::removeWorker);
     List.copyOf(state.stopping()).forEach(placement -> repeatStop(placement, now));
   }
 
   /** Returns whether the worker may come back while orders to it are in transit. */
   private boolean mayExecuteOrders(Worker worker, ClockReading now) {
+    long nowMillis = now.monotonicMillis();
     long lateOrderMillis = state.settings().lateOrderMillis();
-    return worker.earlierOrders().inTransit(now.monotonicMillis(), lateOrderMillis);
+    return worker.earlierOrders().inTransit(nowMillis, lateOrderMillis)
+        || worker.renewalSentWithin(nowMillis, lateOrderMillis);
   }
 
   /**
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/RelayingWorkerClient.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/RelayingWorkerClient.java
@@ -14,6 +14,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.cicadaford.cell.Action;
+import org.cicadaford.cell.FencingToken;
 import org.cicadaford.cell.StartOutcome;
 import org.cicadaford.model.MalformedRecordException;
 import org.cicadaford.model.RecordCodec;
@@ -87,16 +88,20 @@
   }
 
   @Override
-  public CompletableFuture<StartAnswer> start(Action.StartTask order, long epoch) {
-    Supplier<CompletableFuture<StartAnswer>> sendDirect = () -> direct.start(order, epoch);
+  public CompletableFuture<StartAnswer> start(Action.StartTask order, FencingToken token) {
+    Supplier<CompletableFuture<StartAnswer>> sendDirect = () -> direct.start(order, token);
     return chooseRelay(order.workerId())
         .map(
             relay ->
                 relay(
                     relay,
-                    new RelayedOrder(OrderRelay.START, epoch, order),
-                    StartAnswer.class,
-                    RelayedAnswers::isUsable,
+                    new RelayedOrder<>(
+                        OrderRelay.START,
+                        token,
+                        order,
+                        StartAnswer.class,
+                        RelayedAnswers::isUsable,
+                        answer -> answer.outcome() == StartOutcome.FENCED),
                     HEDGE_DELAY_MILLIS,
                     sendDirect,
                     RelayingWorkerClient::resolveDuplicateStart))
@@ -116,16 +121,20 @@
   }
 
   @Override
-  public CompletableFuture<Boolean> stop(Action.StopTask order, long epoch) {
-    Supplier<CompletableFuture<Boolean>> sendDirect = () -> direct.stop(order, epoch);
+  public CompletableFuture<Boolean> stop(Action.StopTask order, FencingToken token) {
+    Supplier<CompletableFuture<Boolean>> sendDirect = () -> direct.stop(order, token);
     return chooseRelay(order.workerId())
         .map(
             relay ->
                 relay(
                     relay,
-                    new RelayedOrder(OrderRelay.STOP, epoch, order),
-                    Boolean.class,
-                    confirmed -> true,
+                    new RelayedOrder<>(
+                        OrderRelay.STOP,
+                        token,
+                        order,
+                        Boolean.class,
+                        confirmed -> true,
+                        confirmed -> !confirmed),
                     HEDGE_DELAY_MILLIS,
                     sendDirect,
                     UnaryOperator.identity()))
@@ -133,11 +142,12 @@
   }
 
   @Override
-  public CompletableFuture<RenewalAnswer> renew(Action.Renew order, long epoch, long nowMillis) {
+  public CompletableFuture<RenewalAnswer> renew(
+      Action.Renew order, FencingToken token, long nowMillis) {
     if (isRelayExpected(order.workerId())) {
       CompletableFuture<RenewalAnswer> answer = new CompletableFuture<>();
       loop.schedule(
-          () -> renew(order, epoch, nowMillis).thenAccept(answer::complete),
+          () -> renew(order, token, nowMillis).thenAccept(answer::complete),
           RELAY_POLL_INTERVAL_MILLIS,
           TimeUnit.MILLISECONDS);
       return answer;
@@ -147,14 +157,18 @@
             relay ->
                 relay(
                         relay,
-                        new RelayedOrder(OrderRelay.RENEW, epoch, order),
-                        RenewalAnswer.class,
-                        answer -> RelayedAnswers.isUsable(answer, order.workerId()),
+                        new RelayedOrder<>(
+                            OrderRelay.RENEW,
+                            token,
+                            order,
+                            RenewalAnswer.class,
+                            answer -> RelayedAnswers.isUsable(answer, order.workerId()),
+                            answer -> answer.outcome() == RenewalOutcome.FENCED),
                         order.waitMillis() + HEDGE_DELAY_MILLIS,
-                        () -> direct.renew(order.withoutWait(), epoch, nowMillis),
+                        () -> direct.renew(order.withoutWait(), token, nowMillis),
                         UnaryOperator.identity())
                     .thenApply(answer -> answer.sentAt(nowMillis)))
-        .orElseGet(() -> direct.renew(order, epoch, nowMillis));
+        .orElseGet(() -> direct.renew(order, token, nowMillis));
   }
 
   /** Returns whether this new coordinator is still waiting for a relay's first offer. */
@@ -175,28 +189,45 @@
     return relay;
   }
 
-  /** Holds an order to be relayed. */
-  private record RelayedOrder(String kind, long epoch, Action order) {
+  /**
+   * Holds an order to be relayed.
+   *
+   * @param usable whether an answer has values that a relay may send
+   * @param refused whether an answer may be the refusal of a lower fencing token
+   */
+  private record RelayedOrder<T>(
+      String kind,
+      FencingToken token,
+      Action order,
+      Class<T> answerType,
+      Predicate<T> usable,
+      Predicate<T> refused) {
+
+    /**
+     * Returns whether the worker may have refused a token that the relay has put in the place of
+     * this one: a relay of an earlier build sends the epoch, which is lower.
+     */
+    private boolean refusedOtherToken(T answer) {
+      return token.offset() > 0 && refused.test(answer);
+    }
+
     private PeerMessage.OrderRequest request() {
-      return new PeerMessage.OrderRequest(kind, epoch, RecordCodec.encode(order));
+      return new PeerMessage.OrderRequest(
+          kind, token.epoch(), RecordCodec.encode(order), token.offset());
     }
   }
 
   private <T> CompletableFuture<T> relay(
       String relay,
-      RelayedOrder relayed,
-      Class<T> answerType,
-      Predicate<T> usable,
+      RelayedOrder<T> relayed,
       long hedgeDelayMillis,
       Supplier<CompletableFuture<T>> sendDirect,
       UnaryOperator<T> resolveDuplicate) {
-    HedgedOrder<T> hedged = new HedgedOrder<>(relay, sendDirect, resolveDuplicate);
+    HedgedOrder<T> hedged = new HedgedOrder<>(relay, relayed, sendDirect, resolveDuplicate);
     hedged.timer = loop.schedule(hedged::onTimeout, hedgeDelayMillis, TimeUnit.MILLISECONDS);
     relays
         .relay(relay, relayed.request())
-        .whenCompleteAsync(
-            (answer, failure) -> hedged.handleRelayAnswer(answer, failure, answerType, usable),
-            loop);
+        .whenCompleteAsync((answer, failure) -> hedged.handleRelayAnswer(answer, failure), loop);
     return hedged.result;
   }
 
@@ -204,6 +235,7 @@
   private final class HedgedOrder<T> {
 
     private final String relay;
+    private final RelayedOrder<T> relayed;
     private final Supplier<CompletableFuture<T>> sendDirect;
     private final UnaryOperator<T> resolveDuplicate;
     private final CompletableFuture<T> result = new CompletableFuture<>();
@@ -212,9 +244,11 @@
 
     private HedgedOrder(
         String relay,
+        RelayedOrder<T> relayed,
         Supplier<CompletableFuture<T>> sendDirect,
         UnaryOperator<T> resolveDuplicate) {
       this.relay = relay;
+      this.relayed = relayed;
       this.sendDirect = sendDirect;
       this.resolveDuplicate = resolveDuplicate;
     }
@@ -231,17 +265,20 @@
       }
     }
 
-    private void handleRelayAnswer(
-        PeerMessage answer, Throwable failure, Class<T> answerType, Predicate<T> usable) {
+    private void handleRelayAnswer(PeerMessage answer, Throwable failure) {
       if (result.isDone()) {
         return;
       }
       if (answer instanceof PeerMessage.OrderAnswer orderAnswer && orderAnswer.content() != null) {
         try {
-          T decoded = RecordCodec.decode(orderAnswer.content(), answerType);
-          if (usable.test(decoded)) {
-            timer.cancel(false);
-            complete(decoded);
+          T decoded = RecordCodec.decode(orderAnswer.content(), relayed.answerType());
+          if (relayed.usable().test(decoded)) {
+            if (relayed.refusedOtherToken(decoded)) {
+              sendDirectOnce();
+            } else {
+              timer.cancel(false);
+              complete(decoded);
+            }
             return;
           }
         } catch (MalformedRecordException e) {
