Start no task beside a run of it that is only being stopped

Cause: a reported run whose task is placed elsewhere is stopped. Until the stop takes effect both run, and nothing kept the task from a third start when the placed run ended without completing it, or from the start of a placement that was still being stored. The worker of the run was barred from work until any report without it, also one that had been requested before, and a start to it that was being stored was sent.

Ruled out: a second placement of the task, as ends, usage and gangs rely on one; forgetting the run when its worker restarts, as the new life is asked first.

Change: UnplacedRuns keeps such runs for each worker with the event number of the last report that lists them. While there is one, its worker gets no starts and its task is not placeable, gangs included; StartIssuer drops starts of either that were being stored. A run is forgotten when a complete report that was requested later does not list it, when the leases of its silent worker are over, or when another worker answers there. It is placed as before if the task has no placement any more.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StartIssuer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StartIssuer.java
@@ -31,7 +31,10 @@
     boolean zoneOpen =
         worker.listing() != null && !state.zonesOut().contains(worker.listing().zone());
     boolean schedulable = worker.listed() && !worker.listing().draining();
-    if (placement.stopRequested() || !permitted || !sameIncarnation || !zoneOpen || !schedulable) {
+    // A report may have listed a run that is not placed, since the placement was decided.
+    boolean unplacedRun = task.hasUnplacedRun() || !worker.unplacedRuns().isEmpty();
+    boolean startable = permitted && !placement.stopRequested() && !unplacedRun;
+    if (!startable || !sameIncarnation || !zoneOpen || !schedulable) {
       endHandler.runLost(placement, ReleaseReason.NOT_SENT, now);
       return;
     }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
@@ -23,6 +23,7 @@
   private final BitSet done = new BitSet();
   private final Map<Worker, Integer> placedByWorker = new HashMap<>();
   private int placedCount;
+  private int unplacedRunCount;
   private boolean adviceInFlight;
   private OptionalLong adviceRetryAtMillis = OptionalLong.empty();
   private OptionalLong nextReportMillis = OptionalLong.empty();
@@ -82,6 +83,12 @@
     taskChanged(task);
   }
 
+  /** Updates the counts after a run of a task that is not placed was reported, or is over. */
+  void unplacedRunsChanged(Task task, int change) {
+    unplacedRunCount += change;
+    taskChanged(task);
+  }
+
   Job job() {
     return job;
   }
@@ -120,9 +127,11 @@
     return waiting.stream().mapToObj(tasks::get).toList();
   }
 
-  /** Returns whether tasks can be placed; a gang only once no member is placed any more. */
+  /** Returns whether tasks can be placed; a gang only once no member has a run any more. */
   boolean placeable() {
-    return spec().gang() ? !done() && placedCount == 0 : !waiting.isEmpty();
+    return spec().gang()
+        ? !done() && placedCount == 0 && unplacedRunCount == 0
+        : !waiting.isEmpty();
   }
 
   int placedOn(Worker worker) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Task.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Task.java
@@ -15,6 +15,7 @@
   private boolean preemptedBefore;
   private String checkpoint = "";
   private Placement placement;
+  private int unplacedRunCount;
   private PlacementReporter.Release lastRelease;
   private final Set<String> failedOn = new HashSet<>();
 
@@ -113,9 +114,26 @@
     step.placementChanged(this, old, newPlacement);
   }
 
-  /** Returns whether the task is not done and not placed. */
+  /** Records that a worker reports a run of this task that is not placed there. */
+  void unplacedRunAdded() {
+    unplacedRunCount++;
+    step.unplacedRunsChanged(this, 1);
+  }
+
+  /** Records that a run which is not placed is over, or is placed now. */
+  void unplacedRunRemoved() {
+    unplacedRunCount--;
+    step.unplacedRunsChanged(this, -1);
+  }
+
+  /** Returns whether a run that is not placed may go on, so that the task must not start. */
+  boolean hasUnplacedRun() {
+    return unplacedRunCount > 0;
+  }
+
+  /** Returns whether the task is to be placed: it is not done, and has no run. */
   boolean waiting() {
-    return !done && placement == null;
+    return !done && placement == null && !hasUnplacedRun();
   }
 
   /** Returns the workers on which a run of the task has failed. */
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/UnknownRunHandler.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/UnknownRunHandler.java
@@ -1,5 +1,9 @@
 package org.cicadaford.cell;
 
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
 /**
  * Handles runs that a worker reports and that are not placed there.
  *
@@ -17,14 +21,42 @@
   }
 
   /**
-   * Handles a row of a report whose request was sent at {@code sentAtMillis}; returns whether the
-   * run has ended or is placed now, so that its capacity is accounted for.
+   * Handles the rows of a report that are not placed.
+   *
+   * @param requestNumber number of the last event before the report was requested
    */
-  boolean handle(Worker worker, ReportedRun row, long sentAtMillis, ClockReading now) {
+  void handle(
+      Worker worker,
+      List<ReportedRun> rows,
+      WorkerReport report,
+      long requestNumber,
+      ClockReading now) {
+    Set<UnplacedRuns.Run> listed = new HashSet<>();
+    for (ReportedRun row : rows) {
+      listed.add(new UnplacedRuns.Run(row.task(), row.run()));
+      handle(worker, row, report.sentAtMillis(), now);
+    }
+    if (report.complete()) {
+      release(worker, listed, requestNumber);
+    }
+  }
+
+  /** Forgets runs that are over for the reason that a worker is gone. */
+  void forget(Worker worker, long requestNumber) {
+    release(worker, Set.of(), requestNumber);
+  }
+
+  private void release(Worker worker, Set<UnplacedRuns.Run> listed, long requestNumber) {
+    for (Task task : worker.unplacedRuns().removeMissing(listed, requestNumber)) {
+      state.enqueueIfPlaceable(task.step());
+    }
+  }
+
+  private void handle(Worker worker, ReportedRun row, long sentAtMillis, ClockReading now) {
     Task task = state.task(row.task()).orElse(null);
     if (task != null && task.endReported(row.run(), worker.id())) {
       // A newer report, with the end of the run, has overtaken this one.
-      return true;
+      return;
     }
     boolean adoptable =
         task != null
@@ -34,12 +66,18 @@
             && worker.listing() != null;
     reporter.unknownRun(
         worker, row, adoptable ? "adopted" : "stopped", now.monotonicMillis() - sentAtMillis, now);
+    UnplacedRuns.Run run = new UnplacedRuns.Run(row.task(), row.run());
     if (adoptable) {
+      worker.unplacedRuns().remove(run);
       adopt(task, row, worker, now);
-    } else if (worker.listing() != null) {
+      return;
+    }
+    if (worker.unplacedRuns().reported(run, task, state.events().next())) {
+      state.requestImmediateReport(worker);
+    }
+    if (worker.listing() != null) {
       state.sendStop(worker, row.task(), row.run(), StopReason.UNKNOWN_RUN);
     }
-    return adoptable;
   }
 
   /** Places a run where it is; it goes on if its task still needs it. */
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
@@ -39,7 +39,7 @@
   private final Map<String, Placement> placements = new HashMap<>();
   private final Set<Placement> unconfirmed = new LinkedHashSet<>();
   private final EarlierOrders earlierOrders = new EarlierOrders();
-  private boolean unplacedRunReported;
+  private final UnplacedRuns unplacedRuns = new UnplacedRuns();
   private long reportedClockMillis;
   private long reportedClockAtMillis;
   private boolean clockKnown;
@@ -206,9 +206,9 @@
     return earlierOrders;
   }
 
-  /** Records whether the last report lists a run that is not placed, and so not counted. */
-  void unplacedRunReported(boolean reported) {
-    unplacedRunReported = reported;
+  /** Returns the reported runs that are not placed, and so not counted. */
+  UnplacedRuns unplacedRuns() {
+    return unplacedRuns;
   }
 
   /**
@@ -216,7 +216,7 @@
    * capacity is only used by placements.
    */
   boolean reachable(long nowMillis, long unreachableMillis) {
-    boolean capacityKnown = !unplacedRunReported && !earlierOrders.mayStart();
+    boolean capacityKnown = unplacedRuns.isEmpty() && !earlierOrders.mayStart();
     return clockKnown && capacityKnown && answeredWithin(nowMillis, unreachableMillis);
   }
 
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -160,11 +160,11 @@
   private void applyRunning(
       Worker worker, WorkerReport report, long requestNumber, ClockReading now) {
     Set<Placement> reported = new HashSet<>();
-    boolean unplaced = false;
+    List<ReportedRun> unplaced = new ArrayList<>();
     for (ReportedRun row : report.running()) {
       Placement placement = worker.placements().get(row.task());
       if (placement == null || placement.run() != row.run()) {
-        unplaced |= !unknownRuns.handle(worker, row, report.sentAtMillis(), now);
+        unplaced.add(row);
         continue;
       }
       reported.add(placement);
@@ -176,7 +176,7 @@
       }
       stopIfStalled(placement, now);
     }
-    worker.unplacedRunReported(unplaced);
+    unknownRuns.handle(worker, unplaced, report, requestNumber, now);
     if (!report.complete()) {
       return;
     }
@@ -235,6 +235,7 @@
     // The answer of an earlier address says nothing of the runs at the current one, nor of what was
     // ordered or confirmed since the request.
     if (gone && current) {
+      unknownRuns.forget(worker, requestNumber);
       for (Placement placement : List.copyOf(worker.placements().values())) {
         if (placement.precedes(requestNumber)) {
           endHandler.runLost(placement, ReleaseReason.REPLACED, now);
@@ -251,7 +252,8 @@
       checkUnansweredStarts(worker, now);
       stopEarlierOrders(worker, now.monotonicMillis());
       state.checkRenewal(worker);
-      boolean idle = worker.placements().isEmpty() && !worker.renewalInFlight();
+      boolean vacant = worker.placements().isEmpty() && worker.unplacedRuns().isEmpty();
+      boolean idle = vacant && !worker.renewalInFlight();
       if (!worker.listed() && idle && !mayExecuteOrders(worker, now)) {
         removed.add(worker);
       }
@@ -297,6 +299,7 @@
     if (!unresponsive || !worker.leasesExpired(nowMillis, LEASE_MARGIN_MILLIS)) {
       return;
     }
+    unknownRuns.forget(worker, state.events().last());
     for (Placement placement : List.copyOf(worker.placements().values())) {
       boolean lateOrderPossible =
           placement.stage() != Placement.Stage.RUNNING
@@ -341,7 +344,8 @@
     List<Action.Renew> due = new ArrayList<>();
     for (Worker worker : workers) {
       boolean listed = worker.listed() || worker.incarnations().lowerListing() != null;
-      boolean monitored = listed || worker.listing() != null && !worker.placements().isEmpty();
+      boolean vacant = worker.placements().isEmpty() && worker.unplacedRuns().isEmpty();
+      boolean monitored = listed || worker.listing() != null && !vacant;
       if (monitored && renewalDue(worker, now.monotonicMillis())) {
         due.add(renewal(worker, now));
       }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorDriver.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorDriver.java
@@ -9,8 +9,8 @@
 /**
  * Drives a {@link Coordinator} of one worker step by step; the test answers its orders.
  *
- * <p>Batches are stored at once. In contrast to {@link SimulatedCell}, answers may arrive in any
- * order within a millisecond.
+ * <p>Batches are stored at once, unless a test suspends that. In contrast to {@link SimulatedCell},
+ * answers may arrive in any order within a millisecond.
  */
 final class CoordinatorDriver {
 
@@ -29,6 +29,9 @@
   private final List<Action> actions = new ArrayList<>();
   private long nowMillis = 1_000;
 
+  /** Whether batches are stored. */
+  boolean storing = true;
+
   CoordinatorDriver() {
     coordinator.restore(List.of(), now());
     coordinator.configure(config, Set.of());
@@ -67,7 +70,7 @@
   private void round() {
     coordinator.roleConfirmed(now());
     coordinator.advance(now());
-    if (coordinator.takeBatch().isPresent()) {
+    if (storing && coordinator.takeBatch().isPresent()) {
       coordinator.batchStored(now());
     }
     actions.addAll(coordinator.takeActions());
