--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/RenewalPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/RenewalPlanner.java
@@ -20,7 +20,8 @@
     List<Action.Renew> due = new ArrayList<>();
     for (Worker worker : workers) {
       boolean listed = worker.listed() || worker.incarnations().lowerListing() != null;
-      boolean monitored = listed || worker.listing() != null && !worker.placements().isEmpty();
+      boolean vacant = worker.placements().isEmpty() && worker.unplacedRuns().isEmpty();
+      boolean monitored = listed || worker.listing() != null && !vacant;
       if (monitored && renewalDue(worker, now.monotonicMillis())) {
         due.add(renewal(worker, now));
       }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StartIssuer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StartIssuer.java
@@ -60,9 +60,12 @@
     boolean zoneOpen =
         worker.listing() != null && !state.zonesOut().contains(worker.listing().zone());
     boolean schedulable = worker.listed() && !worker.listing().draining();
+    // A report may have listed a run that is not placed, since the placement was decided.
+    boolean unplacedRun = placement.task().hasUnplacedRun() || !worker.unplacedRuns().isEmpty();
     boolean listCurrent = state.workerListAge().isCurrent(now);
     return listCurrent
         && !placement.stopRequested()
+        && !unplacedRun
         && permitted
         && sameIncarnation
         && zoneOpen
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
@@ -31,7 +31,7 @@
   private final EarlierOrders earlierOrders = new EarlierOrders();
   private final WorkerQuarantine quarantine = new WorkerQuarantine();
   private final StartSurvivalTracker startSurvival = new StartSurvivalTracker();
-  private boolean unplacedRunReported;
+  private final UnplacedRuns unplacedRuns = new UnplacedRuns();
   private long reportedClockMillis;
   private long reportedClockAtMillis;
   private boolean clockKnown;
@@ -203,9 +203,9 @@
     return earlierOrders;
   }
 
-  /** Records whether the last report lists a run that is not placed, and so not counted. */
-  void unplacedRunReported(boolean reported) {
-    unplacedRunReported = reported;
+  /** Returns the reported runs that are not placed, and so not counted. */
+  UnplacedRuns unplacedRuns() {
+    return unplacedRuns;
   }
 
   /**
@@ -213,7 +213,7 @@
    * capacity is only used by placements.
    */
   boolean reachable(long nowMillis, long unreachableMillis) {
-    boolean capacityKnown = !unplacedRunReported && !earlierOrders.mayStart();
+    boolean capacityKnown = unplacedRuns.isEmpty() && !earlierOrders.mayStart();
     return clockKnown && capacityKnown && answeredWithin(nowMillis, unreachableMillis);
   }
 
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -177,11 +177,11 @@
   private void applyRunning(
       Worker worker, WorkerReport report, long requestNumber, ClockReading now) {
     Set<Placement> reported = new HashSet<>();
-    boolean unplaced = false;
+    List<ReportedRun> unplaced = new ArrayList<>();
     for (ReportedRun row : report.running()) {
       Placement placement = worker.placements().get(row.task());
       if (placement == null || placement.run() != row.run()) {
-        unplaced |= !unknownRuns.handle(worker, row, report.sentAtMillis(), now);
+        unplaced.add(row);
         continue;
       }
       reported.add(placement);
@@ -193,7 +193,7 @@
       }
       stopIfStalled(placement, now);
     }
-    worker.unplacedRunReported(unplaced);
+    unknownRuns.handle(worker, unplaced, report, requestNumber, now);
     if (!report.complete()) {
       return;
     }
@@ -258,6 +258,7 @@
     // The answer of an earlier address says nothing of the runs at the current one, nor of what was
     // ordered or confirmed since the request.
     if (gone && current) {
+      unknownRuns.forget(worker, requestNumber);
       releaseLost(
           worker,
           worker.placements().values().stream()
@@ -278,7 +279,8 @@
       checkIsolatedStarts(worker, now.monotonicMillis());
       stopEarlierOrders(worker, now.monotonicMillis());
       state.checkRenewal(worker);
-      boolean idle = worker.placements().isEmpty() && !worker.renewalInFlight();
+      boolean vacant = worker.placements().isEmpty() && worker.unplacedRuns().isEmpty();
+      boolean idle = vacant && !worker.renewalInFlight();
       if (!worker.listed() && idle && !mayExecuteOrders(worker, now)) {
         removed.add(worker);
       }
@@ -333,6 +335,7 @@
     if (!unresponsive || !worker.leasesExpired(nowMillis, LEASE_MARGIN_MILLIS)) {
       return;
     }
+    unknownRuns.forget(worker, state.events().last());
     List<Placement> expired =
         worker.placements().values().stream()
             .filter(placement -> placement.orderSent() && !mayStartLate(placement, nowMillis))
