Simulate tasks and faults that crash workers

Cause: the platform's protocol now has tasks that crash each worker that starts them. The simulated cell could only crash workers at times that a test chooses.

Ruled out: a crash by the scenario after each start, as it cannot decide between the start and its answer.

SimulatedRules checks BUDGET (the third start in time after three crashes) and INNOCENT (a failed job without a task that failed max_attempts times or crashed two workers).

--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
@@ -43,6 +43,7 @@
           java.util.Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::order));
   private final CellConfig config;
   private final SimulatedRules rules = new SimulatedRules(workers.values(), this::violation);
+  final SimulatedCrashes crashes = new SimulatedCrashes(this, rules);
   Faults faults = Faults.NONE;
   boolean storeDown;
 
@@ -171,7 +172,7 @@
     trace(task, (sender.coordinator() == coordinator ? "" : "predecessor ") + what);
   }
 
-  private void trace(String task, String what) {
+  void trace(String task, String what) {
     traces.computeIfAbsent(task, key -> new ArrayList<>()).add(nowMillis + " " + what);
   }
 
@@ -212,6 +213,7 @@
         listed.add(listingOf(worker));
       }
     }
+    listed.addAll(crashes.entriesOfCrashedWorkers());
     coordinator.workersListed(listed, moment());
   }
 
@@ -229,6 +231,11 @@
     coordinator.submit(jobId, queue, new Submitter(team, "zone-0"), spec, moment());
   }
 
+  /** Returns the phase of a job; an accepted job is kept longer than a simulation takes. */
+  JobPhase phaseOf(String jobId) {
+    return coordinator.job(jobId).orElseThrow().phase();
+  }
+
   void run(long millis) {
     long endMillis = nowMillis + millis;
     while (nowMillis < endMillis) {
@@ -327,6 +334,7 @@
     switch (action) {
       case Action.StartTask start -> {
         ordersByWorker.merge(start.workerId(), 1, Integer::sum);
+        crashes.ordered(start, sender);
         trace(start.task(), sender, "order " + start.run() + " to " + start.workerId());
         network.start(start, sender);
       }
@@ -357,17 +365,7 @@
     String[] name = order.task().split("\\.");
     StepSpec step = SimulatedJobs.specOf(name[0]).steps().get(Integer.parseInt(name[2]));
     boolean fails = random.nextDouble() < faults.failedRun();
-    long workMillis = step.longRunning() ? Long.MAX_VALUE : step.estimateMillis();
-    SimulatedWorker.Run run =
-        new SimulatedWorker.Run(
-            order.task(),
-            order.run(),
-            workMillis,
-            fails,
-            step.reservation(),
-            step.gang() ? step.taskCount() : 1,
-            step.checkpointing(),
-            order.checkpoint());
+    SimulatedWorker.Run run = SimulatedWorker.Run.of(order, step, fails);
     boolean known = worker.hasRun(order.task(), order.run());
     StartOutcome outcome = worker.start(run, sentEpoch, order.deadlineMillis());
     trace(
@@ -376,6 +374,7 @@
     if (outcome == StartOutcome.STARTED && !known) {
       starts++;
       rules.started(worker, run, cancelled.get(name[0]), nowMillis);
+      crashes.started(worker, run);
     }
     return outcome;
   }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedNetwork.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedNetwork.java
@@ -13,6 +13,9 @@
 
   private static final long ORDER_TIMEOUT_MILLIS = 300;
 
+  /** Time after which a call fails whose worker crashes when it has carried it out. */
+  static final long CLOSED_MILLIS = 12;
+
   /** A coordinator and the epoch of its orders. */
   record Sender(Coordinator coordinator, long epoch) {}
 
@@ -146,6 +149,9 @@
   /** The answer to a start; the worker is null if there is none. */
   private record StartAnswer(StartOutcome outcome, SimulatedWorker worker) {
     private static final StartAnswer NONE = new StartAnswer(StartOutcome.UNKNOWN, null);
+
+    /** The result of a connection that was refused, so that no order was sent. */
+    private static final StartAnswer REFUSED = new StartAnswer(StartOutcome.NOT_STARTED, null);
   }
 
   void renew(Action.Renew order, Sender sender) {
@@ -216,6 +222,10 @@
           });
       return;
     }
+    if (receiver == null && cell.crashes.closedConnections) {
+      cell.after(delayMillis, () -> answer.accept(StartAnswer.REFUSED));
+      return;
+    }
     cell.after(
         delayMillis,
         () -> {
@@ -224,7 +234,7 @@
             deliverStart(order, sender, receiver, !lost, "start", answer);
           }
           if (lost || !arrives) {
-            cell.after(ORDER_TIMEOUT_MILLIS, () -> answer.accept(StartAnswer.NONE));
+            cell.after(failureMillis(receiver), () -> answer.accept(StartAnswer.NONE));
           }
         });
   }
@@ -254,12 +264,21 @@
     if (relayed) {
       count("relayed start " + outcome);
     }
-    if (answers) {
+    if (cell.crashes.losesAnswer(order.task())) {
+      count("unanswered start");
+      cell.after(CLOSED_MILLIS, () -> answer.accept(StartAnswer.NONE));
+    } else if (answers) {
       cell.after(
           answerMillis("start answer"), () -> answer.accept(new StartAnswer(outcome, worker)));
     }
   }
 
+  /** Returns the time after which a call without an answer fails. */
+  private long failureMillis(Receiver receiver) {
+    boolean closed = receiver != null && !receiver.worker().up;
+    return closed && cell.crashes.closedConnections ? CLOSED_MILLIS : ORDER_TIMEOUT_MILLIS;
+  }
+
   void stop(Action.StopTask order, Sender sender) {
     long requestNumber = sender.coordinator().lastEventNumber();
     FirstAnswer<Boolean> first =
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedRenewals.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedRenewals.java
@@ -88,12 +88,19 @@
       return;
     }
     if (receiver == null || !receiver.worker().reachable) {
-      cell.after(order.timeoutMillis(), () -> answer.accept(RenewalAnswer.NONE));
+      cell.after(failureMillis(order, receiver == null), () -> answer.accept(RenewalAnswer.NONE));
       return;
     }
     deliverRenewal(order, sender, receiver.worker(), sentAtMillis, answer);
   }
 
+  /** Returns the time after which a renewal without an answer fails. */
+  private long failureMillis(Action.Renew order, boolean down) {
+    return down && cell.crashes.closedConnections
+        ? SimulatedNetwork.CLOSED_MILLIS
+        : order.timeoutMillis();
+  }
+
   private void deliverRenewal(
       Action.Renew order,
       Sender sender,
@@ -123,7 +130,7 @@
         || worker.incarnation != life.incarnation()
         || !worker.reachable
         || cell.random.nextDouble() < cell.faults.lostAnswer()) {
-      cell.after(order.timeoutMillis(), () -> answer.accept(RenewalAnswer.NONE));
+      cell.after(failureMillis(order, !worker.up), () -> answer.accept(RenewalAnswer.NONE));
       return;
     }
     if (!worker.hasUnacknowledgedEnds(order.acknowledgedEnd()) && cell.nowMillis < untilMillis) {
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedRules.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedRules.java
@@ -11,11 +11,20 @@
 /** Checks each start that a simulated worker carries out against the rules. */
 final class SimulatedRules {
 
+  /** Workers that a task may crash before its starts are counted. */
+  private static final int MAX_CRASHES = 3;
+
+  /** Starts after these crashes of which the last one violates the rule. */
+  private static final int MAX_STARTS_AFTER_CRASHES = 3;
+
   private final Collection<SimulatedWorker> workers;
   private final BiConsumer<String, String> reportViolation;
   private final Set<String> doneTasks = new HashSet<>();
   private final Set<String> failedEnds = new HashSet<>();
   private final Map<String, Integer> failures = new HashMap<>();
+  private final Map<String, Set<Integer>> failedRunsOfGangs = new HashMap<>();
+  private final Map<String, Integer> crashes = new HashMap<>();
+  private final Map<String, Integer> startsAfterCrashes = new HashMap<>();
 
   /**
    * Creates the checks.
@@ -34,9 +43,56 @@
       doneTasks.add(end.task());
     } else if (end.kind() == EndKind.FAILED && failedEnds.add(key)) {
       failures.merge(end.task(), 1, Integer::sum);
+      failedRunsOfGangs.computeIfAbsent(stepOf(end.task()), step -> new HashSet<>()).add(end.run());
+    }
+  }
+
+  private static String stepOf(String task) {
+    return task.substring(0, task.lastIndexOf('.'));
+  }
+
+  /** Records that a worker has crashed under a run of a task that crashes workers. */
+  void workerCrashed(String task) {
+    crashes.merge(task, 1, Integer::sum);
+  }
+
+  /** Checks a start, carried out in time, of a task that crashes workers. */
+  void crashingTaskStarted(String task) {
+    boolean exhausted = crashes.getOrDefault(task, 0) >= MAX_CRASHES;
+    if (exhausted && startsAfterCrashes.merge(task, 1, Integer::sum) == MAX_STARTS_AFTER_CRASHES) {
+      reportViolation.accept("BUDGET of crashes", task);
     }
   }
 
+  /** Checks that a task of a failed job has failed or crashed workers often enough. */
+  void jobFailed(String jobId) {
+    String prefix = jobId + ".";
+    boolean crashed =
+        crashes.entrySet().stream()
+            .anyMatch(task -> task.getKey().startsWith(prefix) && task.getValue() >= 2);
+    boolean taskFailed =
+        failures.entrySet().stream()
+            .anyMatch(
+                task ->
+                    task.getKey().startsWith(prefix)
+                        && task.getValue() >= SimulatedJobs.MAX_ATTEMPTS);
+    if (!crashed && !taskFailed && !gangFailed(jobId)) {
+      reportViolation.accept("INNOCENT", jobId);
+    }
+  }
+
+  /** Returns whether the members of a gang have together failed as often as a task may. */
+  private boolean gangFailed(String jobId) {
+    return failedRunsOfGangs.entrySet().stream()
+        .filter(step -> step.getKey().startsWith(jobId + "."))
+        .filter(
+            step -> {
+              int index = Integer.parseInt(step.getKey().split("\\.")[2]);
+              return SimulatedJobs.specOf(jobId).steps().get(index).gang();
+            })
+        .anyMatch(step -> step.getValue().size() >= SimulatedJobs.MAX_ATTEMPTS);
+  }
+
   /**
    * Checks a start when a worker carries it out.
    *
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedWorker.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedWorker.java
@@ -61,6 +61,19 @@
       }
     }
 
+    /** Returns the run that an order for a task of the step starts. */
+    static Run of(Action.StartTask order, StepSpec step, boolean fails) {
+      return new Run(
+          order.task(),
+          order.run(),
+          step.longRunning() ? Long.MAX_VALUE : step.estimateMillis(),
+          fails,
+          step.reservation(),
+          step.gang() ? step.taskCount() : 1,
+          step.checkpointing(),
+          order.checkpoint());
+    }
+
     private void save(long millis) {
       if (checkpointing) {
         savedMillis = Math.max(savedMillis, millis);
