Begin few occurrences of a recurring job at a time

A valid job with 2e9 occurrences, all due, kept the coordinator in one loop: in a trial on the submission got no answer within 60 s, and the process did not act on SIGTERM. Each occurrence was begun at once, and the search for the next one began at 0 each time.

Occurrences begin while the tasks in progress stay below the 5,000 that a job may have, and the search continues where it ended.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -238,6 +238,7 @@
   private void beginDueOccurrences(Job job, ClockReading now) {
     int occurrence = job.nextOccurrence();
     while (occurrence < job.spec().runCount()
+        && job.mayBeginOccurrence()
         && job.spec().dueMillis(occurrence) <= now.unixMillis()) {
       job.beginOccurrence(occurrence).forEach(state::enqueueIfPlaceable);
       state.markForStore(job);
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Job.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Job.java
@@ -14,6 +14,7 @@
   private final JobObjective objective;
   private final Map<Integer, List<StepRun>> occurrences = new TreeMap<>();
   private final TreeSet<Integer> doneOccurrences = new TreeSet<>();
+  private int nextOccurrence;
   private JobPhase phase = JobPhase.PENDING;
   private JobPhase storedPhase = JobPhase.PENDING;
   private boolean stored;
@@ -144,11 +145,20 @@
 
   /** Returns the lowest occurrence that has not begun, or the number of occurrences if all have. */
   int nextOccurrence() {
-    int next = 0;
-    while (occurrences.containsKey(next) || doneOccurrences.contains(next)) {
-      next++;
+    while (occurrences.containsKey(nextOccurrence) || doneOccurrences.contains(nextOccurrence)) {
+      nextOccurrence++;
     }
-    return next;
+    return nextOccurrence;
+  }
+
+  /**
+   * Returns whether another occurrence may begin. A job with very many due occurrences would
+   * otherwise fill the memory of the coordinator, and its record the store's limit.
+   */
+  boolean mayBeginOccurrence() {
+    int tasksOfOne = spec().steps().stream().mapToInt(StepSpec::taskCount).sum();
+    return occurrences.isEmpty()
+        || (occurrences.size() + 1L) * tasksOfOne <= JobSpecValidator.MAX_TASKS;
   }
 
   /** Returns whether all steps that {@code step} depends on are done. */
