Count no crash after a takeover as a certain one

A new coordinator suspects all restored runs of a lost worker that it has not heard from, also if the worker was lost long after their starts. Two such losses of a task that was its worker's only run failed its job. Such a loss now needs the third crash, as one with other suspects does.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CrashAttributor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CrashAttributor.java
@@ -117,7 +117,11 @@
       unexplainedAtMillis.add(nowMillis);
     }
     unexplainedAtMillis.removeIf(atMillis -> nowMillis - atMillis > KEEP_LOSS_MILLIS);
-    boolean certain = evidence != Evidence.LEASE_EXPIRED && single(suspects);
+    // After a takeover, a worker that had been lost long after its starts looks the same.
+    boolean certain =
+        evidence != Evidence.LEASE_EXPIRED
+            && single(suspects)
+            && suspects.stream().noneMatch(Placement::restored);
     for (Placement suspect : suspects) {
       // Members of a gang may be lost with several workers; their run counts once.
       if (suspect.task().lastLostRun() < suspect.run()) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
@@ -193,6 +193,11 @@
     markUncertain(eventNumber, nowMillis);
   }
 
+  /** Returns whether an earlier coordinator has ordered the run. */
+  boolean restored() {
+    return restored;
+  }
+
   void markUncertain(long eventNumber, long nowMillis) {
     stage = Stage.UNCERTAIN;
     uncertainEvent = eventNumber;
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/CrashAttributorTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CrashAttributorTest.java
@@ -65,6 +65,13 @@
     return placement;
   }
 
+  /** Takes over a run that an earlier coordinator has ordered. */
+  private void restore(Task task, int run, Worker worker) {
+    Placement placement = new Placement(task, run, worker, 100, LAST_ANSWER_MILLIS);
+    placement.markRestored(state.events().next(), LAST_ANSWER_MILLIS);
+    state.place(placement);
+  }
+
   private void lose(Worker worker, Evidence evidence) {
     List<Placement> lost = new ArrayList<>(worker.placements().values());
     crashes.workerLost(worker, lost, evidence, at(LOST_AT_MILLIS + 1_000L * losses++));
@@ -170,14 +177,27 @@
   void runsThatAreUnreportedSinceATakeoverAreSuspects() {
     Worker worker = worker();
     Task task = task("restored");
-    Placement placement = new Placement(task, 1, worker, 100, LAST_ANSWER_MILLIS);
-    placement.markRestored(state.events().next(), LAST_ANSWER_MILLIS);
-    state.place(placement);
+    restore(task, 1, worker);
     lose(worker, Evidence.REPLACED);
     assertThat(task.suspected()).isTrue();
     assertThat(task.crashCount()).isEqualTo(1);
   }
 
+  /**
+   * Guards against failing a job whose workers had been lost for other reasons at two takeovers.
+   */
+  @Example
+  void lossOfARunThatIsUnreportedSinceATakeoverIsNoCertainCrash() {
+    Task task = task("takeovers");
+    for (int loss = 0; loss < 2; loss++) {
+      Worker worker = worker();
+      restore(task, loss + 1, worker);
+      lose(worker, Evidence.REPLACED);
+    }
+    assertThat(task.crashCount()).isEqualTo(2);
+    assertThat(phase(task)).isEqualTo(JobPhase.PENDING);
+  }
+
   /** Guards against counting the loss of a gang for each of its members and workers. */
   @Example
   void lossCountsOnceForARunOfAGang() {
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/CrashingTaskTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CrashingTaskTest.java
@@ -67,6 +67,17 @@
     assertRulesHold(CrashingTaskScenarios.randomCrashes(seed, sameId));
   }
 
+  /**
+   * Guards against failing jobs whose workers had crashed long after their starts when the
+   * coordinator changed; the crashes of two such workers counted as certain ones of their only run.
+   */
+  @Example
+  void workersLostBeforeTakeoversFailNoJob() {
+    for (long seed : new long[] {2_000_003, 2_000_006, 2_000_056}) {
+      assertRulesHold(CrashingTaskScenarios.randomCrashes(seed, false));
+    }
+  }
+
   /** Guards against gangs and long-running tasks that crash workers without end. */
   @Property(tries = 20, seed = "4765")
   void gangWithACrashingMemberIsGivenUp(
