Count the lease of an earlier coordinator for all workers

A worker has one lease for all its runs, and no order shortens it. After a takeover, only workers with stored placements kept the lease that an earlier coordinator may have granted. A run that the new coordinator started on another worker was given up when its own, shorter lease was over, and its task ran twice.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /** Holds the state of the cell that the coordinator components share; confined to one thread. */
@@ -46,6 +47,7 @@
   private CellConfig config = CellConfig.EMPTY;
   private Set<String> zonesOut = Set.of();
   private ClockReading roleConfirmedAt;
+  private OptionalLong earlierLeaseExpiryMillis = OptionalLong.empty();
 
   CellState(CoordinatorSettings settings) {
     this.settings = settings;
@@ -114,8 +116,27 @@
 
   /** Returns the worker with that id, which is added if it is not known. */
   Worker workerOrNew(String id, long incarnation) {
-    return workers.computeIfAbsent(
-        id, key -> new Worker(key, incarnation, removedTokenOffsets.getOrDefault(key, 0)));
+    Worker known = workers.get(id);
+    if (known != null) {
+      return known;
+    }
+    Worker worker = new Worker(id, incarnation, removedTokenOffsets.getOrDefault(id, 0));
+    recordEarlierLease(worker);
+    workers.put(id, worker);
+    return worker;
+  }
+
+  /** Records the time of a takeover; earlier coordinators may have granted leases until then. */
+  void takenOver(long nowMillis) {
+    earlierLeaseExpiryMillis = OptionalLong.of(nowMillis + settings.earlierLeaseExpiryMillis());
+  }
+
+  /**
+   * Records the lease that an earlier coordinator may have granted to an incarnation of a worker.
+   * The worker applies it also to the runs that this coordinator starts there.
+   */
+  void recordEarlierLease(Worker worker) {
+    earlierLeaseExpiryMillis.ifPresent(worker::recordLeaseExpiry);
   }
 
   void removeWorker(Worker worker) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
@@ -25,6 +25,10 @@
    * cannot be decoded fails, because its tasks must not run again.
    */
   List<String> restore(List<RecordWrite> records, ClockReading now) {
+    if (!records.isEmpty()) {
+      // Without any record, this is taken for the first coordinator of the cell.
+      state.takenOver(now.monotonicMillis());
+    }
     List<String> unreadable = new ArrayList<>();
     Map<String, JobProgress> progressById = new HashMap<>();
     for (RecordWrite write : records) {
@@ -113,7 +117,7 @@
     }
     JobProgress.WorkerKey key = progress.workers().get(stored.workerIndex());
     long nowMillis = now.monotonicMillis();
-    Worker worker = monitor.workerOfPlacement(key.id(), key.incarnation(), nowMillis);
+    Worker worker = monitor.workerOfPlacement(key.id(), key.incarnation());
     Placement placement =
         new Placement(task, stored.lastRun(), worker, key.incarnation(), nowMillis);
     placement.markRestored(state.events().next(), nowMillis);
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -79,10 +79,9 @@
   }
 
   /** Returns the worker of a stored placement; it may no longer be listed. */
-  Worker workerOfPlacement(String id, long incarnation, long nowMillis) {
+  Worker workerOfPlacement(String id, long incarnation) {
     Worker worker = state.workerOrNew(id, incarnation);
     worker.incarnations().restore(incarnation);
-    worker.recordLeaseExpiry(nowMillis + state.settings().earlierLeaseExpiryMillis());
     return worker;
   }
 
@@ -95,6 +94,7 @@
     crashes.workerLost(worker, lost, CrashAttributor.Evidence.RESTARTED, now);
     long previousIncarnation = worker.incarnation();
     worker.beginIncarnation(incarnation, state.events().next());
+    state.recordEarlierLease(worker);
     worker
         .earlierOrders()
         .beginIncarnation(now.monotonicMillis(), state.settings().lateOrderMillis());
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorDriver.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorDriver.java
@@ -41,7 +41,12 @@
   boolean storing = true;
 
   CoordinatorDriver() {
-    coordinator.restore(List.of(), now());
+    this(List.of());
+  }
+
+  /** Drives a coordinator that takes over with stored records. */
+  CoordinatorDriver(List<RecordWrite> records) {
+    coordinator.restore(records, now());
     coordinator.configure(config, Set.of());
     list(FIRST_INCARNATION);
     advance(0);
