Count each lost start of a suspected task unless its worker answered

A slow relay reports the refused connection to a crashed worker later than a start takes to be survived, so that crashes did not count and a task was started more often than allowed. Such a failure now exempts only tasks that are not suspected yet, and clears none.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StartSurvivalTracker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StartSurvivalTracker.java
@@ -11,6 +11,7 @@
 
   private final Set<Placement> isolated = new LinkedHashSet<>();
   private OptionalLong lastSignOfLifeMillis = OptionalLong.empty();
+  private OptionalLong brokeOffAtMillis = OptionalLong.empty();
   private OptionalLong disconnectedAtMillis = OptionalLong.empty();
 
   /**
@@ -22,6 +23,15 @@
     disconnectedAtMillis = OptionalLong.empty();
   }
 
+  /**
+   * Records that a delayed answer was broken off, mostly by a crash just before. A slow relay may
+   * as well report a connection that the worker refused long after its crash.
+   */
+  void brokeOff(long nowMillis) {
+    brokeOffAtMillis = ElapsedTime.latest(brokeOffAtMillis, nowMillis);
+    disconnectedAtMillis = OptionalLong.empty();
+  }
+
   /** Records that the worker has closed or refused a connection. */
   void disconnected(long nowMillis) {
     if (disconnectedAtMillis.isEmpty()) {
@@ -44,9 +54,18 @@
     return placement.survivedStart(lastSignOfLifeMillis);
   }
 
-  /** Returns the runs among the given ones whose starts the worker may not have survived. */
+  /**
+   * Returns the runs among the given ones whose starts the worker may not have survived. A task
+   * that is already suspected is only exempt by an answer of the worker, which its isolated start
+   * requests; otherwise a crash that is reported late would not count.
+   */
   List<Placement> unsurvived(Collection<Placement> placements) {
-    return placements.stream().filter(placement -> !survived(placement)).toList();
+    return placements.stream()
+        .filter(
+            placement ->
+                !survived(placement)
+                    && (placement.task().suspected() || !placement.survivedStart(brokeOffAtMillis)))
+        .toList();
   }
 
   /** Keeps new placements off the worker until it has survived the start of a run. */
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
@@ -293,7 +293,7 @@
 
   /**
    * Returns whether the connection of a renewal that fails now was closed while the worker delayed
-   * its answer, which shows that the worker was alive until then.
+   * its answer, which mostly shows that the worker was alive until then.
    */
   boolean brokeOffRenewal(long waitMillis, long nowMillis) {
     long pendingMillis = pendingMillis(waitMillis, nowMillis);
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -237,7 +237,7 @@
       return;
     }
     if (worker.brokeOffRenewal(renewal.waitMillis(), now.monotonicMillis())) {
-      worker.startSurvival().signOfLife(now.monotonicMillis());
+      worker.startSurvival().brokeOff(now.monotonicMillis());
     }
     if (worker.closedRenewal(renewal.waitMillis(), now.monotonicMillis())) {
       worker.startSurvival().disconnected(now.monotonicMillis());
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorDriver.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CoordinatorDriver.java
@@ -135,6 +135,16 @@
     return released;
   }
 
+  /** Returns the inputs of the decisions of a category that have been reported. */
+  List<String> inputsOf(String category) {
+    return actions.stream()
+        .filter(Action.ReportDecision.class::isInstance)
+        .map(Action.ReportDecision.class::cast)
+        .filter(decision -> decision.category().equals(category))
+        .map(Action.ReportDecision::inputs)
+        .toList();
+  }
+
   Action.StartTask nextStart() {
     return next(Action.StartTask.class).orElseThrow();
   }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/CrashAttributorTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CrashAttributorTest.java
@@ -237,6 +237,35 @@
     assertThat(task.suspected()).isFalse();
   }
 
+  /** Guards against blaming the neighbours of the task whose crash broke off a renewal. */
+  @Example
+  void renewalThatIsBrokenOffExemptsEarlierStarts() {
+    Task task = task("earlier");
+    Worker worker = worker();
+    start(task, worker, LAST_ANSWER_MILLIS);
+    worker.startSurvival().brokeOff(LAST_ANSWER_MILLIS + 200);
+    lose(worker, Evidence.REPLACED);
+    assertThat(task.suspected()).isFalse();
+  }
+
+  /**
+   * Guards against crashes of a suspected task that are not counted, as a slow relay reports the
+   * refused connection to the worker only after the time in which the start would be survived.
+   */
+  @Example
+  void renewalThatIsBrokenOffDoesNotExemptASuspectedTask() {
+    Task task = task("suspected");
+    task.losses(1, 1);
+    Worker worker = worker();
+    Placement placement = start(task, worker, LAST_ANSWER_MILLIS);
+    worker.startSurvival().isolate(placement);
+    worker.startSurvival().brokeOff(LAST_ANSWER_MILLIS + 200);
+    crashes.answered(worker);
+    assertThat(task.suspected()).isTrue();
+    lose(worker, Evidence.REPLACED);
+    assertThat(task.startLossCount()).isEqualTo(2);
+  }
+
   /** Guards against a cleared task whose starts are still isolated. */
   @Example
   void answerAfterAnIsolatedStartClearsTheTask() {
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/RefusedRenewalTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/RefusedRenewalTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import net.jqwik.api.Example;
 import org.cicadaford.cell.CoordinatorDriver.SentRenewal;
 import org.cicadaford.model.Resources;
@@ -65,6 +66,27 @@
     assertThat(driver.starts(100)).hasSize(1);
   }
 
+  /**
+   * Guards against the crash of a suspected task that is not counted: a relay that was slow reports
+   * the failed connection of a renewal after the time in which a start is survived.
+   */
+  @Example
+  void lateFailureOfARenewalDoesNotHideTheNextCrashOfASuspectedTask() {
+    driver.answerStart(order("suspected"), StartOutcome.STARTED);
+    driver.refuse(driver.nextRenewal());
+    driver.advance(5);
+    Action.StartTask second = driver.nextStart();
+    driver.answerStart(second, StartOutcome.STARTED);
+    driver.answer(
+        driver.nextRenewal(), List.of(new ReportedRun(second.task(), second.run(), "", 10, 0)));
+    SentRenewal late = driver.nextRenewal();
+    driver.advance(180);
+    driver.fail(late);
+    driver.refuse(driver.nextRenewal());
+    driver.advance(5);
+    assertThat(driver.inputsOf("crash")).last().asString().contains("start_losses=2");
+  }
+
   /** Guards against a refusal at an address that the worker has left and taken again since. */
   @Example
   void refusalFromBeforeAChangeOfTheAddressEndsNoRuns() {
