Count a crash whose start is answered after the connections have closed

The answer to a start, or to an earlier renewal, may arrive after the worker has closed its connections. It erased the time of the closing, and the start seemed later than it, so that the loss did not count as a crash.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
@@ -143,7 +143,12 @@
     if (disconnectedAtMillis.isEmpty()) {
       return false;
     }
-    long sinceMillis = disconnectedAtMillis.getAsLong() - survivalStartMillis();
+    // The answer to the start may arrive after the connections of its worker have closed.
+    long startMillis =
+        survivalStartMillis() > disconnectedAtMillis.getAsLong()
+            ? orderedAtMillis
+            : survivalStartMillis();
+    long sinceMillis = disconnectedAtMillis.getAsLong() - startMillis;
     // A new coordinator connects to its workers only after it has read the list.
     return sinceMillis >= 0
         && sinceMillis <= (restored ? FIRST_CONTACT_MILLIS : MAX_CRASH_DELAY_MILLIS);
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StartSurvivalTracker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StartSurvivalTracker.java
@@ -20,7 +20,10 @@
    */
   void signOfLife(long atMillis) {
     lastSignOfLifeMillis = ElapsedTime.latest(lastSignOfLifeMillis, atMillis);
-    disconnectedAtMillis = OptionalLong.empty();
+    // An answer to an earlier request may arrive after the connections have closed.
+    if (disconnectedAtMillis.isPresent() && atMillis >= disconnectedAtMillis.getAsLong()) {
+      disconnectedAtMillis = OptionalLong.empty();
+    }
   }
 
   /**
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/CrashAttributorTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CrashAttributorTest.java
@@ -266,6 +266,20 @@
     assertThat(task.startLossCount()).isEqualTo(2);
   }
 
+  /** Guards against a crash that does not count as the start is answered after the connections. */
+  @Example
+  void startThatIsAnsweredAfterTheConnectionsHaveClosedCountsAsACrash() {
+    Task task = task("overtaken");
+    Worker worker = worker();
+    Placement placement = new Placement(task, 1, worker, 100, LAST_ANSWER_MILLIS);
+    state.place(placement);
+    placement.orderSent(state.events().next(), LAST_ANSWER_MILLIS + 5);
+    placement.markConfirmed(state.events().next(), LAST_ANSWER_MILLIS + 40);
+    worker.startSurvival().signOfLife(LAST_ANSWER_MILLIS + 5);
+    lose(worker, Evidence.REPLACED);
+    assertThat(task.crashCount()).isEqualTo(1);
+  }
+
   /** Guards against a cleared task whose starts are still isolated. */
   @Example
   void answerAfterAnIsolatedStartClearsTheTask() {
