--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StartSurvivalTracker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StartSurvivalTracker.java
@@ -49,7 +49,9 @@
 
   /** Returns whether the worker closed its connections right after the start of a run. */
   boolean closedAfterStartOf(Placement placement) {
-    return placement.startedJustBefore(disconnectedAtMillis);
+    // A worker that broke off a renewal later than that was more probably lost for another reason.
+    return placement.startedJustBefore(disconnectedAtMillis)
+        && !placement.survivedStart(brokeOffAtMillis);
   }
 
   /** Returns whether the worker was alive long enough after the start of a run. */
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/CrashAttributorTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CrashAttributorTest.java
@@ -260,10 +260,13 @@
     Placement placement = start(task, worker, LAST_ANSWER_MILLIS);
     worker.startSurvival().isolate(placement);
     worker.startSurvival().brokeOff(LAST_ANSWER_MILLIS + 200);
+    worker.startSurvival().disconnected(LAST_ANSWER_MILLIS + 200);
     crashes.answered(worker);
     assertThat(task.suspected()).isTrue();
     lose(worker, Evidence.REPLACED);
     assertThat(task.startLossCount()).isEqualTo(2);
+    // The worker may also have been lost for another reason, which must not fail the job.
+    assertThat(task.crashCount()).isEqualTo(1);
   }
 
   /** Guards against a crash that does not count as the start is answered after the connections. */
