--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobProgress.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobProgress.java
@@ -57,9 +57,9 @@
    * @param workerIndex index of its worker in {@link JobProgress#workers}, or -1 if it is not
    *     placed
    * @param crashCount number of workers whose connections closed right after they started the task
-   * @param startLossCount number of workers that may have been lost because they started the task.
-   *     The two counts are the last elements of the array, so that versions without them skip them
-   *     and this one reads 0 from their records.
+   * @param startLossCount number of workers that may have been lost because they started the task
+   * @param lastLostRun last run that is counted in these, or 0. The three are the last elements of
+   *     the array, so that versions without them skip them and this one reads 0 from their records.
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   record TaskProgress(
@@ -69,17 +69,23 @@
       int workerIndex,
       String checkpoint,
       int crashCount,
-      int startLossCount) {
+      int startLossCount,
+      int lastLostRun) {
 
-    /**
-     * Returns the stored elements: without the two counts, as before they existed, if both are 0.
-     */
+    /** Returns the stored elements: without the counts, as before they existed, if none is set. */
     @JsonValue
     Object[] elements() {
-      boolean counted = crashCount != 0 || startLossCount != 0;
+      boolean counted = crashCount != 0 || startLossCount != 0 || lastLostRun != 0;
       return counted
           ? new Object[] {
-            done, lastRun, failedCount, workerIndex, checkpoint, crashCount, startLossCount
+            done,
+            lastRun,
+            failedCount,
+            workerIndex,
+            checkpoint,
+            crashCount,
+            startLossCount,
+            lastLostRun
           }
           : new Object[] {done, lastRun, failedCount, workerIndex, checkpoint};
     }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRecordFactory.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRecordFactory.java
@@ -81,6 +81,7 @@
         workerIndex,
         task.checkpoint(),
         task.crashCount(),
-        task.startLossCount());
+        task.startLossCount(),
+        task.lastLostRun());
   }
 }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
@@ -108,6 +108,7 @@
     task.lastRun(stored.lastRun());
     task.failedCount(stored.failedCount());
     task.losses(stored.crashCount(), stored.startLossCount());
+    task.lastLostRun(stored.lastLostRun());
     task.checkpoint(stored.checkpoint());
     if (stored.done()) {
       task.markDone();
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Task.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Task.java
@@ -82,7 +82,7 @@
     startLossCount = startLosses;
   }
 
-  /** Returns the last run whose loss this coordinator has counted, or 0. */
+  /** Returns the last run whose loss is counted, or 0. */
   int lastLostRun() {
     return lastLostRun;
   }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/CrashAttributorTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/CrashAttributorTest.java
@@ -227,6 +227,18 @@
     assertThat(sound.startSurvival().isolated()).isEmpty();
   }
 
+  /** Guards against counting a run again that an earlier coordinator has counted as lost. */
+  @Example
+  void runThatIsCountedAlreadyIsNotCountedAgain() {
+    Task task = task("moved");
+    task.losses(1, 1);
+    task.lastLostRun(1);
+    Worker worker = worker();
+    restore(task, 1, worker);
+    lose(worker, Evidence.RESTARTED);
+    assertThat(task.startLossCount()).isEqualTo(1);
+  }
+
   /** Guards against suspects on a worker that was expected to shut down. */
   @Example
   void shutdownOfADrainingWorkerMakesNoSuspects() {
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/JobProgressTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/JobProgressTest.java
@@ -38,8 +38,8 @@
             new OccurrenceProgress(
                 0,
                 List.of(
-                    new TaskProgress(true, 1, 0, -1, "", 0, 0),
-                    new TaskProgress(false, 3, 2, 0, "00ff", 0, 0)))));
+                    new TaskProgress(true, 1, 0, -1, "", 0, 0, 0),
+                    new TaskProgress(false, 3, 2, 0, "00ff", 0, 0, 0)))));
   }
 
   /** Guards against losing the jobs of the version before at an upgrade. */
@@ -59,7 +59,7 @@
   /** Guards against counts that a takeover forgets. */
   @Example
   void countsAreStored() throws Exception {
-    TaskProgress counted = new TaskProgress(false, 3, 2, 0, "00ff", 1, 2);
+    TaskProgress counted = new TaskProgress(false, 3, 2, 0, "00ff", 1, 2, 3);
     assertThat(RecordCodec.decode(RecordCodec.encode(counted), TaskProgress.class))
         .isEqualTo(counted);
   }
@@ -67,7 +67,7 @@
   /** Guards against records that the version before cannot read when it takes over. */
   @Example
   void versionBeforeReadsTheProgressOfATask() throws Exception {
-    byte[] content = RecordCodec.encode(new TaskProgress(false, 3, 2, 0, "00ff", 2, 2));
+    byte[] content = RecordCodec.encode(new TaskProgress(false, 3, 2, 0, "00ff", 2, 2, 3));
     assertThat(RecordCodec.decode(content, EarlierTaskProgress.class))
         .isEqualTo(new EarlierTaskProgress(false, 3, 2, 0, "00ff"));
   }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/JobRestorerTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/JobRestorerTest.java
@@ -59,7 +59,7 @@
   }
 
   private static TaskProgress task(int lastRun, int workerIndex, String checkpoint) {
-    return new TaskProgress(false, lastRun, 0, workerIndex, checkpoint, 0, 0);
+    return new TaskProgress(false, lastRun, 0, workerIndex, checkpoint, 0, 0, 0);
   }
 
   private static RecordWrite write(String prefix, String jobId, Object value) {
@@ -78,7 +78,7 @@
         write(
             "p/",
             GOOD,
-            progress(List.of(task(1, 0, ""), new TaskProgress(true, 1, 0, -1, "", 0, 0)))));
+            progress(List.of(task(1, 0, ""), new TaskProgress(true, 1, 0, -1, "", 0, 0, 0)))));
     Coordinator coordinator = coordinator();
     List<String> unreadable = coordinator.restore(records, NOW);
     coordinator.advance(NOW);
