Count no crash for a start of an earlier coordinator

After a takeover it is not known when a worker was lost that the new coordinator has not heard from. It counts as a lost start now, as decision 30 says, which gives the task up with the fifth.

CrashingTaskTest passes, takeovers included.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CrashAttributor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CrashAttributor.java
@@ -117,11 +117,7 @@
       unexplainedAtMillis.add(nowMillis);
     }
     unexplainedAtMillis.removeIf(atMillis -> nowMillis - atMillis > KEEP_LOSS_MILLIS);
-    // After a takeover, a worker that had been lost long after its starts looks the same.
-    boolean certain =
-        evidence != Evidence.LEASE_EXPIRED
-            && single(suspects)
-            && suspects.stream().noneMatch(Placement::restored);
+    boolean certain = evidence != Evidence.LEASE_EXPIRED && single(suspects);
     for (Placement suspect : suspects) {
       // Members of a gang may be lost with several workers; their run counts once.
       if (suspect.task().lastLostRun() < suspect.run()) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
@@ -31,9 +31,6 @@
    */
   private static final long MAX_CRASH_DELAY_MILLIS = START_SURVIVAL_MILLIS + 100;
 
-  /** Time in which a new coordinator has contacted all workers, in milliseconds. */
-  private static final long FIRST_CONTACT_MILLIS = 1_000;
-
   private final Task task;
   private final int run;
   private final Worker worker;
@@ -140,7 +137,8 @@
 
   /** Returns whether the connection to the worker closed so soon that the start is the cause. */
   boolean startedJustBefore(OptionalLong disconnectedAtMillis) {
-    if (disconnectedAtMillis.isEmpty()) {
+    if (restored || disconnectedAtMillis.isEmpty()) {
+      // A new coordinator does not know when a worker was lost that it has not heard from.
       return false;
     }
     // The answer to the start may arrive after the connections of its worker have closed.
@@ -149,9 +147,7 @@
             ? orderedAtMillis
             : survivalStartMillis();
     long sinceMillis = disconnectedAtMillis.getAsLong() - startMillis;
-    // A new coordinator connects to its workers only after it has read the list.
-    return sinceMillis >= 0
-        && sinceMillis <= (restored ? FIRST_CONTACT_MILLIS : MAX_CRASH_DELAY_MILLIS);
+    return sinceMillis >= 0 && sinceMillis <= MAX_CRASH_DELAY_MILLIS;
   }
 
   private long survivalStartMillis() {
@@ -198,11 +194,6 @@
     markUncertain(eventNumber, nowMillis);
   }
 
-  /** Returns whether an earlier coordinator has ordered the run. */
-  boolean restored() {
-    return restored;
-  }
-
   void markUncertain(long eventNumber, long nowMillis) {
     stage = Stage.UNCERTAIN;
     uncertainEvent = eventNumber;
