Review case 1: a late start is carried out by the next life of a runner

Cause: a stop that was confirmed by one life of a runner frees its task at once, though the next life, which knows nothing of the stop, may still carry out the start. The case leaves a start unanswered, lets the task be done elsewhere, and restarts the runner under its id.

--- a/review/platform/Cell.java
+++ b/review/platform/Cell.java
@@ -13,10 +13,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiPredicate;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 
@@ -43,6 +45,7 @@
   private final StoreStandin log = new StoreStandin(STORE_PAGE);
   private volatile Predicate<HttpStandin.Request> refused = request -> false;
   private volatile int storeDelayMillis;
+  private volatile BiPredicate<Worker, JsonNode> unanswered = (worker, order) -> false;
   private final HttpStandin store = new HttpStandin(this::answerStore);
   private final List<HttpStandin> adviceServers = new ArrayList<>();
   private final boolean advised;
@@ -51,6 +54,7 @@
   private final ScheduledExecutorService ticks = Executors.newScheduledThreadPool(2);
   private volatile Worker.StartListener onStart = (worker, task, run) -> {};
   private final Map<String, List<String>> endsByTask = new ConcurrentHashMap<>();
+  private final Set<String> notedDone = ConcurrentHashMap.newKeySet();
 
   Cell(Record record, Path root, int instanceCount, int workerCount) throws IOException {
     this(record, root, instanceCount, workerCount, false);
@@ -126,6 +130,15 @@
     onStart = listener;
   }
 
+  /** Sets which start orders runners leave unanswered. */
+  void leaveUnanswered(BiPredicate<Worker, JsonNode> orders) {
+    unanswered = orders;
+  }
+
+  boolean leavesUnanswered(Worker worker, JsonNode order) {
+    return unanswered.test(worker, order);
+  }
+
   void started(Worker worker, String task, int run) {
     onStart.started(worker, task, run);
   }
@@ -134,6 +147,17 @@
     endsByTask.computeIfAbsent(task, key -> new ArrayList<>()).add(how);
   }
 
+  void noted(String task, String how) {
+    if (how.equals("done")) {
+      notedDone.add(task);
+    }
+  }
+
+  /** Returns whether the end of a run as done has been taken note of. */
+  boolean notedDone(String task) {
+    return notedDone.contains(task);
+  }
+
   /** Returns how the runs of a job's tasks have ended so far. */
   List<String> endsOf(String jobId) {
     return endsByTask.entrySet().stream()
--- a/review/platform/Main.java
+++ b/review/platform/Main.java
@@ -18,7 +18,7 @@
 
   private static final Map<String, Case> CASES =
       Map.of(
-          "crashed-runners", CrashedRunners::run,
+          "late-start", LateStart::run,
           "lost-announcement", LostAnnouncement::run,
           "pipelined", Pipelined::run,
           "unstored-cancel", UnstoredCancel::run,
--- a/review/platform/Worker.java
+++ b/review/platform/Worker.java
@@ -23,6 +23,7 @@
 
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final int MAX_HOLD_MILLIS = 6_000;
+  private static final int UNANSWERED_MILLIS = 5_000;
 
   private record Run(String task, int number, long startNanos, long durationMillis) {
     long ageMillis() {
@@ -41,6 +42,7 @@
   private final Cell cell;
   private String id;
   private HttpStandin server;
+  private final Relay relay = new Relay();
   private long bornMillis;
   private long bornNanos;
   private long highestToken;
@@ -81,12 +83,13 @@
     lastEndedRun.clear();
     server = new HttpStandin(this);
     server.start();
+    relay.start(server.port());
     up = true;
     cell.record().write("runner %s starts (born %d)", id, bornMillis);
   }
 
   /** Crashes: everything that runs is gone, and the connections close. */
-  void crash() {
+  void crash() throws IOException {
     HttpStandin stopped;
     synchronized (this) {
       cell.record().write("runner %s crashes with %d runs", id, running.size());
@@ -95,12 +98,13 @@
       stopped = server;
       notifyAll();
     }
+    relay.stop();
     stopped.stop();
   }
 
   synchronized String entry() {
     ObjectNode entry = MAPPER.createObjectNode();
-    entry.put("service", Cell.SERVICE).put("address", "127.0.0.1:" + server.port());
+    entry.put("service", Cell.SERVICE).put("address", "127.0.0.1:" + relay.port());
     entry.put("zone", zone).put("version", "v1").put("slots", 8).put("state", "ready");
     entry.put("cold_remaining_ms", 0).put("seq", ++sequence).put("born", bornMillis);
     entry.put("clock_ms", clockMillis());
@@ -130,7 +134,8 @@
       return HttpStandin.Answer.json(400, "{}");
     }
     String started = null;
-    HttpStandin.Answer answer;
+    HttpStandin.Answer answer = null;
+    boolean left = false;
     synchronized (this) {
       if (!up) {
         return null;
@@ -146,6 +151,11 @@
       highestToken = token;
       switch (request.path()) {
         case "/run-start" -> {
+          left = cell.leavesUnanswered(this, body);
+          if (left) {
+            cell.record().write("runner %s leaves %s unanswered", id, body);
+            break;
+          }
           answer = startRun(body);
           started = answer.status() == 200 ? body.path("task").asText() : null;
         }
@@ -154,12 +164,32 @@
         default -> answer = HttpStandin.Answer.json(400, "{}");
       }
     }
+    if (left) {
+      // The caller gives up; the order may be carried out later.
+      Thread.sleep(UNANSWERED_MILLIS);
+      return null;
+    }
     if (started != null) {
       cell.started(this, started, body.path("run").asInt());
     }
     return answer;
   }
 
+  /** Ends all runs as done. */
+  synchronized void finishRuns() {
+    List.copyOf(running).forEach(run -> end(run, "done"));
+  }
+
+  /** Carries out a start order that arrives late. */
+  synchronized HttpStandin.Answer carryOut(JsonNode order) {
+    long token = order.path("fencing_token").asLong(0);
+    if (token < highestToken) {
+      return refusal("fence");
+    }
+    highestToken = token;
+    return startRun(order);
+  }
+
   private HttpStandin.Answer refusal(String reason) {
     return HttpStandin.Answer.json(
         409, "{\"clock_ms\":" + clockMillis() + ",\"reason\":\"" + reason + "\"}");
@@ -214,7 +244,13 @@
   private HttpStandin.Answer hold(JsonNode body) throws InterruptedException {
     extendLease(body);
     long cursor = body.path("ack_cursor").asLong(0);
-    ends.removeIf(end -> end.number() <= cursor);
+    for (End end : List.copyOf(ends)) {
+      if (end.number() <= cursor) {
+        ends.remove(end);
+        cell.record().write("the end of %s run %d is taken note of", end.task(), end.run());
+        cell.noted(end.task(), end.how());
+      }
+    }
     long until = System.nanoTime() + body.path("wait_ms").asLong(0) * 1_000_000;
     long life = bornNanos;
     while (up && life == bornNanos && ends.isEmpty() && System.nanoTime() < until) {
