--- a/review/platform/Cell.java
+++ b/review/platform/Cell.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiPredicate;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
@@ -44,6 +45,7 @@
   private final Path folder;
   private final StoreStandin log = new StoreStandin(STORE_PAGE);
   private volatile Predicate<HttpStandin.Request> refused = request -> false;
+  private final AtomicInteger starts = new AtomicInteger();
   private volatile int storeDelayMillis;
   private volatile BiPredicate<Worker, JsonNode> unanswered = (worker, order) -> false;
   private final HttpStandin store = new HttpStandin(this::answerStore);
@@ -135,6 +137,15 @@
     unanswered = orders;
   }
 
+  void startReceived() {
+    starts.incrementAndGet();
+  }
+
+  /** Returns the number of start orders that runners have received. */
+  int starts() {
+    return starts.get();
+  }
+
   boolean leavesUnanswered(Worker worker, JsonNode order) {
     return unanswered.test(worker, order);
   }
--- a/review/platform/LateStart.java
+++ b/review/platform/LateStart.java
@@ -16,6 +16,7 @@
   /** Orders are carried out 2 to 12 s late. */
   private static final int CRASH_AFTER_MILLIS = 2_500;
 
+  private static final int OTHER_JOBS = 20;
   private static final int MARGIN_MILLIS = 300;
   private static final int DOWN_MILLIS = 500;
 
@@ -47,6 +48,11 @@
             }
             return first;
           });
+      // Other work, so that the late order is one of many; it is over before the case goes on.
+      for (int i = 0; i < OTHER_JOBS; i++) {
+        submit(cell, String.format("%016x", 0x700 + i), 1_000, 100);
+      }
+      Thread.sleep(1_000);
       // Placement takes the fullest runner with room: the second job's, later the first job's.
       submit(cell, "00000000000000f1", 30_000, 60_000);
       submit(cell, "00000000000000f2", 40_000, 60_000);
@@ -63,6 +69,7 @@
           "the job was shown as completed and the end of its task taken note of; starts of the"
               + " task after that: %d",
           startsAfterEnd.get());
+      record.say("runners received %d start orders in all", cell.starts());
       return startsAfterEnd.get() == 0;
     } finally {
       later.shutdownNow();
--- a/review/platform/Worker.java
+++ b/review/platform/Worker.java
@@ -151,6 +151,7 @@
       highestToken = token;
       switch (request.path()) {
         case "/run-start" -> {
+          cell.startReceived();
           left = cell.leavesUnanswered(this, body);
           if (left) {
             cell.record().write("runner %s leaves %s unanswered", id, body);
@@ -238,6 +239,7 @@
       }
     }
     lastEndedRun.merge(task, number, Math::max);
+    cell.record().write("runner %s confirms the stop of %s run %d", id, task, number);
     return done();
   }
 
