Show that jobs whose starts were refused are not counted as pending

Cause: PlacementPlanner sets a job to RUNNING when a task is placed, before its order is sent, and stores it so; nothing sets it back when the order is refused or dropped, and the count of pending jobs goes by the stored phase.

Case review/10 (MIXED): 2 of 24 runners answer 503 to each start for 6.5 s. Of 12 accepted jobs that need their label none has begun after 5 s, and each instance gives a pending_count of 0.

--- a/review/standins-2/Runner.java
+++ b/review/standins-2/Runner.java
@@ -78,6 +78,7 @@
   private long highestToken;
   private long leaseMillis;
   private boolean up = true;
+  private boolean shedding;
   private boolean ticketRequired;
   private boolean quiet;
   private long sequence;
@@ -141,6 +142,11 @@
     return running.size();
   }
 
+  /** Makes the runner answer 503 to starts, and do nothing for them. */
+  synchronized void shed(boolean value) {
+    shedding = value;
+  }
+
   synchronized void requireTickets() {
     ticketRequired = true;
   }
@@ -197,6 +203,10 @@
       if (request.instance() != null && !request.instance().equals(id)) {
         return HttpEndpoint.Response.json(421, "{}");
       }
+      if (request.path().equals("/run-start") && shedding) {
+        record.line("runner " + id + " sheds the start of " + body.path("task").asText());
+        return HttpEndpoint.Response.json(503, "{\"clock_ms\":" + clockMillis() + "}");
+      }
       long token = body.path("fencing_token").asLong(0);
       if (token < highestToken) {
         return refusal("fence");
