Keep the review's stand-ins in a folder named platform

bin/check-names allows names of the users' platform only in such a folder, and failed on them; the first review keeps its stand-ins in one as well. The sources are unchanged.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,4 +6,4 @@
 classes=$root/target/review-2
 rm -rf "$classes"
 mkdir -p "$classes"
-"$jdk/bin/javac" -nowarn -d "$classes" -cp "$root/target/cell/lib/*" "$root"/review/standins-2/*.java
+"$jdk/bin/javac" -nowarn -d "$classes" -cp "$root/target/cell/lib/*" "$root"/review/standins-2/platform/*.java
