--- a/review/standins-2/platform/Cell.java
+++ b/review/standins-2/platform/Cell.java
@@ -78,6 +78,9 @@
     this.root = root;
     this.directory = Files.createTempDirectory("cicadaford-review");
     this.store = new Store(record);
+    // Ends the processes also if the case is ended by its time limit.
+    Runtime.getRuntime()
+        .addShutdownHook(new Thread(() -> instances.forEach(i -> i.process.destroyForcibly())));
   }
 
   Store store() {
