Show tasks that start again after a cursor of a worker's earlier life

Cause: a renewal carries the ack_cursor of the life that the coordinator knows, and the next life of a worker, under the same id, forgets the ends that it reaches, which nobody has read. The coordinator then sees a new life that neither runs the tasks nor lists their ends, and starts them again.

The case: three of 24 workers crash and are back 0.5 s later; short tasks start on them before the next renewal. Nothing else is disturbed.

--- a/review/standins-2/platform/Runner.java
+++ b/review/standins-2/platform/Runner.java
@@ -41,6 +41,9 @@
 
     /** A run has ended. */
     default void ended(Runner runner, String task, int run, String how) {}
+
+    /** An end is taken note of: {@code ack_cursor} has reached it. */
+    default void noted(Runner runner, String task, int run, String how, long cursor) {}
   }
 
   private static final class Run {
@@ -141,12 +144,6 @@
     return running.size();
   }
 
-  /** Loses the runner for good: its process ends, and its port refuses connections. */
-  void lose() {
-    crash();
-    endpoint.stop();
-  }
-
   synchronized void requireTickets() {
     ticketRequired = true;
   }
@@ -272,7 +269,7 @@
 
   private HttpEndpoint.Response hold(JsonNode body) throws InterruptedException {
     extendLease(body.path("deadline_ms").asLong(0));
-    ends.headMap(body.path("ack_cursor").asLong(0), true).clear();
+    forgetEnds(body.path("ack_cursor").asLong(0));
     long life = bornNanos;
     long untilNanos = System.nanoTime() + body.path("wait_ms").asLong(0) * 1_000_000;
     long leftMillis = (untilNanos - System.nanoTime()) / 1_000_000;
@@ -304,6 +301,14 @@
             .formatted(clockMillis(), bornMillis, rows, endRows));
   }
 
+  private void forgetEnds(long cursor) {
+    Map<Long, End> reached = ends.headMap(cursor, true);
+    for (End end : reached.values()) {
+      observer.noted(this, end.task(), end.run(), end.how(), cursor);
+    }
+    reached.clear();
+  }
+
   private long percent(Run run) {
     long workedMillis = (System.nanoTime() - run.startedNanos) / 1_000_000;
     if (observer.lasts(run.task)) {
