Give case 6 tasks of 0.1 s and runners that are down for a drawn time

Cause: read as an opponent would, tasks of 40 ms are far below any class of the sheets. They were needed only since each crash lasted 0.5 s, which left 0.1 s to the next renewal.

The time down is drawn from 0.3 to 1.5 s, and the tasks take 0.1 s.

--- a/review/standins-2/platform/AcknowledgedByEarlierLife.java
+++ b/review/standins-2/platform/AcknowledgedByEarlierLife.java
@@ -22,14 +22,18 @@
   /** Runners that crash at once, a share of 0.125. */
   private static final int CRASHED = 3;
 
-  private static final int CRASHES = 20;
-  private static final long DOWN_MILLIS = 500;
+  private static final int CRASHES = 30;
+
+  /** Least and most time for which runners are down; the site file allows 4.5 s. */
+  private static final int MIN_DOWN_MILLIS = 300;
+
+  private static final int MAX_DOWN_MILLIS = 1_500;
 
   /** Jobs that clients hand in at once, and their tasks. */
   private static final int JOBS = 4;
 
   private static final int TASKS = 48;
-  private static final long WORK_MILLIS = 40;
+  private static final long WORK_MILLIS = 100;
 
   public static void main(String[] arguments) throws Exception {
     new AcknowledgedByEarlierLife().run(arguments);
@@ -103,14 +107,14 @@
     try (ExecutorService clients = Executors.newCachedThreadPool()) {
       int jobs = submit(cell, clients, 0);
       for (int crash = 0; crash < CRASHES && !ledger.broken(); crash++) {
-        Thread.sleep(2_500);
+        Thread.sleep(1_500);
         List<Runner> crashed = new ArrayList<>(cell.runners());
         Collections.shuffle(crashed, random);
         crashed = crashed.subList(0, CRASHED);
         if (trouble) {
           crashed.forEach(Runner::crash);
         }
-        Thread.sleep(DOWN_MILLIS);
+        Thread.sleep(MIN_DOWN_MILLIS + random.nextInt(MAX_DOWN_MILLIS - MIN_DOWN_MILLIS));
         if (trouble) {
           for (Runner runner : crashed) {
             runner.restart(runner.kind());
