Hand in 90,000 occurrences in case 8, and record the bytes stored

Cause: 150,000 were more than the case needs, as the record is full after some 66,000, and nothing showed that no other limit of the store is reached.

--- a/review/standins-2/platform/OutgrownRecord.java
+++ b/review/standins-2/platform/OutgrownRecord.java
@@ -83,7 +83,7 @@
     Thread.sleep(3_000);
     // Due each second since a while ago, so that all occurrences are due now. The record is the same
     // as that of a job handed in in time, after as many seconds.
-    int times = trouble ? 150_000 : 15_000;
+    int times = trouble ? 90_000 : 15_000;
     String job =
         "{\"spec\":\"x\",\"times\":%d,\"first_ms\":%d,\"interval_ms\":1000,".formatted(
                 times, System.currentTimeMillis() - 1_000L * times)
@@ -124,6 +124,7 @@
       record.line(
           "from 14 s after the traffic on, nothing ran for %d ms; %d of %d occurrences done, all due"
               .formatted(idleMillis, ends.get(), times));
+      record.line("the store has taken " + cell.store().storedBytes() / 1_000_000 + " MB");
       boolean broken = idleMillis > NOTHING_RUNNING_MILLIS + MARGIN_MILLIS;
       return broken ? Result.BROKEN : Result.HELD;
     }
--- a/review/standins-2/platform/Store.java
+++ b/review/standins-2/platform/Store.java
@@ -42,6 +42,7 @@
   private final HttpEndpoint endpoint;
   private final Record record;
   private int oversized;
+  private long storedBytes;
 
   Store(Record record) throws IOException {
     this.record = record;
@@ -78,6 +79,11 @@
     return oversized;
   }
 
+  /** Number of bytes of all records that were stored, also of those that a trim would drop. */
+  synchronized long storedBytes() {
+    return storedBytes;
+  }
+
   private static void add(Topic topic, byte[] content) {
     topic.records.add(content);
     int keyLength = content.length == 0 ? 0 : content[0] & 0xff;
@@ -172,6 +178,9 @@
     }
     long offset = topic.records.size();
     contents.forEach(content -> add(topic, content));
+    synchronized (this) {
+      storedBytes += body.length;
+    }
     HttpEndpoint.Response response =
         HttpEndpoint.Response.json(
             200, "{\"offset\":" + offset + ",\"end\":" + topic.records.size() + "}");
