--- a/review/standins-2/platform/StarvedByGang.java
+++ b/review/standins-2/platform/StarvedByGang.java
@@ -70,8 +70,8 @@
       if (!cell.submit(0, PRIZE.prefix() + GANG_ID, gang, KEY).accepted()) {
         return Result.NOT_RUN;
       }
-      Thread.sleep(2_000);
     }
+    Thread.sleep(2_000);
     String job =
         "{\"spec\":\"settlement\",\"steps\":[{\"count\":2,\"cpu\":3600,\"mem_mb\":3700,"
             + "\"estimate_ms\":3400,\"requirements\":\"a\"}]}";
