--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Action.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Action.java
@@ -88,6 +88,7 @@
    * @param ageMillis time since its acceptance, in milliseconds
    * @param objectiveMillis time in which it was to end, in milliseconds
    * @param waited time that its steps waited under this coordinator, by cause
+   * @param phases time that its steps spent under this coordinator, by phase
    */
   record ReportJobEnd(
       String jobId,
@@ -96,7 +97,8 @@
       String team,
       long ageMillis,
       long objectiveMillis,
-      String waited)
+      String waited,
+      String phases)
       implements Action {}
 
   /**
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Job.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Job.java
@@ -21,6 +21,7 @@
   private boolean definitionDeleted;
   private long endedAtMillis;
   private final WaitTimeTracker waitTimes = new WaitTimeTracker();
+  private final PhaseTimes phaseTimes = new PhaseTimes();
 
   Job(JobDefinition definition) {
     this.definition = definition;
@@ -176,6 +177,7 @@
     boolean finished = doneOccurrences.add(occurrence);
     if (finished) {
       steps.forEach(step -> waitTimes.add(step.waitTimes()));
+      steps.forEach(step -> phaseTimes.add(step.phaseTimes()));
     }
     removeIfIdle(occurrence);
     return finished;
@@ -228,6 +230,7 @@
         team(),
         unixMillis - definition().acceptedAtMillis(),
         objective().objectiveMillis(),
-        waitTimes().summary());
+        waitTimes().summary(),
+        phaseTimes.summary());
   }
 }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
@@ -36,6 +36,7 @@
   private final Worker worker;
   private long incarnation;
   private final Resources reservation;
+  private final long placedAtMillis;
   private Stage stage = Stage.STARTING;
   private boolean orderSent;
   private StopReason stopReason;
@@ -61,6 +62,7 @@
     this.worker = worker;
     this.incarnation = incarnation;
     this.reservation = task.step().spec().reservation();
+    this.placedAtMillis = nowMillis;
     this.orderedAtMillis = nowMillis;
     this.progressAtMillis = nowMillis;
   }
@@ -105,6 +107,10 @@
     progressAtMillis = nowMillis;
   }
 
+  long placedAtMillis() {
+    return placedAtMillis;
+  }
+
   /** Returns whether its start order was sent more than {@code millis} ago and is unanswered. */
   boolean startUnansweredFor(long nowMillis, long millis) {
     return stage == Stage.STARTING && orderSent && nowMillis - orderedAtMillis > millis;
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
@@ -104,6 +104,7 @@
       state.waiting().remove(step);
       return;
     }
+    step.markReady(now.monotonicMillis());
     step.nextTryMillis(now.monotonicMillis() + RETRY_INTERVAL_MILLIS);
     if (step.spec().gang()) {
       placeGang(step, now);
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/RunEndHandler.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/RunEndHandler.java
@@ -99,6 +99,7 @@
       step.tasks().forEach(Task::markDone);
     }
     if (step.done()) {
+      step.phaseTimes().addStep(step, placement, now.monotonicMillis());
       stepDone(step, now);
     }
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
@@ -29,9 +29,11 @@
   private OptionalLong nextReportMillis = OptionalLong.empty();
   private OptionalLong firstTryMillis = OptionalLong.empty();
   private OptionalLong nextTryMillis = OptionalLong.empty();
+  private OptionalLong readyAtMillis = OptionalLong.empty();
   private OptionalLong limitedSinceMillis = OptionalLong.empty();
   private int countedFailureRun;
   private final WaitTimeTracker waitTimes = new WaitTimeTracker();
+  private final PhaseTimes phaseTimes = new PhaseTimes();
   private final long latestOnTimeStartMillis;
   private final long latestUsefulStartMillis;
 
@@ -54,6 +56,23 @@
     return waitTimes;
   }
 
+  /** Returns the durations of the phases of the task that completed the step. */
+  PhaseTimes phaseTimes() {
+    return phaseTimes;
+  }
+
+  /** Records an attempt to place tasks of the step. */
+  void markReady(long nowMillis) {
+    if (readyAtMillis.isEmpty()) {
+      readyAtMillis = OptionalLong.of(nowMillis);
+    }
+  }
+
+  /** Returns the time of the first attempt to place tasks of the step. */
+  OptionalLong readyAtMillis() {
+    return readyAtMillis;
+  }
+
   /** Returns the latest Unix time for a start that meets the objective of the job. */
   long latestOnTimeStartMillis() {
     return latestOnTimeStartMillis;
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Task.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Task.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /** A task of a step in one occurrence of a job. */
@@ -19,6 +20,7 @@
   private boolean preemptedBefore;
   private String checkpoint = "";
   private Placement placement;
+  private OptionalLong firstPlacedAtMillis = OptionalLong.empty();
   private int unplacedRunCount;
   private PlacementReporter.Release lastRelease;
   private final Set<String> failedOn = new HashSet<>();
@@ -149,9 +151,17 @@
   void place(Placement newPlacement) {
     Placement old = placement;
     placement = newPlacement;
+    if (newPlacement != null && firstPlacedAtMillis.isEmpty()) {
+      firstPlacedAtMillis = OptionalLong.of(newPlacement.placedAtMillis());
+    }
     step.placementChanged(this, old, newPlacement);
   }
 
+  /** Returns the time of its first placement under this coordinator. */
+  OptionalLong firstPlacedAtMillis() {
+    return firstPlacedAtMillis;
+  }
+
   /** Records that a worker reports a run of this task that is not placed there. */
   void unplacedRunAdded() {
     unplacedRunCount++;
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/DecisionLog.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/DecisionLog.java
@@ -74,6 +74,8 @@
             + end.objectiveMillis()
             + " waited_ms="
             + end.waited()
+            + " phases_ms="
+            + end.phases()
             + " queue="
             + end.queue()
             + " team="
