Tell callers of the end of a job as soon as it is stored

Cause: callers ask for the state of a job when its last task has just ended. Ruled out: the path of the question (4 ms) and of the end (its report and one append) as the main part. Change: a question about a running job waits until its end is stored, for at most 100 ms and a tenth of the caller's timeout, and for 300 ms more while the end is being stored. The request between instances carries the wait; builds without it answer at once.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -165,7 +165,14 @@
   /** Returns the state of a job, which may not be stored yet. */
   public Optional<JobView> job(String jobId) {
     return Optional.ofNullable(state.jobs().get(jobId))
-        .map(job -> new JobView(job.team(), job.queueName(), job.stored(), job.storedPhase()));
+        .map(
+            job ->
+                new JobView(
+                    job.team(),
+                    job.queueName(),
+                    job.stored(),
+                    job.storedPhase(),
+                    job.phase().terminal() && !job.storedPhase().terminal()));
   }
 
   /** Returns the number of stored jobs of a queue that have not started. */
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobView.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobView.java
@@ -7,5 +7,6 @@
  * @param queue name of its queue
  * @param stored whether the job is stored; until then it is not accepted
  * @param phase its stored phase
+ * @param ending whether the job has ended and its end is being stored
  */
-public record JobView(String team, String queue, boolean stored, JobPhase phase) {}
+public record JobView(String team, String queue, boolean stored, JobPhase phase, boolean ending) {}
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellClient.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellClient.java
@@ -46,6 +46,16 @@
   /** Timeout of a single attempt, in milliseconds. */
   private static final long ATTEMPT_TIMEOUT_MILLIS = 1_200;
 
+  /**
+   * Maximum time for which the state of a running job is awaited, in milliseconds. Callers often
+   * ask when the last task has just ended, and the end is stored 10 to 100 ms later. A caller that
+   * is told that the job runs asks again only after its own interval.
+   */
+  private static final long MAX_PHASE_WAIT_MILLIS = 100;
+
+  /** Fraction of the caller's timeout for which the state of a running job is awaited. */
+  private static final double PHASE_WAIT_FRACTION = 0.1;
+
   /** Delay between attempts, in milliseconds. */
   private static final long RETRY_INTERVAL_MILLIS = 60;
 
@@ -97,10 +107,11 @@
     return send(new PeerMessage.CancelJob(jobId, queue, team), timeoutMillis);
   }
 
-  /** Requests the state of a job. */
+  /** Requests the state of a job; the answer may be delayed shortly until the job has ended. */
   public CompletableFuture<CellReply> jobPhase(
       String jobId, String queue, String team, long timeoutMillis) {
-    return send(new PeerMessage.JobPhaseRequest(jobId, queue, team), timeoutMillis);
+    long waitMillis = Math.min(MAX_PHASE_WAIT_MILLIS, (long) (timeoutMillis * PHASE_WAIT_FRACTION));
+    return send(new PeerMessage.JobPhaseRequest(jobId, queue, team, waitMillis), timeoutMillis);
   }
 
   /** Requests the number of jobs in a queue that have not started. */
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorRequestHandler.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorRequestHandler.java
@@ -31,8 +31,8 @@
           submit(coordinator, jobId, queue, new Submitter(team, zone), spec);
       case PeerMessage.CancelJob(String jobId, String queue, String team) ->
           coordinator.requests().cancel(jobId, queue, team);
-      case PeerMessage.JobPhaseRequest(String jobId, String queue, String team) ->
-          coordinator.requests().jobPhase(jobId, queue, team);
+      case PeerMessage.JobPhaseRequest(String jobId, String queue, String team, long waitMillis) ->
+          coordinator.requests().jobPhase(jobId, queue, team, waitMillis);
       case PeerMessage.PendingCountRequest(String queue) ->
           CompletableFuture.completedFuture(coordinator.requests().pendingCount(queue));
       default ->
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
@@ -97,7 +97,7 @@
             this::handleFault);
     this.requests =
         new JobRequestExecutor(
-            epoch, coordinator, this::isRoleConfirmed, this::scheduleRound, clock, log);
+            epoch, coordinator, this::isRoleConfirmed, this::scheduleRound, loop, clock, log);
     this.helpers = helpers;
     this.workerList = new WorkerListFollower(directory, clock, metrics, this::applyWorkerList);
     this.loop = loop;
@@ -269,7 +269,10 @@
       case Action.StopTask stop -> dispatcher.sendStop(stop);
       case Action.Renew renew -> dispatcher.sendRenewal(renew);
       case Action.RequestAdvice ask -> dispatcher.requestAdvice(ask);
-      case Action.ReportJobEnd end -> log.writeJobEnd(end, epoch);
+      case Action.ReportJobEnd end -> {
+        requests.confirmEnd(end.jobId(), end.phase());
+        log.writeJobEnd(end, epoch);
+      }
       case Action.ReportLostRun lost -> {
         metrics.recordLostRun(lost.cause(), lost.lostCoreMillis());
         log.writeLostRun(lost);
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/JobRequestExecutor.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/JobRequestExecutor.java
@@ -3,11 +3,14 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.cicadaford.cell.AdmissionDecision;
 import org.cicadaford.cell.ClockReading;
 import org.cicadaford.cell.Coordinator;
+import org.cicadaford.cell.JobPhase;
 import org.cicadaford.cell.JobSpec;
 import org.cicadaford.cell.JobView;
 import org.cicadaford.cell.Queue;
@@ -20,14 +23,25 @@
   private static final CellReply STORE_UNRESPONSIVE =
       CellReply.of(CellOutcome.REFUSED, "the store is not responding");
 
+  /** Longest delay of an answer on the state of a running job, in milliseconds. */
+  private static final long MAX_PHASE_WAIT_MILLIS = 1_000;
+
+  /**
+   * Longest further delay while the end of the job is being stored, in milliseconds. It bounds the
+   * delay while the store is slow.
+   */
+  private static final long MAX_END_STORE_MILLIS = 300;
+
   private final long epoch;
   private final Coordinator coordinator;
   private final BooleanSupplier roleConfirmed;
   private final Runnable onChange;
+  private final ScheduledExecutorService loop;
   private final Supplier<ClockReading> clock;
   private final DecisionLog log;
   private final PendingReplies pendingSubmissions = new PendingReplies();
   private final PendingReplies pendingCancellations = new PendingReplies();
+  private final PendingReplies pendingEnds = new PendingReplies();
 
   /**
    * Creates the executor.
@@ -41,12 +55,14 @@
       Coordinator coordinator,
       BooleanSupplier roleConfirmed,
       Runnable onChange,
+      ScheduledExecutorService loop,
       Supplier<ClockReading> clock,
       DecisionLog log) {
     this.epoch = epoch;
     this.coordinator = coordinator;
     this.roleConfirmed = roleConfirmed;
     this.onChange = onChange;
+    this.loop = loop;
     this.clock = clock;
     this.log = log;
   }
@@ -60,6 +76,7 @@
   void completeAll(CellReply reply) {
     pendingSubmissions.completeAll(reply);
     pendingCancellations.completeAll(reply);
+    pendingEnds.completeAll(reply);
   }
 
   /** Replies to the requests that wait for a job to be stored. */
@@ -72,6 +89,11 @@
     completeStored(pendingCancellations, jobId, "cancel", sequence);
   }
 
+  /** Replies to the requests that wait for the end of a job. */
+  void confirmEnd(String jobId, JobPhase phase) {
+    pendingEnds.complete(jobId, CellReply.done(phase.name()));
+  }
+
   private void completeStored(
       PendingReplies pending, String jobId, String category, long sequence) {
     if (pending.complete(jobId, CellReply.done("stored"))) {
@@ -140,8 +162,13 @@
     return reply;
   }
 
-  /** Returns the stored state of a job; the future completes once the job is stored. */
-  CompletableFuture<CellReply> jobPhase(String jobId, String queue, String team) {
+  /**
+   * Returns the stored state of a job; the future completes once the job is stored.
+   *
+   * @param waitMillis time for which the answer may be delayed until the job has ended, in
+   *     milliseconds
+   */
+  CompletableFuture<CellReply> jobPhase(String jobId, String queue, String team, long waitMillis) {
     Optional<JobView> view = find(jobId, queue, team);
     if (view.isPresent() && !view.get().stored()) {
       return awaitStored(pendingSubmissions, jobId)
@@ -151,7 +178,37 @@
                       ? storedPhase(find(jobId, queue, team))
                       : reply);
     }
-    return CompletableFuture.completedFuture(storedPhase(view));
+    boolean running = view.isPresent() && !view.get().phase().terminal();
+    return running && waitMillis > 0
+        ? awaitEnd(jobId, queue, team, Math.min(waitMillis, MAX_PHASE_WAIT_MILLIS))
+        : CompletableFuture.completedFuture(storedPhase(view));
+  }
+
+  /** Returns the stored state of a job once it has ended, or after a time. */
+  private CompletableFuture<CellReply> awaitEnd(
+      String jobId, String queue, String team, long waitMillis) {
+    CompletableFuture<CellReply> reply = pendingEnds.await(jobId);
+    loop.schedule(
+        () -> {
+          boolean endsNow = find(jobId, queue, team).map(JobView::ending).orElse(false);
+          if (endsNow && !reply.isDone()) {
+            loop.schedule(
+                () -> stopAwaiting(reply, jobId, queue, team),
+                MAX_END_STORE_MILLIS,
+                TimeUnit.MILLISECONDS);
+          } else {
+            stopAwaiting(reply, jobId, queue, team);
+          }
+        },
+        waitMillis,
+        TimeUnit.MILLISECONDS);
+    return reply;
+  }
+
+  private void stopAwaiting(
+      CompletableFuture<CellReply> reply, String jobId, String queue, String team) {
+    pendingEnds.remove(jobId, reply);
+    reply.complete(storedPhase(find(jobId, queue, team)));
   }
 
   private CellReply storedPhase(Optional<JobView> view) {
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/PendingReplies.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/PendingReplies.java
@@ -22,6 +22,14 @@
     return reply;
   }
 
+  /** Removes a reply that no longer waits for a job. */
+  void remove(String jobId, CompletableFuture<CellReply> reply) {
+    List<CompletableFuture<CellReply>> replies = repliesByJobId.get(jobId);
+    if (replies != null && replies.remove(reply) && replies.isEmpty()) {
+      repliesByJobId.remove(jobId);
+    }
+  }
+
   /** Completes the replies that wait for a job; returns whether there were any. */
   boolean complete(String jobId, CellReply reply) {
     List<CompletableFuture<CellReply>> replies = repliesByJobId.remove(jobId);
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/JobRequestExecutorTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/JobRequestExecutorTest.java
@@ -23,7 +23,7 @@
   }
 
   private CompletableFuture<CellReply> phase() {
-    return service.requests().jobPhase(JOB, "q", "t");
+    return service.requests().jobPhase(JOB, "q", "t", 0);
   }
 
   private void storePending() {
@@ -90,7 +90,7 @@
     CompletableFuture<CellReply> phase = phase();
     advanceTime(100);
     assertThat(phase).isNotDone();
-    assertThat(service.requests().jobPhase(JOB, "other", "t").join().outcome())
+    assertThat(service.requests().jobPhase(JOB, "other", "t", 0).join().outcome())
         .isEqualTo(CellOutcome.NO_SUCH_JOB);
     storePending();
     assertThat(phase.join().outcome()).isEqualTo(CellOutcome.DONE);
@@ -108,4 +108,51 @@
     advanceTime(500);
     assertThat(starts).hasSize(1);
   }
+
+  /**
+   * Guards against callers that are told that a job runs while its end is being stored, and learn
+   * of the end only when they ask again.
+   */
+  @Example
+  void phaseOfARunningJobIsToldWhenItsEndIsStored() {
+    advanceTime(200);
+    submit();
+    advanceTime(500);
+    CompletableFuture<CellReply> phase = service.requests().jobPhase(JOB, "q", "t", 100);
+    advanceTime(50);
+    assertThat(phase).as("the job runs").isNotDone();
+    cancel();
+    advanceTime(30);
+    assertThat(phase.join().value()).isEqualTo("CANCELLED");
+  }
+
+  /** Guards against answers on a running job that are delayed without bound. */
+  @Example
+  void phaseOfARunningJobIsToldAfterTheWait() {
+    advanceTime(200);
+    submit();
+    advanceTime(500);
+    CompletableFuture<CellReply> phase = service.requests().jobPhase(JOB, "q", "t", 100);
+    advanceTime(95);
+    assertThat(phase).isNotDone();
+    advanceTime(10);
+    assertThat(phase.join().value()).isEqualTo("RUNNING");
+  }
+
+  /** Guards against answers that are held back while the store does not store the end of a job. */
+  @Example
+  void phaseIsToldWhenTheEndCannotBeStored() {
+    advanceTime(200);
+    submit();
+    advanceTime(500);
+    storing = false;
+    cancel();
+    CompletableFuture<CellReply> phase = service.requests().jobPhase(JOB, "q", "t", 100);
+    advanceTime(390);
+    assertThat(phase).as("the end is being stored").isNotDone();
+    advanceTime(20);
+    assertThat(phase.join().value()).isEqualTo("RUNNING");
+    storePending();
+    assertThat(phase().join().value()).isEqualTo("CANCELLED");
+  }
 }
--- a/cicadaford-wire/src/main/java/org/cicadaford/wire/PeerMessage.java
+++ b/cicadaford-wire/src/main/java/org/cicadaford/wire/PeerMessage.java
@@ -111,8 +111,14 @@
   /** Requests the cancellation of a job from the cell coordinator. */
   record CancelJob(String jobId, String queue, String team) implements CellMessage {}
 
-  /** Requests the phase of a job from the cell coordinator. */
-  record JobPhaseRequest(String jobId, String queue, String team) implements CellMessage {}
+  /**
+   * Requests the stored phase of a job.
+   *
+   * @param waitMillis time for which the answer may be delayed until the job has ended, in
+   *     milliseconds; 0 in requests of builds without it
+   */
+  record JobPhaseRequest(String jobId, String queue, String team, long waitMillis)
+      implements CellMessage {}
 
   /** Requests the number of jobs of a queue that have not started from the cell coordinator. */
   record PendingCountRequest(String queue) implements CellMessage {}
