Take the bounds of a deployment from its settings

Cause: five figures of preemption, eviction and stops were constants chosen for the first deployments: a stop of up to 400 ms, a restore of 600 ms, a drain of 2 s. The new deployments state 900 ms, 100 ms and 3 s, and the record limit was not known at all. Ruled out: a full checkpoint interval in the minimum run of a resumed task. With the first deployments' bounds (600 ms, 1 s) it gives 1,600 ms or more, not the 1,500 ms of now. Change: DeploymentBounds holds the bounds and derives the figures; BoundSettings reads and checks them. The template renders them as strings, as a value that a deployment lacks renders as nothing. An absent one has the first deployments' value, an invalid one is refused with its name. The minimum run keeps 1,500 ms as its floor, as four pairs of bounds were served with it. Conclusion: earlier deployments are served by the same figures.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
@@ -121,7 +121,12 @@
     if (known != null) {
       return known;
     }
-    Worker worker = new Worker(id, incarnation, removedTokenOffsets.getOrDefault(id, 0));
+    Worker worker =
+        new Worker(
+            id,
+            incarnation,
+            removedTokenOffsets.getOrDefault(id, 0),
+            settings.bounds().drainMillis());
     recordEarlierLease(worker);
     workers.put(id, worker);
     return worker;
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CoordinatorSettings.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CoordinatorSettings.java
@@ -16,6 +16,7 @@
  * @param adviceWorkerCount number of workers named in a call for advice
  * @param ticketMarginMillis time before the expiry of a ticket from which it is not used
  * @param keepEndedMillis retention time of an ended job
+ * @param bounds bounds that the platform states for the deployment
  */
 public record CoordinatorSettings(
     long maxLeaseMillis,
@@ -29,7 +30,8 @@
     long stallMillis,
     int adviceWorkerCount,
     long ticketMarginMillis,
-    long keepEndedMillis) {
+    long keepEndedMillis,
+    DeploymentBounds bounds) {
 
   /** Maximum fraction by which the clock of a worker may be slow, as specified by the platform. */
   private static final double MAX_CLOCK_SLOWDOWN = 0.02;
@@ -71,8 +73,14 @@
     return lateOrderMillis + (long) Math.ceil(maxLeaseMillis / (1 - maxClockSlowdown));
   }
 
-  /** Returns the settings for a platform with the given limits. */
+  /** Returns the settings for a platform with the given limits and the default bounds. */
   public static CoordinatorSettings forPlatform(long maxLeaseMillis, long keepEndedMillis) {
+    return forPlatform(maxLeaseMillis, keepEndedMillis, DeploymentBounds.DEFAULT);
+  }
+
+  /** Returns the settings for a platform with the given limits and bounds. */
+  public static CoordinatorSettings forPlatform(
+      long maxLeaseMillis, long keepEndedMillis, DeploymentBounds bounds) {
     return new CoordinatorSettings(
         maxLeaseMillis,
         Math.max(maxLeaseMillis, OUTAGE_MILLIS),
@@ -85,6 +93,7 @@
         STALL_MILLIS,
         ADVICE_WORKER_COUNT,
         TICKET_MARGIN_MILLIS,
-        keepEndedMillis);
+        keepEndedMillis,
+        bounds);
   }
 }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/DrainEvictor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/DrainEvictor.java
@@ -14,12 +14,6 @@
  */
 final class DrainEvictor {
 
-  /**
-   * Time before the shutdown of a worker at which runs are stopped, in milliseconds. A stop takes
-   * up to 400 ms, and its order and the report of the end add to that.
-   */
-  private static final long STOP_LEAD_MILLIS = 1_000;
-
   /** Factor by which the remaining time must exceed the available time for an eviction. */
   private static final double EVICTION_FACTOR = 1.25;
 
@@ -54,17 +48,18 @@
     return placement.stage() == Placement.Stage.RUNNING && !placement.stopRequested();
   }
 
-  private static boolean evictionDue(Placement placement, long availableMillis, long nowMillis) {
+  private boolean evictionDue(Placement placement, long availableMillis, long nowMillis) {
+    long stopLeadMillis = state.settings().bounds().evictionLeadMillis();
     StepRun step = placement.task().step();
     if (step.spec().longRunning()) {
-      return availableMillis <= STOP_LEAD_MILLIS || unavailabilityAllowed(step);
+      return availableMillis <= stopLeadMillis || unavailabilityAllowed(step);
     }
     long remainingMillis = remainingMillis(placement, nowMillis);
     if (remainingMillis <= availableMillis) {
       return false;
     }
     if (step.spec().checkpointing()) {
-      return availableMillis <= STOP_LEAD_MILLIS;
+      return availableMillis <= stopLeadMillis;
     }
     return remainingMillis > EVICTION_FACTOR * availableMillis;
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/LimitPreemptor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/LimitPreemptor.java
@@ -20,18 +20,6 @@
  */
 final class LimitPreemptor {
 
-  /**
-   * Time before the latest start of a step at which tasks are preempted for it, in milliseconds. A
-   * stop takes up to 400 ms; until then, capacity that tasks of the team release is kept for it.
-   */
-  private static final long LEAD_MILLIS = 500;
-
-  /**
-   * Time for which a resumed task runs before it may be preempted again, in milliseconds. It covers
-   * a restore of 600 ms and the work up to a checkpoint.
-   */
-  private static final long MIN_RESUMED_RUN_MILLIS = 1_500;
-
   private final CellState state;
   private final Map<String, Set<Placement>> preemptableByTeam = new HashMap<>();
 
@@ -85,7 +73,9 @@
     for (StepRun step : reservations.steps()) {
       Resources amount = reservations.amountFor(step);
       after = after.plus(amount);
-      if (step.latestOnTimeStartMillis() - now.unixMillis() > LEAD_MILLIS) {
+      if (step.latestOnTimeStartMillis() - now.unixMillis()
+          > state.settings().bounds().preemptionLeadMillis()) {
+        // Until then, capacity that tasks of the team release is kept for the step.
         continue;
       }
       List<Placement> chosen = choose(share.get(), step, after, candidates);
@@ -102,10 +92,11 @@
     }
   }
 
-  private static boolean mayBePreempted(Placement placement, ClockReading now) {
+  private boolean mayBePreempted(Placement placement, ClockReading now) {
     long runMillis = now.monotonicMillis() - placement.orderedAtMillis();
     return placement.stage() == Placement.Stage.RUNNING
-        && (!placement.task().preemptedBefore() || runMillis >= MIN_RESUMED_RUN_MILLIS);
+        && (!placement.task().preemptedBefore()
+            || runMillis >= state.settings().bounds().minResumedRunMillis());
   }
 
   /**
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
@@ -10,9 +10,6 @@
 /** A worker with its listing, its last reports and its placements. */
 final class Worker {
 
-  /** Assumed time until the shutdown of a draining worker; the minimum of the platform. */
-  private static final long DEFAULT_DRAIN_MILLIS = 2_000;
-
   /**
    * Time after which a renewal has reached a worker that is up, in milliseconds. A closed
    * connection fails earlier after the expected answer, a silent one with the timeout of the
@@ -22,6 +19,10 @@
 
   private final String id;
   private final IncarnationTracker incarnations;
+
+  /** Time until the shutdown of a draining worker that does not report it. */
+  private final long drainMillis;
+
   private ListedWorker listing;
   private boolean listed;
   private OptionalLong shutdownAtMillis = OptionalLong.empty();
@@ -48,12 +49,13 @@
   private int failedRenewals;
 
   Worker(String id, long incarnation) {
-    this(id, incarnation, 0);
+    this(id, incarnation, 0, DeploymentBounds.DEFAULT.drainMillis());
   }
 
   /** Creates a worker that may have received tokens up to an offset from this coordinator. */
-  Worker(String id, long incarnation, int tokenOffset) {
+  Worker(String id, long incarnation, int tokenOffset, long drainMillis) {
     this.id = id;
+    this.drainMillis = drainMillis;
     this.incarnations = new IncarnationTracker(incarnation, tokenOffset);
   }
 
@@ -80,7 +82,7 @@
   void updateListing(ListedWorker newListing, long nowMillis) {
     if (newListing != listing) {
       long remainingMillis =
-          newListing.remainingMillis() > 0 ? newListing.remainingMillis() : DEFAULT_DRAIN_MILLIS;
+          newListing.remainingMillis() > 0 ? newListing.remainingMillis() : drainMillis;
       shutdownAtMillis =
           newListing.draining()
               ? OptionalLong.of(nowMillis + remainingMillis)
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -19,9 +19,6 @@
   /** Time after which an unanswered stop order is sent again, in milliseconds. */
   private static final long STOP_RETRY_MILLIS = 350;
 
-  /** Time in which a run ends after its stop is confirmed; the platform specifies 400 ms. */
-  private static final long STOP_COMPLETION_MILLIS = 1_000;
-
   /** Retry interval of renewals to a worker that does not answer, in milliseconds. */
   private static final long UNREACHABLE_RETRY_MILLIS = 300;
 
@@ -188,7 +185,9 @@
       placement.markConfirmed(state.events().next(), now.monotonicMillis());
       placement.progress(row.progressPercent(), row.checkpoint(), now.monotonicMillis());
       if (ElapsedTime.isOlderThan(
-          placement.stopConfirmedAtMillis(), report.sentAtMillis(), STOP_COMPLETION_MILLIS)) {
+          placement.stopConfirmedAtMillis(),
+          report.sentAtMillis(),
+          state.settings().bounds().stopCompletionMillis())) {
         placement.clearStopConfirmation();
       }
       stopIfStalled(placement, now);
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellSettings.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellSettings.java
@@ -1,5 +1,6 @@
 package org.cicadaford.coordinator;
 
+import org.cicadaford.cell.DeploymentBounds;
 import org.cicadaford.wire.PeerSettings;
 
 /**
@@ -14,6 +15,7 @@
  * @param processorCores processor capacity of the instance, in cores
  * @param linkMegabits network bandwidth of the instance, in megabits per second
  * @param keyFreshnessMillis age of the configuration above which keys are rejected, in milliseconds
+ * @param bounds bounds that the platform states for the deployment
  */
 public record CellSettings(
     String instanceId,
@@ -24,7 +26,8 @@
     long keepEndedMillis,
     double processorCores,
     double linkMegabits,
-    long keyFreshnessMillis) {
+    long keyFreshnessMillis,
+    DeploymentBounds bounds) {
 
   /**
    * Fraction of the key revocation time for which keys are accepted without a confirmation of the
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorRole.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorRole.java
@@ -117,7 +117,8 @@
         new CoordinatorService(
             leadership,
             claimedAt,
-            CoordinatorSettings.forPlatform(settings.maxLeaseMillis(), settings.keepEndedMillis()),
+            CoordinatorSettings.forPlatform(
+                settings.maxLeaseMillis(), settings.keepEndedMillis(), settings.bounds()),
             platform.store(),
             platform.workers(),
             helpers,
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/InstanceSettings.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/InstanceSettings.java
@@ -26,6 +26,7 @@
  * @param revokeMillis time after which a withdrawn key must be rejected, in milliseconds
  * @param stopSeconds time from the stop request until the process is killed, in seconds
  * @param metricsPort port that serves the metrics
+ * @param bounds bounds of the deployment; those that are absent have their defaults
  */
 public record InstanceSettings(
     String instanceId,
@@ -43,11 +44,17 @@
     double linkMegabits,
     long revokeMillis,
     long stopSeconds,
-    int metricsPort) {
+    int metricsPort,
+    BoundSettings bounds) {
 
   private static final ObjectMapper MAPPER =
       new ObjectMapper().configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
 
+  /** Replaces absent bounds by those of a deployment that states none. */
+  public InstanceSettings {
+    bounds = bounds == null ? BoundSettings.NONE : bounds;
+  }
+
   /**
    * Reads and validates the settings.
    *
@@ -59,7 +66,12 @@
     return settings;
   }
 
-  CellSettings cellSettings() {
+  /**
+   * Returns the settings of the instance in its cell.
+   *
+   * @throws IOException if a bound is not valid
+   */
+  CellSettings cellSettings() throws IOException {
     return new CellSettings(
         instanceId,
         zone,
@@ -69,7 +81,8 @@
         TimeUnit.SECONDS.toMillis(keepEndedSeconds),
         processorShare * processorCount,
         linkMegabits,
-        CellSettings.keyFreshnessMillis(revokeMillis));
+        CellSettings.keyFreshnessMillis(revokeMillis),
+        bounds.bounds());
   }
 
   private void check() throws IOException {
@@ -82,11 +95,18 @@
     require(maxLeaseMillis > 0, "maxLeaseMillis must be positive");
     require(revokeMillis > 0, "revokeMillis must be positive");
     require(stopSeconds > 0, "stopSeconds must be positive");
+    bounds.bounds();
   }
 
-  private static void require(boolean condition, String message) throws IOException {
+  /** Throws an exception whose message names a setting if a condition on it does not hold. */
+  static void require(boolean condition, String message) throws IOException {
     if (!condition) {
-      throw new IOException("setting: " + message + "; correct the settings file");
+      throw new IOException(message(message));
     }
   }
+
+  /** Returns the message of a fault in the settings file. */
+  static String message(String fault) {
+    return "setting: " + fault + "; correct the settings file";
+  }
 }
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CellNodeTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CellNodeTest.java
@@ -18,6 +18,7 @@
 import net.jqwik.api.lifecycle.AfterTry;
 import org.cicadaford.cell.CellConfig;
 import org.cicadaford.cell.ClockReading;
+import org.cicadaford.cell.DeploymentBounds;
 import org.cicadaford.cell.ListedWorker;
 
 /** Tests how instances find each other. */
@@ -70,7 +71,16 @@
     CellNode node =
         new CellNode(
             new CellSettings(
-                instanceId, "z", "127.0.0.1", freePort(), 6_000, 120_000, 1, 1_000, 3_750),
+                instanceId,
+                "z",
+                "127.0.0.1",
+                freePort(),
+                6_000,
+                120_000,
+                1,
+                1_000,
+                3_750,
+                DeploymentBounds.DEFAULT),
             new CellPlatform(
                 journal.connect(loop),
                 null,
--- a/cicadaford-daemon/src/main/java/org/cicadaford/daemon/SettingsPageRenderer.java
+++ b/cicadaford-daemon/src/main/java/org/cicadaford/daemon/SettingsPageRenderer.java
@@ -7,6 +7,47 @@
 /** Generates the settings page from the setting definitions. */
 public final class SettingsPageRenderer {
 
+  /** Settings of the cell daemon, which other modules define. */
+  private static final String CELL_DAEMON_SECTION =
+      """
+
+      ## Bounds of the cell daemon
+
+      The cell daemon reads these from its settings file, where `deploy/settings.template.json` \
+      renders them as strings from the
+      platform's bounds. An absent or empty one has its default, which is that of the first \
+      deployments. One that is not a
+      number in its range is refused at the start, with a message that names it; on SIGHUP it is \
+      only reported, and the running
+      instance keeps what it has.
+
+      | setting | unit | range | default | meaning |
+      | --- | --- | --- | --- | --- |
+      | `bounds.runStopMillis` | ms | 0 to 3600000 | 400 | Maximum time in which a worker stops \
+      a run. |
+      | `bounds.restoreMillis` | ms | 0 to 3600000 | 600 | Time for the restore from a \
+      checkpoint. |
+      | `bounds.checkpointSeconds` | s, may have a fraction | 0 to 3600 | 1 | Work between two \
+      checkpoints of a run. |
+      | `bounds.drainMillis` | ms | 0 to 3600000 | 2000 | Time for which a draining worker \
+      serves, if it does not report the remaining time. |
+      | `bounds.gangTimeoutMillis` | ms | 0 to 3600000 | 3000 | Time for which a gang member \
+      waits for the others. |
+      | `bounds.noticeMillis` | ms | 0 to 3600000 | 4500 | Notice before a worker is taken away. |
+      | `bounds.maxRecordBytes` | bytes | 4096 to 2097152 | 262144 | Maximum size of a record in \
+      the store. |
+
+      What follows from them, in milliseconds:
+
+      | figure | from | first deployments | stop 900, restore 100, checkpoints 2 s |
+      | --- | --- | --- | --- |
+      | lead of a preemption before the latest start | stop + 100 | 500 | 1000 |
+      | minimum run of a resumed task before it is preempted again | stop + restore + half a \
+      checkpoint interval, at least 1500 | 1500 | 2000 |
+      | lead of an eviction before the shutdown of a worker | stop + 600 | 1000 | 1500 |
+      | time after a confirmed stop in which the run ends | stop + 600 | 1000 | 1500 |
+      """;
+
   private SettingsPageRenderer() {}
 
   /** Writes the page to the file given as the only argument. */
@@ -26,6 +67,7 @@
     return page.append("| `--require-log-at-start` | `CICADAFORD_REQUIRE_LOG_AT_START` | flag |")
         .append(" true, false | false |")
         .append(" Exit if the log cannot be reached at startup, instead of waiting for it. |\n")
+        .append(CELL_DAEMON_SECTION)
         .toString();
   }
 
