Let failures of a worker expire, and test it by one task

Cause: WorkerQuarantine counted failures without expiry, and only an end done cleared them. After failures of three jobs a worker took a task only while it had no placement, so a worker with long-running tasks, which never end done, took none any more. Ruled out: an expiry alone. On a full worker of a service whose tasks fail every 12 s, three jobs fail within any useful time. Change: a suspected worker gets no task for 1 to 2 s and then one at a time, whatever else runs there. The suspicion ends with a run that is done, with a long-running test that has run for 3 s, or 10 s after the last failure; 10 s cover a quarantine and a task of 5 s on a slow worker, so that a worker which fails all it starts stays suspected. A long-running task that has run for 3 s and then fails says nothing of its worker.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
@@ -300,6 +300,13 @@
     return checkpoint;
   }
 
+  /** Returns whether a long-running task has run so long that its worker is able to run it. */
+  boolean provenLongRun(long nowMillis) {
+    return task.step().spec().longRunning()
+        && stage == Stage.RUNNING
+        && ElapsedTime.isOlderThan(confirmedAtMillis, nowMillis, WorkerQuarantine.PROVEN_MILLIS);
+  }
+
   /** Returns the time worked since the start order or the last reported checkpoint. */
   long unsavedMillis(long nowMillis) {
     return nowMillis - Math.max(orderedAtMillis, savedAtMillis);
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementReporter.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementReporter.java
@@ -15,6 +15,7 @@
   private static final String RESTART = "worker-restart";
   private static final String LOST = "worker-lost";
   private static final String CRASH = "crash";
+  private static final String FAILING = "worker-failing";
 
   private final CellState state;
 
@@ -55,6 +56,23 @@
             + age(worker.leaseExpiryMillis(), nowMillis));
   }
 
+  /** Reports that a worker gets one task at a time after failures of several jobs. */
+  void suspected(Worker worker) {
+    report(
+        FAILING,
+        worker.id(),
+        "suspected",
+        "failed_jobs="
+            + worker.quarantine().failuresInARow()
+            + " placements="
+            + worker.placements().size());
+  }
+
+  /** Reports that a worker is no longer suspected to fail what it starts. */
+  void trusted(Worker worker, String cause) {
+    report(FAILING, worker.id(), "cleared", "why=" + cause);
+  }
+
   /** Reports a run that a worker lists as running and that is not placed there. */
   void unknownRun(
       Worker worker, ReportedRun row, String outcome, long reportAgeMillis, ClockReading now) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/RunEndHandler.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/RunEndHandler.java
@@ -30,8 +30,8 @@
     task.checkpoint(placement.checkpoint());
     task.checkpoint(checkpoint);
     state.release(placement);
-    if (kind == EndKind.DONE) {
-      placement.worker().quarantine().succeeded();
+    if (kind == EndKind.DONE && placement.worker().quarantine().succeeded()) {
+      reporter.trusted(placement.worker(), "DONE");
     }
     boolean gang = task.step().spec().gang();
     if (kind == EndKind.DONE || kind == EndKind.FAILED && !gang) {
@@ -144,7 +144,9 @@
   private void failed(Placement placement, ClockReading now) {
     Task task = placement.task();
     StepRun step = task.step();
-    placement.worker().quarantine().failed(step.job().id(), now.monotonicMillis());
+    if (!placement.provenLongRun(now.monotonicMillis())) {
+      countFailure(placement, now);
+    }
     task.failedOn().add(placement.worker().id());
     if (step.spec().gang()) {
       if (step.countFailureOnce(placement.run())) {
@@ -162,6 +164,30 @@
     requeue(placement, now);
   }
 
+  /** Counts a failure against the worker, which may be the cause. */
+  void countFailure(Placement placement, ClockReading now) {
+    Worker worker = placement.worker();
+    if (worker.quarantine().failed(placement.task().step().job().id(), now.monotonicMillis())) {
+      reporter.suspected(worker);
+    }
+  }
+
+  /** Ends the suspicion of a worker on which a long-running test has run long enough. */
+  void checkTest(Placement placement, ClockReading now) {
+    WorkerQuarantine quarantine = placement.worker().quarantine();
+    boolean passed = quarantine.isTest(placement) && placement.provenLongRun(now.monotonicMillis());
+    if (passed && quarantine.succeeded()) {
+      reporter.trusted(placement.worker(), "RUNS");
+    }
+  }
+
+  /** Ends the suspicion of a worker whose failures no longer count. */
+  void expireFailures(Worker worker, ClockReading now) {
+    if (worker.quarantine().expire(now.monotonicMillis())) {
+      reporter.trusted(worker, "EXPIRED");
+    }
+  }
+
   private void requeue(Placement placement, ClockReading now) {
     StepRun step = placement.task().step();
     if (step.spec().gang() && !step.done()) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/SchedulableWorkerIndex.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/SchedulableWorkerIndex.java
@@ -123,6 +123,7 @@
         && worker.reachable(nowMillis, state.settings().unreachableMillis())
         && !worker.quarantine().quarantined(nowMillis)
         && worker.startSurvival().isolated().isEmpty()
+        && !worker.quarantine().underTest(worker.placements().values())
         && !unreachableDetector.excludes(worker);
   }
 
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerEvaluator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerEvaluator.java
@@ -31,21 +31,17 @@
       return 0;
     }
     int slots = step.spec().slotsIn(worker.free());
+    if (worker.quarantine().suspected()) {
+      slots = Math.min(slots, 1);
+    }
     int limit = step.spec().maxTasksPerWorker();
     return limit <= 0 ? slots : Math.max(0, Math.min(slots, limit - step.placedOn(worker)));
   }
 
-  /**
-   * After several failures in a row, a worker gets tasks only while it has no placements; next to
-   * an isolated start it gets none.
-   */
+  /** Next to an isolated start, or to a test after several failures, a worker gets no task. */
   private static boolean acceptsTask(Worker worker) {
-    return worker.startSurvival().isolated().isEmpty() && acceptsTaskAfterFailures(worker);
-  }
-
-  private static boolean acceptsTaskAfterFailures(Worker worker) {
-    return worker.quarantine().failuresInARow() < WorkerQuarantine.FAILURES_BEFORE_QUARANTINE
-        || worker.placements().isEmpty();
+    return worker.startSurvival().isolated().isEmpty()
+        && !worker.quarantine().underTest(worker.placements().values());
   }
 
   /** Returns whether a worker suits a task better than the best one so far. */
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -191,6 +191,7 @@
         placement.clearStopConfirmation();
       }
       stopIfStalled(placement, now);
+      endHandler.checkTest(placement, now);
     }
     unknownRuns.handle(worker, unplaced, report, requestNumber, now);
     if (!report.complete()) {
@@ -274,6 +275,7 @@
     List<Worker> removed = new ArrayList<>();
     for (Worker worker : state.workers().values()) {
       expireLeases(worker, now);
+      endHandler.expireFailures(worker, now);
       checkUnansweredStarts(worker, now);
       checkIsolatedStarts(worker, now.monotonicMillis());
       stopEarlierOrders(worker, now.monotonicMillis());
@@ -373,7 +375,7 @@
   private void stopIfStalled(Placement placement, ClockReading now) {
     long nowMillis = now.monotonicMillis();
     if (!placement.stopRequested() && stalled(placement, nowMillis)) {
-      placement.worker().quarantine().failed(placement.task().step().job().id(), nowMillis);
+      endHandler.countFailure(placement, now);
       placement.task().failedOn().add(placement.worker().id());
       state.stop(placement, StopReason.STALLED, nowMillis);
     }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedWorker.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedWorker.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongSupplier;
 import org.cicadaford.model.Resources;
 
 /**
@@ -40,6 +41,9 @@
 
     long stopAtMillis = Long.MAX_VALUE;
 
+    /** Work after which the run fails. */
+    long failAtMillis = Long.MAX_VALUE;
+
     Run(
         String task,
         int number,
@@ -116,6 +120,9 @@
 
   boolean reachable = true;
 
+  /** Draws the work after which a started run fails. */
+  LongSupplier life = () -> Long.MAX_VALUE;
+
   /** Whether the platform lists the worker while it is up. */
   boolean listed = true;
 
@@ -210,6 +217,8 @@
       if (nowMillis >= run.stopAtMillis) {
         run.save(run.workedMillis);
         end(run, EndKind.STOPPED);
+      } else if (run.workedMillis >= run.failAtMillis) {
+        end(run, EndKind.FAILED);
       } else if (run.workedMillis >= run.workMillis) {
         end(run, run.fails ? EndKind.FAILED : EndKind.DONE);
       }
@@ -257,6 +266,7 @@
     if (late) {
       return StartOutcome.NOT_STARTED;
     }
+    run.failAtMillis = life.getAsLong();
     runs.put(keyOf(run.task, run.number), run);
     return StartOutcome.STARTED;
   }
