Count jobs as pending until a task has started

Cause: a job is stored as running when its first task is placed. Ruled out: setting the phase with the confirmed start, which stores each job once more; setting it back to pending, as a state shown to callers would go back. Change: PendingJobCounter counts stored jobs that have not ended and of which no start was confirmed, no run reported or adopted, and no end reported. After a takeover a stored placement counts as a start until its worker reports, as all running jobs would otherwise count as pending and submissions be refused. The state shown for such a job stays running, as before.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
@@ -36,9 +36,8 @@
   private final Set<Worker> workersWithUnstoredEnds = new LinkedHashSet<>();
   private final Set<Placement> stopping = new LinkedHashSet<>();
   private final Set<Worker> workersToRenew = new LinkedHashSet<>();
-  private final Map<String, Integer> pendingByQueue = new HashMap<>();
+  private final PendingJobCounter pendingJobs = new PendingJobCounter();
   private final Deque<Job> endedJobs = new ArrayDeque<>();
-  private int pendingCount;
   private final Set<Job> jobsToStore = new LinkedHashSet<>();
   private final EarlyCancellations earlyCancellations = new EarlyCancellations();
   private final List<RecordWrite> otherWrites = new ArrayList<>();
@@ -210,30 +209,26 @@
 
   /** Records that a job is stored in a phase. */
   void markStored(Job job, JobPhase phase) {
-    countPending(job, -1);
     boolean ends = phase.terminal() && !(job.stored() && job.storedPhase().terminal());
-    job.markStored(phase);
-    countPending(job, 1);
+    pendingJobs.markStored(job, phase);
     if (ends) {
       endedJobs.add(job);
     }
   }
 
-  private void countPending(Job job, int delta) {
-    if (job.stored() && job.storedPhase() == JobPhase.PENDING) {
-      pendingByQueue.merge(job.queueName(), delta, Integer::sum);
-      pendingCount += delta;
-    }
+  /** Records that a task of a job has started. */
+  void markBegun(Job job) {
+    pendingJobs.markBegun(job);
   }
 
-  /** Returns the number of stored jobs that have not started. */
+  /** Returns the number of stored jobs of which no task has started. */
   int pendingCount() {
-    return pendingCount;
+    return pendingJobs.count();
   }
 
-  /** Returns the number of stored jobs of a queue that have not started. */
+  /** Returns the number of stored jobs of a queue of which no task has started. */
   int pendingCount(String queueName) {
-    return pendingByQueue.getOrDefault(queueName, 0);
+    return pendingJobs.count(queueName);
   }
 
   /** Returns the retained ended jobs, in the order in which their end was stored. */
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Job.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Job.java
@@ -18,6 +18,7 @@
   private JobPhase phase = JobPhase.PENDING;
   private JobPhase storedPhase = JobPhase.PENDING;
   private boolean stored;
+  private boolean begun;
   private boolean definitionDeleted;
   private long endedAtMillis;
   private final WaitTimeTracker waitTimes = new WaitTimeTracker();
@@ -99,6 +100,15 @@
     storedPhase = newPhase;
   }
 
+  /** Returns whether a task has started, as far as this coordinator knows. */
+  boolean begun() {
+    return begun;
+  }
+
+  void markBegun() {
+    begun = true;
+  }
+
   /** Returns whether the stored definition is obsolete and has not been deleted. */
   boolean definitionObsolete() {
     return stored && !definitionDeleted && phase.terminal() && placements().isEmpty();
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
@@ -98,6 +98,9 @@
     job.phase(progress.phase());
     job.endedAtMillis(progress.endedAtMillis());
     job.doneOccurrences().addAll(progress.doneOccurrences());
+    if (!progress.doneOccurrences().isEmpty()) {
+      job.markBegun();
+    }
     for (OccurrenceProgress stored : progress.occurrences()) {
       List<Task> tasks = new ArrayList<>();
       job.beginOccurrence(stored.occurrence()).forEach(step -> tasks.addAll(step.tasks()));
@@ -107,6 +110,19 @@
     }
   }
 
+  /**
+   * Returns whether a task has started as far as its record tells. A placement is taken for a start
+   * until its worker reports; otherwise all running jobs would count as pending after a takeover,
+   * and submissions would be refused.
+   */
+  private static boolean showsStart(TaskProgress stored) {
+    return stored.done()
+        || stored.workerIndex() >= 0
+        || stored.failedCount() > 0
+        || stored.startLossCount() > 0
+        || !stored.checkpoint().isEmpty();
+  }
+
   private void apply(Task task, TaskProgress stored, JobProgress progress, ClockReading now) {
     task.lastRun(stored.lastRun());
     task.failedCount(stored.failedCount());
@@ -116,6 +132,9 @@
     if (stored.done()) {
       task.markDone();
     }
+    if (showsStart(stored)) {
+      task.step().job().markBegun();
+    }
     if (stored.workerIndex() < 0) {
       return;
     }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/OrderAnswerHandler.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/OrderAnswerHandler.java
@@ -29,6 +29,7 @@
     switch (outcome) {
       case STARTED -> {
         placement.markConfirmed(state.events().next(), nowMillis);
+        state.markBegun(placement.task().step().job());
         placement.worker().startSurvival().signOfLife(placement.orderedAtMillis());
         if (placement.stopRequested()) {
           state.sendStop(placement, nowMillis);
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedWorker.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedWorker.java
@@ -120,6 +120,9 @@
 
   boolean reachable = true;
 
+  /** Whether all starts are refused, as an unhealthy worker does. */
+  boolean refusing;
+
   /** Draws the work after which a started run fails. */
   LongSupplier life = () -> Long.MAX_VALUE;
 
@@ -263,7 +266,7 @@
     if (closedRuns.getOrDefault(run.task, 0) >= run.number) {
       return StartOutcome.UNKNOWN;
     }
-    if (late) {
+    if (late || refusing) {
       return StartOutcome.NOT_STARTED;
     }
     run.failAtMillis = life.getAsLong();
