Let teams cancel the same unknown id, and keep places for each team

Cause: one early cancellation was kept for each id, so the second team that cancelled it was refused with 503 until the first one expired. And one team could take all 5,000 places, after which every other cancellation was refused for two minutes. Ruled out: a fixed share of the places for each team; a lone team would be refused although places are free. Change: cancellations are found by id, queue and team. Half of the places are divided between the teams and kept for them; a team may use all others. Figures (EarlyCancellationHandlerTest): the second team's cancellation was refused for 120,000 ms before and is stored now; of 5,000 cancellations by one of four teams 5,000 were accepted before and 3,125 now, then 625 of each other team. Conclusion: a team is refused only for its own cancellations. A single team has all places, as before.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CellConfig.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CellConfig.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** A version of the configuration of the cell. */
 public final class CellConfig {
@@ -58,6 +60,15 @@
     return Optional.ofNullable(teamsByName.get(name));
   }
 
+  /** Returns the names of all teams, and an empty name if a queue accepts jobs without a key. */
+  Set<String> teamNames() {
+    Set<String> names = new HashSet<>(teamsByName.keySet());
+    if (queuesByName.values().stream().anyMatch(Queue::open)) {
+      names.add("");
+    }
+    return names;
+  }
+
   /** Returns the team that {@code key} belongs to. */
   public Optional<TeamShare> teamOfKey(String key) {
     return Optional.ofNullable(teamsByKey.get(key));
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/EarlyCancellationHandler.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/EarlyCancellationHandler.java
@@ -20,11 +20,10 @@
    */
   OptionalLong cancel(String jobId, String queue, String team, ClockReading now) {
     EarlyCancellations cancellations = state.earlyCancellations();
-    Optional<EarlyCancellation> earlier = cancellations.find(jobId);
-    boolean remembered = earlier.isPresent() && earlier.get().isFor(queue, team);
-    if (!remembered && (earlier.isPresent() || cancellations.isFull())) {
+    boolean remembered = cancellations.find(jobId, queue, team).isPresent();
+    if (!remembered && !cancellations.hasPlace(team, state.config().teamNames())) {
       return OptionalLong.of(
-          cancellations.millisUntilExpiry(state.settings().keepEndedMillis(), now));
+          cancellations.millisUntilExpiry(team, state.settings().keepEndedMillis(), now));
     }
     if (!remembered) {
       EarlyCancellation cancellation = new EarlyCancellation(queue, team, now.unixMillis());
@@ -37,14 +36,13 @@
   /** Stores a submitted job as cancelled if its cancellation is remembered. */
   Optional<AdmissionDecision> submit(Job job, ClockReading now) {
     Optional<EarlyCancellation> earlier =
-        state
-            .earlyCancellations()
-            .find(job.id())
-            .filter(cancellation -> cancellation.isFor(job.queueName(), job.team()));
+        state.earlyCancellations().find(job.id(), job.queueName(), job.team());
     if (earlier.isEmpty()) {
       return Optional.empty();
     }
-    state.otherWrites().add(state.earlyCancellations().remove(job.id()));
+    state
+        .otherWrites()
+        .add(state.earlyCancellations().remove(job.id(), job.queueName(), job.team()));
     state.jobs().put(job.id(), job);
     endHandler.endJob(job, JobPhase.CANCELLED, now);
     state.actionsAfterStore().add(new Action.ConfirmSubmission(job.id()));
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
@@ -89,7 +89,7 @@
               : RecordCodec.decode(write.value(), JobProgress.class);
       StoredRecordChecker.check(progress);
       progressById.put(jobId, progress);
-    } else if (write.key().startsWith(EarlyCancellations.PREFIX)) {
+    } else if (EarlyCancellations.isKey(write.key())) {
       state.earlyCancellations().restore(write);
     }
   }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/EarlyCancellationHandlerTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/EarlyCancellationHandlerTest.java
@@ -123,6 +123,49 @@
     assertThat(coordinator.cancelUnknown(JOB, "q", "team", now())).isEmpty();
   }
 
+  /** Guards against a team whose cancellation is refused because another team cancelled the id. */
+  @Example
+  void teamsCancelTheSameIdIndependently() {
+    assertThat(coordinator.cancelUnknown(JOB, "q", "other", now())).isEmpty();
+    assertThat(coordinator.cancelUnknown(JOB, "q", "team", now())).isEmpty();
+    assertThat(coordinator.cancelUnknown(JOB, "q", "team", now())).as("repeated").isEmpty();
+    store();
+    assertThat(records).hasSize(2).containsKey("x/" + JOB);
+    takeOver();
+    nowMillis += 5_000;
+    assertThat(submit(JOB)).isEqualTo(new AdmissionDecision.CancelledBefore(5_000));
+    store();
+    assertThat(records).containsOnlyKeys("p/" + JOB, "x/" + JOB);
+    nowMillis += KEPT_MILLIS;
+    store();
+    assertThat(records).containsOnlyKeys("p/" + JOB);
+  }
+
+  /** Guards against a team that takes all places, so that other teams cannot cancel. */
+  @Example
+  void teamLeavesTheOthersTheirShares() {
+    List<TeamShare> teams =
+        List.of(
+            new TeamShare("team", Set.of(), 0, Resources.NONE),
+            new TeamShare("other", Set.of(), 0, Resources.NONE),
+            new TeamShare("third", Set.of(), 0, Resources.NONE),
+            new TeamShare("fourth", Set.of(), 0, Resources.NONE));
+    coordinator.configure(new CellConfig(2, List.of(QUEUE), teams), Set.of());
+    assertThat(acceptedCancellations("team", 5_000)).isEqualTo(5_000 - 3 * 625);
+    assertThat(coordinator.cancelUnknown(JOB, "q", "team", now())).hasValue(KEPT_MILLIS);
+    assertThat(acceptedCancellations("other", 5_000)).isEqualTo(625);
+    assertThat(acceptedCancellations("third", 625)).isEqualTo(625);
+    assertThat(acceptedCancellations("fourth", 625)).isEqualTo(625);
+  }
+
+  private int acceptedCancellations(String team, int count) {
+    int accepted = 0;
+    for (int job = 0; job < count; job++) {
+      accepted += coordinator.cancelUnknown(team + job, "q", team, now()).isEmpty() ? 1 : 0;
+    }
+    return accepted;
+  }
+
   /** Guards against a takeover that fails at an odd record. */
   @Example
   void oddRecordIsPassedOver() {
