Answer a cancellation once its own record is stored

Cause: replies to cancellations waited by job id. With two teams cancelling one unknown id, the second was answered when the record of the first was stored, and its own could still be lost with its coordinator. The same held for a team that cancels its job while another team's early cancellation of the id is in the append. Ruled out: refusing the second cancellation until the first is stored, which brings back the refusals between teams. Change: ConfirmCancellation names queue and team, and the replies wait by all three. Figures (JobRequestExecutorTest.cancellationsOfTwoTeamsAreAnsweredOnceEachIsStored): fails when the replies wait by id, passes now. Conclusion: no answer relies on another team's record.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Action.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Action.java
@@ -77,8 +77,8 @@
   /** Confirms to the submitter that the job is stored. */
   record ConfirmSubmission(String jobId) implements Action {}
 
-  /** Confirms to the caller that the cancellation is stored. */
-  record ConfirmCancellation(String jobId) implements Action {}
+  /** Confirms to a team that its cancellation of a job of a queue is stored. */
+  record ConfirmCancellation(String jobId, String queue, String team) implements Action {}
 
   /**
    * Reports that the end of a job is stored.
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -149,7 +149,9 @@
       }
     }
     state.markForStore(job);
-    state.actionsAfterStore().add(new Action.ConfirmCancellation(jobId));
+    state
+        .actionsAfterStore()
+        .add(new Action.ConfirmCancellation(jobId, job.queueName(), job.team()));
     return true;
   }
 
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/EarlyCancellationHandler.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/EarlyCancellationHandler.java
@@ -29,7 +29,7 @@
       EarlyCancellation cancellation = new EarlyCancellation(queue, team, now.unixMillis());
       state.otherWrites().add(cancellations.add(jobId, cancellation));
     }
-    state.actionsAfterStore().add(new Action.ConfirmCancellation(jobId));
+    state.actionsAfterStore().add(new Action.ConfirmCancellation(jobId, queue, team));
     return OptionalLong.empty();
   }
 
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
@@ -351,7 +351,7 @@
       case Action.ReportLostRun lost -> lostRuns.add(lost);
       case Action.ReportJobEnd end -> ended.put(end.jobId(), end.ageMillis());
       case Action.ConfirmSubmission(String jobId) -> accepted.put(jobId, null);
-      case Action.ConfirmCancellation(String jobId) -> cancelled.putIfAbsent(jobId, nowMillis);
+      case Action.ConfirmCancellation cancel -> cancelled.putIfAbsent(cancel.jobId(), nowMillis);
     }
   }
 
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
@@ -282,8 +282,8 @@
       }
       case Action.ConfirmSubmission(String jobId) ->
           requests.confirmSubmission(jobId, journal.sequence());
-      case Action.ConfirmCancellation(String jobId) ->
-          requests.confirmCancellation(jobId, journal.sequence());
+      case Action.ConfirmCancellation cancellation ->
+          requests.confirmCancellation(cancellation, journal.sequence());
     }
   }
 
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/JobRequestExecutor.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/JobRequestExecutor.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.cicadaford.cell.Action;
 import org.cicadaford.cell.AdmissionDecision;
 import org.cicadaford.cell.ClockReading;
 import org.cicadaford.cell.Coordinator;
@@ -64,19 +65,27 @@
 
   /** Replies to the requests that wait for a job to be stored. */
   void confirmSubmission(String jobId, long sequence) {
-    completeStored(pendingSubmissions, jobId, "accept", sequence);
+    if (pendingSubmissions.complete(jobId, CellReply.done("stored"))) {
+      logStored("accept", jobId, sequence);
+    }
   }
 
   /** Replies to the requests that wait for a cancellation to be stored. */
-  void confirmCancellation(String jobId, long sequence) {
-    completeStored(pendingCancellations, jobId, "cancel", sequence);
+  void confirmCancellation(Action.ConfirmCancellation cancellation, long sequence) {
+    String jobId = cancellation.jobId();
+    String key = cancellationKey(jobId, cancellation.queue(), cancellation.team());
+    if (pendingCancellations.complete(key, CellReply.done("stored"))) {
+      logStored("cancel", jobId, sequence);
+    }
   }
 
-  private void completeStored(
-      PendingReplies pending, String jobId, String category, long sequence) {
-    if (pending.complete(jobId, CellReply.done("stored"))) {
-      log.write(category, jobId, "stored", "epoch=" + epoch + " sequence=" + sequence);
-    }
+  /** Returns the key of the replies to a cancellation; teams may cancel an id independently. */
+  private static String cancellationKey(String jobId, String queue, String team) {
+    return jobId + "/" + queue + "/" + team;
+  }
+
+  private void logStored(String category, String jobId, long sequence) {
+    log.write(category, jobId, "stored", "epoch=" + epoch + " sequence=" + sequence);
   }
 
   /** Submits a job; the future completes once the job is stored. */
@@ -111,7 +120,7 @@
   CompletableFuture<CellReply> cancel(String jobId, String queue, String team) {
     if (find(jobId, queue, team).isPresent()) {
       coordinator.cancel(jobId, clock.get());
-      return awaitStored(pendingCancellations, jobId);
+      return awaitStored(pendingCancellations, cancellationKey(jobId, queue, team));
     }
     CellReply absent = replyToAbsent();
     boolean idOfAnotherJob = coordinator.job(jobId).isPresent();
@@ -130,12 +139,12 @@
       return CompletableFuture.completedFuture(
           new CellReply(CellOutcome.REFUSED, reason, retryAfterMillis.getAsLong()));
     }
-    return awaitStored(pendingCancellations, jobId)
+    return awaitStored(pendingCancellations, cancellationKey(jobId, queue, team))
         .thenApply(reply -> reply.outcome() == CellOutcome.DONE ? absent : reply);
   }
 
-  private CompletableFuture<CellReply> awaitStored(PendingReplies pending, String jobId) {
-    CompletableFuture<CellReply> reply = pending.await(jobId);
+  private CompletableFuture<CellReply> awaitStored(PendingReplies pending, String key) {
+    CompletableFuture<CellReply> reply = pending.await(key);
     onChange.run();
     return reply;
   }
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/PendingReplies.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/PendingReplies.java
@@ -9,22 +9,22 @@
 /** Holds the replies to requests on jobs that wait until a record is stored. */
 final class PendingReplies {
 
-  private final Map<String, List<CompletableFuture<CellReply>>> repliesByJobId = new HashMap<>();
+  private final Map<String, List<CompletableFuture<CellReply>>> repliesByKey = new HashMap<>();
 
   boolean isEmpty() {
-    return repliesByJobId.isEmpty();
+    return repliesByKey.isEmpty();
   }
 
-  /** Returns a reply that waits for a job. */
-  CompletableFuture<CellReply> await(String jobId) {
+  /** Returns a reply that waits for the record with a key of the caller's choice. */
+  CompletableFuture<CellReply> await(String key) {
     CompletableFuture<CellReply> reply = new CompletableFuture<>();
-    repliesByJobId.computeIfAbsent(jobId, id -> new ArrayList<>()).add(reply);
+    repliesByKey.computeIfAbsent(key, id -> new ArrayList<>()).add(reply);
     return reply;
   }
 
-  /** Completes the replies that wait for a job; returns whether there were any. */
-  boolean complete(String jobId, CellReply reply) {
-    List<CompletableFuture<CellReply>> replies = repliesByJobId.remove(jobId);
+  /** Completes the replies that wait for a key; returns whether there were any. */
+  boolean complete(String key, CellReply reply) {
+    List<CompletableFuture<CellReply>> replies = repliesByKey.remove(key);
     if (replies == null) {
       return false;
     }
@@ -34,6 +34,6 @@
 
   /** Completes all replies. */
   void completeAll(CellReply reply) {
-    List.copyOf(repliesByJobId.keySet()).forEach(jobId -> complete(jobId, reply));
+    List.copyOf(repliesByKey.keySet()).forEach(key -> complete(key, reply));
   }
 }
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/JobRequestExecutorTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/JobRequestExecutorTest.java
@@ -81,6 +81,24 @@
     assertThat(cancelled.join().outcome()).isEqualTo(CellOutcome.UNKNOWN);
   }
 
+  /**
+   * Guards against a cancellation that is answered when another team's of the same id is stored.
+   */
+  @Example
+  void cancellationsOfTwoTeamsAreAnsweredOnceEachIsStored() {
+    advanceTime(200);
+    storing = false;
+    CompletableFuture<CellReply> first = cancel();
+    advanceTime(100);
+    CompletableFuture<CellReply> second = service.requests().cancel(JOB, "q", "other");
+    appends.poll().outcome().complete(AppendOutcome.STORED);
+    advanceTime(10);
+    assertThat(first.join().outcome()).isEqualTo(CellOutcome.NO_SUCH_JOB);
+    assertThat(second).as("its record is not stored").isNotDone();
+    storePending();
+    assertThat(second.join().outcome()).isEqualTo(CellOutcome.NO_SUCH_JOB);
+  }
+
   /** Guards against telling the caller of a job that will run that there is no such job. */
   @Example
   void phaseOfAJobThatIsBeingStoredIsToldOnceItIsStored() {
