--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -19,9 +19,6 @@
   /** Time after which an unanswered stop order is sent again, in milliseconds. */
   private static final long STOP_RETRY_MILLIS = 350;
 
-  /** Time in which a run ends after its stop is confirmed; the platform specifies 400 ms. */
-  private static final long STOP_COMPLETION_MILLIS = 1_000;
-
   /** Retry interval of renewals to a worker that does not answer, in milliseconds. */
   private static final long UNREACHABLE_RETRY_MILLIS = 300;
 
@@ -186,12 +183,16 @@
       }
       reported.add(placement);
       placement.markConfirmed(state.events().next(), now.monotonicMillis());
+      state.markBegun(placement.task().step().job());
       placement.progress(row.progressPercent(), row.checkpoint(), now.monotonicMillis());
       if (ElapsedTime.isOlderThan(
-          placement.stopConfirmedAtMillis(), report.sentAtMillis(), STOP_COMPLETION_MILLIS)) {
+          placement.stopConfirmedAtMillis(),
+          report.sentAtMillis(),
+          state.settings().bounds().stopCompletionMillis())) {
         placement.clearStopConfirmation();
       }
       stopIfStalled(placement, now);
+      endHandler.checkTest(placement, now);
     }
     unknownRuns.handle(worker, unplaced, report, requestNumber, now);
     if (!report.complete()) {
@@ -275,6 +276,7 @@
     List<Worker> removed = new ArrayList<>();
     for (Worker worker : state.workers().values()) {
       expireLeases(worker, now);
+      endHandler.expireFailures(worker, now);
       checkUnansweredStarts(worker, now);
       checkIsolatedStarts(worker, now.monotonicMillis());
       stopEarlierOrders(worker, now.monotonicMillis());
@@ -374,7 +376,7 @@
   private void stopIfStalled(Placement placement, ClockReading now) {
     long nowMillis = now.monotonicMillis();
     if (!placement.stopRequested() && stalled(placement, nowMillis)) {
-      placement.worker().quarantine().failed(placement.task().step().job().id(), nowMillis);
+      endHandler.countFailure(placement, now);
       placement.task().failedOn().add(placement.worker().id());
       state.stop(placement, StopReason.STALLED, nowMillis);
     }
