Bound the size of the records of a job

Cause: the progress record of a recurring job listed each completed occurrence, so after some 66,000 of them it exceeded the 262,144 bytes of the platform's store. A description with long dependency lists could exceed them at its submission, and checkpoints of any length could at any time.

Change: completed occurrences are a set of ranges. An occurrence counts as one more task in the limit on occurrences in progress. The record of an ended job holds only what its remaining runs need. Checkpoints that do not fit are left out, the longest first. A description that no record can hold is refused at its submission.

Conclusion: no number of occurrences lets a record exceed the limit.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/EndedJobCodec.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/EndedJobCodec.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.List;
+import org.cicadaford.cell.occurrences.OccurrenceRanges;
 import org.cicadaford.model.MalformedRecordException;
 import org.cicadaford.model.RecordCodec;
 import org.msgpack.core.MessageBufferPacker;
@@ -62,7 +63,8 @@
       if (!phase.terminal()) {
         throw new MalformedRecordException(JobProgress.class, null);
       }
-      return new JobProgress(queue, team, phase, endedAtMillis, List.of(), List.of(), List.of());
+      return new JobProgress(
+          queue, team, phase, endedAtMillis, List.of(), new OccurrenceRanges(), List.of());
     } catch (IOException | MessagePackException | IllegalArgumentException e) {
       throw new MalformedRecordException(JobProgress.class, e);
     }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Job.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Job.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import java.util.TreeSet;
+import org.cicadaford.cell.occurrences.OccurrenceRanges;
 
 /** A job and the state of its occurrences. */
 final class Job {
@@ -13,7 +13,7 @@
   private final JobDefinition definition;
   private final JobObjective objective;
   private final Map<Integer, List<StepRun>> occurrences = new TreeMap<>();
-  private final TreeSet<Integer> doneOccurrences = new TreeSet<>();
+  private final OccurrenceRanges doneOccurrences = new OccurrenceRanges();
   private int nextOccurrence;
   private JobPhase phase = JobPhase.PENDING;
   private JobPhase storedPhase = JobPhase.PENDING;
@@ -108,6 +108,11 @@
     definitionDeleted = true;
   }
 
+  /** Marks that the deletion of the definition was refused with the other records of the job. */
+  void definitionNotDeleted() {
+    definitionDeleted = false;
+  }
+
   long endedAtMillis() {
     return endedAtMillis;
   }
@@ -120,7 +125,7 @@
     return occurrences;
   }
 
-  TreeSet<Integer> doneOccurrences() {
+  OccurrenceRanges doneOccurrences() {
     return doneOccurrences;
   }
 
@@ -146,20 +151,24 @@
 
   /** Returns the lowest occurrence that has not begun, or the number of occurrences if all have. */
   int nextOccurrence() {
-    while (occurrences.containsKey(nextOccurrence) || doneOccurrences.contains(nextOccurrence)) {
-      nextOccurrence++;
+    nextOccurrence = doneOccurrences.firstMissing(nextOccurrence);
+    while (occurrences.containsKey(nextOccurrence)) {
+      nextOccurrence = doneOccurrences.firstMissing(nextOccurrence + 1);
     }
     return nextOccurrence;
   }
 
   /**
    * Returns whether another occurrence may begin. A job with very many due occurrences would
-   * otherwise fill the memory of the coordinator, and its record the store's limit.
+   * otherwise fill the memory of the coordinator, and its record the store's limit. This bounds the
+   * ranges of completed occurrences too: there is at most one more of them than there are
+   * occurrences in progress.
    */
   boolean mayBeginOccurrence() {
     int tasksOfOne = spec().steps().stream().mapToInt(StepSpec::taskCount).sum();
+    // An occurrence takes about as many bytes of the record as a task, its range included.
     return occurrences.isEmpty()
-        || (occurrences.size() + 1L) * tasksOfOne <= JobSpecValidator.MAX_TASKS;
+        || (occurrences.size() + 1L) * (tasksOfOne + 1) <= JobSpecValidator.MAX_TASKS;
   }
 
   /** Returns whether all steps that {@code step} depends on are done. */
@@ -200,7 +209,7 @@
   }
 
   boolean allDone() {
-    return doneOccurrences.size() >= spec().runCount();
+    return doneOccurrences.count() >= spec().runCount();
   }
 
   List<Placement> placements() {
@@ -209,6 +218,11 @@
     return placements;
   }
 
+  /** Returns whether any task of the steps is placed. */
+  static boolean hasPlacement(List<StepRun> steps) {
+    return !placementsOf(steps).isEmpty();
+  }
+
   private static List<Placement> placementsOf(List<StepRun> steps) {
     List<Placement> placements = new ArrayList<>();
     for (StepRun step : steps) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobProgress.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobProgress.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonValue;
 import java.util.List;
+import org.cicadaford.cell.occurrences.OccurrenceRanges;
 
 /**
  * The mutable part of a job, as it is stored.
@@ -22,7 +23,7 @@
     JobPhase phase,
     long endedAtMillis,
     List<WorkerKey> workers,
-    List<Integer> doneOccurrences,
+    OccurrenceRanges doneOccurrences,
     List<OccurrenceProgress> occurrences) {
 
   /**
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRecordFactory.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRecordFactory.java
@@ -1,10 +1,14 @@
 package org.cicadaford.cell;
 
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.cicadaford.cell.JobProgress.OccurrenceProgress;
 import org.cicadaford.cell.JobProgress.TaskProgress;
 import org.cicadaford.cell.JobProgress.WorkerKey;
+import org.cicadaford.cell.occurrences.OccurrenceRanges;
 import org.cicadaford.model.RecordCodec;
 
 /** Creates the stored records of a job and defines their keys. */
@@ -24,13 +28,41 @@
     return new RecordWrite(DEFINITION_PREFIX + job.id(), RecordCodec.encode(job.definition()));
   }
 
+  /**
+   * Returns the progress of a job, in the form that {@link ProgressForm} states.
+   *
+   * <p>Checkpoints are chosen by the workers and may have any length. Those that do not fit the
+   * limit of a record are left out, the longest first; after a takeover, their tasks begin anew.
+   */
   static RecordWrite progress(Job job) {
-    boolean idle = job.phase().terminal() && job.placements().isEmpty();
-    byte[] content =
-        idle
-            ? EndedJobCodec.encode(job.queueName(), job.team(), job.phase(), job.endedAtMillis())
-            : RecordCodec.encode(progressOf(job));
-    return new RecordWrite(PROGRESS_PREFIX + job.id(), content);
+    String key = PROGRESS_PREFIX + job.id();
+    ProgressForm form = ProgressForm.of(job);
+    if (form == ProgressForm.ENDED) {
+      return new RecordWrite(
+          key, EndedJobCodec.encode(job.queueName(), job.team(), job.phase(), job.endedAtMillis()));
+    }
+    RecordWrite write = new RecordWrite(key, encode(job, form, Set.of()));
+    if (!RecordLimits.isTooLarge(write)) {
+      return write;
+    }
+    long excessBytes = RecordLimits.sizeOf(write) - RecordLimits.MAX_RECORD_BYTES;
+    return new RecordWrite(key, encode(job, form, longestCheckpoints(job, excessBytes)));
+  }
+
+  /** Returns the tasks whose checkpoints are the longest and have that many characters. */
+  private static Set<Task> longestCheckpoints(Job job, long length) {
+    List<Task> tasks = new ArrayList<>();
+    job.occurrences().values().forEach(steps -> steps.forEach(step -> tasks.addAll(step.tasks())));
+    tasks.sort(Comparator.comparingInt((Task task) -> task.checkpoint().length()).reversed());
+    Set<Task> longest = new HashSet<>();
+    long left = length;
+    for (Task task : tasks) {
+      if (left > 0 && !task.checkpoint().isEmpty()) {
+        longest.add(task);
+        left -= task.checkpoint().length();
+      }
+    }
+    return longest;
   }
 
   static RecordWrite progressDeletion(Job job) {
@@ -41,29 +73,37 @@
     return new RecordWrite(DEFINITION_PREFIX + job.id(), DELETED);
   }
 
-  private static JobProgress progressOf(Job job) {
+  private static byte[] encode(Job job, ProgressForm form, Set<Task> withoutCheckpoint) {
+    boolean runsOnly = form == ProgressForm.RUNS_ONLY;
     List<WorkerKey> workers = new ArrayList<>();
     List<OccurrenceProgress> occurrences = new ArrayList<>();
     job.occurrences()
         .forEach(
             (occurrence, steps) -> {
+              if (runsOnly && !Job.hasPlacement(steps)) {
+                return;
+              }
               List<TaskProgress> tasks = new ArrayList<>();
               for (StepRun step : steps) {
-                step.tasks().forEach(task -> tasks.add(progressOf(task, workers)));
+                for (Task task : step.tasks()) {
+                  boolean bare = runsOnly || withoutCheckpoint.contains(task);
+                  tasks.add(progressOf(task, workers, bare ? "" : task.checkpoint()));
+                }
               }
               occurrences.add(new OccurrenceProgress(occurrence, tasks));
             });
-    return new JobProgress(
-        job.queueName(),
-        job.team(),
-        job.phase(),
-        job.endedAtMillis(),
-        workers,
-        List.copyOf(job.doneOccurrences()),
-        occurrences);
+    return RecordCodec.encode(
+        new JobProgress(
+            job.queueName(),
+            job.team(),
+            job.phase(),
+            job.endedAtMillis(),
+            workers,
+            runsOnly ? new OccurrenceRanges() : job.doneOccurrences(),
+            occurrences));
   }
 
-  private static TaskProgress progressOf(Task task, List<WorkerKey> workers) {
+  private static TaskProgress progressOf(Task task, List<WorkerKey> workers, String checkpoint) {
     int workerIndex = -1;
     Placement placement = task.placement();
     if (placement != null) {
@@ -79,7 +119,7 @@
         task.lastRun(),
         task.failedCount(),
         workerIndex,
-        task.checkpoint(),
+        checkpoint,
         task.crashCount(),
         task.startLossCount(),
         task.lastLostRun());
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobSpecValidator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobSpecValidator.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import org.cicadaford.model.RecordCodec;
 
 /** Validates job descriptions before they are accepted. */
 public final class JobSpecValidator {
@@ -15,6 +16,24 @@
   /** Maximum number of tasks in all steps; bounds the size of a journal record. */
   static final int MAX_TASKS = 5_000;
 
+  /**
+   * Size in bytes that is kept free in a record of the journal, beside the encoded description, for
+   * the key, the other fields and usual names of the queue, the team and the zone.
+   */
+  private static final int RESERVED_BYTES = 16 << 10;
+
+  /** Maximum size of the other fields of a definition without their names, in bytes. */
+  private static final int OTHER_FIELDS_BYTES = 1 << 10;
+
+  /** Maximum size of an encoded step without its lists and texts, in bytes. */
+  private static final int MAX_STEP_BYTES = 512;
+
+  /** Maximum size of an encoded index of a step, in bytes; an index is below 200. */
+  private static final int MAX_INDEX_BYTES = 2;
+
+  /** Maximum size of a character in UTF-8, in bytes. */
+  private static final int MAX_CHARACTER_BYTES = 3;
+
   private JobSpecValidator() {}
 
   /**
@@ -44,6 +63,38 @@
     require(isAcyclic(spec.steps()), "the step dependencies form a cycle; remove it");
   }
 
+  /**
+   * Checks that a submitted description fits a record of the journal. Stored descriptions are not
+   * checked: they have fitted.
+   *
+   * @param nameLength number of characters in the names of its queue, team and zone, or 0 if they
+   *     are not known yet
+   * @throws InvalidJobException if it does not
+   */
+  public static void checkSize(JobSpec spec, int nameLength) throws InvalidJobException {
+    long nameBytes = OTHER_FIELDS_BYTES + (long) MAX_CHARACTER_BYTES * nameLength;
+    long maxBytes = RecordLimits.MAX_RECORD_BYTES - Math.max(RESERVED_BYTES, nameBytes);
+    // Most descriptions are far smaller, so they need not be encoded to be sure.
+    boolean fits = maxEncodedBytes(spec) <= maxBytes || RecordCodec.encode(spec).length <= maxBytes;
+    require(
+        fits,
+        "the job description exceeds "
+            + maxBytes
+            + " bytes as stored; use fewer steps, dependencies or shorter names");
+  }
+
+  /** Returns an upper bound on the size of an encoded description, in bytes. */
+  static long maxEncodedBytes(JobSpec spec) {
+    long bytes = MAX_STEP_BYTES + (long) MAX_CHARACTER_BYTES * spec.payload().length();
+    for (StepSpec step : spec.steps()) {
+      long characters = step.requiredLabel().length() + step.dataRack().length();
+      characters += step.image() == null ? 0 : step.image().length();
+      bytes += MAX_STEP_BYTES + MAX_CHARACTER_BYTES * characters;
+      bytes += (long) MAX_INDEX_BYTES * step.after().size();
+    }
+    return bytes;
+  }
+
   private static void checkStep(StepSpec step, int stepCount) throws InvalidJobException {
     require(
         step != null
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StoredRecordChecker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StoredRecordChecker.java
@@ -41,15 +41,12 @@
             && progress.team() != null
             && progress.phase() != null
             && noNulls(progress.workers())
-            && noNulls(progress.doneOccurrences())
+            && progress.doneOccurrences() != null
             && noNulls(progress.occurrences());
     require(valid, JobProgress.class, null);
     for (WorkerKey worker : progress.workers()) {
       require(worker.id() != null, WorkerKey.class, null);
     }
-    for (int occurrence : progress.doneOccurrences()) {
-      require(occurrence >= 0, JobProgress.class, null);
-    }
     for (OccurrenceProgress occurrence : progress.occurrences()) {
       require(
           occurrence.occurrence() >= 0 && noNulls(occurrence.tasks()),
@@ -72,7 +69,7 @@
   /** Returns whether all occurrences in the progress belong to the job. */
   static boolean fits(JobProgress progress, JobSpec spec) {
     int runCount = spec.runCount();
-    return progress.doneOccurrences().stream().allMatch(number -> number < runCount)
+    return progress.doneOccurrences().allBelow(runCount)
         && progress.occurrences().stream().allMatch(one -> one.occurrence() < runCount);
   }
 
--- /dev/null
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/occurrences/package-info.java
@@ -0,0 +1,2 @@
+/** Sets of the occurrences of recurring jobs. */
+package org.cicadaford.cell.occurrences;
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/EndedJobCodecTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/EndedJobCodecTest.java
@@ -10,6 +10,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
+import org.cicadaford.cell.occurrences.OccurrenceRanges;
 import org.cicadaford.model.MalformedRecordException;
 import org.cicadaford.model.RecordCodec;
 
@@ -34,7 +35,8 @@
   @Example
   void generalFormIsNotCompact() {
     JobProgress progress =
-        new JobProgress("q", "t", JobPhase.RUNNING, 0, List.of(), List.of(), List.of());
+        new JobProgress(
+            "q", "t", JobPhase.RUNNING, 0, List.of(), new OccurrenceRanges(), List.of());
     assertThat(EndedJobCodec.isCompact(RecordCodec.encode(progress))).isFalse();
     assertThat(EndedJobCodec.isCompact(new byte[0])).isFalse();
   }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/JobProgressTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/JobProgressTest.java
@@ -9,6 +9,7 @@
 import org.cicadaford.cell.JobProgress.OccurrenceProgress;
 import org.cicadaford.cell.JobProgress.TaskProgress;
 import org.cicadaford.cell.JobProgress.WorkerKey;
+import org.cicadaford.cell.occurrences.OccurrenceRanges;
 import org.cicadaford.model.RecordCodec;
 
 /**
@@ -33,7 +34,7 @@
         JobPhase.RUNNING,
         0,
         List.of(new WorkerKey("w1", 1_700_000_000_123L)),
-        List.of(),
+        new OccurrenceRanges(),
         List.of(
             new OccurrenceProgress(
                 0,
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/JobRestorerTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/JobRestorerTest.java
@@ -12,9 +12,9 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
-import org.cicadaford.cell.JobProgress.OccurrenceProgress;
 import org.cicadaford.cell.JobProgress.TaskProgress;
 import org.cicadaford.cell.JobProgress.WorkerKey;
+import org.cicadaford.cell.occurrences.OccurrenceRanges;
 import org.cicadaford.model.RecordCodec;
 import org.cicadaford.model.Resources;
 
@@ -27,6 +27,8 @@
       new Queue("q", "h", "/q/", "s", 0, 3, 2, 250, 3_000, false, AdvicePolicy.NONE);
   private static final ClockReading NOW = new ClockReading(10_000, 1_700_000_000_000L);
 
+  private static final OccurrenceRanges NONE = new OccurrenceRanges();
+
   private static StepSpec step(int taskCount, List<Integer> after) {
     Resources demand = new Resources(1_000, 100, 0);
     return new StepSpec(
@@ -42,20 +44,21 @@
     return new JobDefinition(jobId, queue, team, "z", 1_700_000_000_000L, false, spec);
   }
 
-  private static JobProgress progress(List<TaskProgress> tasks) {
+  private static Object progress(List<TaskProgress> tasks) {
     return progress(tasks, 0, List.of());
   }
 
-  private static JobProgress progress(
-      List<TaskProgress> tasks, int occurrence, List<Integer> doneOccurrences) {
-    return new JobProgress(
+  /** Returns the elements of a progress record, whose completed occurrences may be odd. */
+  private static List<Object> progress(
+      List<TaskProgress> tasks, int occurrence, List<?> doneOccurrences) {
+    return List.of(
         "q",
         "t",
         JobPhase.RUNNING,
         0,
         List.of(new WorkerKey("w", 5)),
         doneOccurrences,
-        List.of(new OccurrenceProgress(occurrence, tasks)));
+        List.of(Arrays.asList(occurrence, tasks)));
   }
 
   private static TaskProgress task(int lastRun, int workerIndex, String checkpoint) {
@@ -129,12 +132,21 @@
     progresses.put("occurrence -1", progress(List.of(task(1, 0, "")), -1, List.of()));
     progresses.put("occurrence 9", progress(List.of(task(1, 0, "")), 9, List.of()));
     progresses.put("done -1", progress(List.of(task(1, 0, "")), 0, List.of(-1)));
-    progresses.put("no phase", new JobProgress("q", "t", null, 0, List.of(), List.of(), List.of()));
+    progresses.put(
+        "done twice", progress(List.of(task(1, 0, "")), 0, List.of(List.of(0, 0), List.of(0, 0))));
+    progresses.put("done 3 to 1", progress(List.of(task(1, 0, "")), 0, List.of(List.of(3, 1))));
+    progresses.put("done 0 to 9", progress(List.of(task(1, 0, "")), 0, List.of(List.of(0, 9))));
+    progresses.put(
+        "done to 2^31", progress(List.of(task(1, 0, "")), 0, List.of(List.of(0, -1 >>> 1))));
+    progresses.put(
+        "done in threes", progress(List.of(task(1, 0, "")), 0, List.of(List.of(0, 0, 0))));
+    progresses.put("done as text", progress(List.of(task(1, 0, "")), 0, List.of("0")));
+    progresses.put("no phase", new JobProgress("q", "t", null, 0, List.of(), NONE, List.of()));
     progresses.put("no lists", new JobProgress("q", "t", JobPhase.RUNNING, 0, null, null, null));
     progresses.put(
         "no worker id",
         new JobProgress(
-            "q", "t", JobPhase.RUNNING, 0, List.of(new WorkerKey(null, 5)), List.of(), List.of()));
+            "q", "t", JobPhase.RUNNING, 0, List.of(new WorkerKey(null, 5)), NONE, List.of()));
     progresses.forEach(
         (name, progress) -> {
           if (!restoresWithout("p/", write("d/", ODD, sound), write("p/", ODD, progress))) {
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/JobTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/JobTest.java
@@ -39,4 +39,24 @@
     assertThat(cell.phaseOf("rounds")).isEqualTo(JobPhase.COMPLETED);
     assertThat(cell.violations).isEmpty();
   }
+
+  /**
+   * Guards against a job that runs each second and whose record exceeds the limit of the store
+   * after 18 hours, so that nothing of any job is stored any more.
+   */
+  @Example
+  void recordOfAJobWithManyCompletedOccurrencesFitsTheStore() {
+    StepSpec step = SimulatedJobs.step(1, 1_000, 300, false);
+    JobSpec spec = new JobSpec("payload", List.of(step), TWO_BILLION, 1, 1);
+    Queue queue = SimulatedJobs.config(Resources.NONE, AdvicePolicy.NONE).queue("q").orElseThrow();
+    Job job = new Job(new JobDefinition("seconds", queue, "team", "z", 0, false, spec));
+    int largest = 0;
+    for (int occurrence = 0; occurrence < 100_000; occurrence++) {
+      job.doneOccurrences().add(job.nextOccurrence());
+      if (occurrence % 500 == 0) {
+        largest = Math.max(largest, JobRecordFactory.progress(job).value().length);
+      }
+    }
+    assertThat(largest).isLessThan(262_144);
+  }
 }
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorRequestHandler.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorRequestHandler.java
@@ -41,6 +41,15 @@
     };
   }
 
+  private static int nameLength(Queue queue, Submitter submitter) {
+    return queue.name().length()
+        + queue.host().length()
+        + queue.pathPrefix().length()
+        + queue.service().length()
+        + submitter.team().length()
+        + (submitter.zone() == null ? 0 : submitter.zone().length());
+  }
+
   private CompletableFuture<CellReply> submit(
       CoordinatorService coordinator,
       String jobId,
@@ -61,6 +70,7 @@
       JobSpec decoded = RecordCodec.decode(spec, JobSpec.class);
       // The decoder fills in null for values that the message lacks.
       JobSpecValidator.check(decoded);
+      JobSpecValidator.checkSize(decoded, nameLength(queue, submitter));
       return coordinator.requests().submit(jobId, queue, submitter, decoded);
     } catch (MalformedRecordException | InvalidJobException e) {
       return CompletableFuture.completedFuture(
