Let a refused record harm only its own job

Cause: the adapter took each 4xx answer for an unknown outcome, and JournalWriter repeats an append whose outcome is unknown without end. One record that the store refuses kept the coordinator and each successor from storing anything, so nothing started for any team.

Ruled out: one append for each job, which multiplies the calls to the store; dropping the record and letting its job continue, as a run must not rely on a record that is not stored; a limit on the size alone, as the store may refuse a record for another reason.

The writer divides a rejected batch between jobs until the records at fault are found; the next append has the same sequence number. Records count as at fault only if the store accepts an append afterwards, so a store that rejects everything fails no job. The job fails, its runs are stopped, and a smaller record is stored; until then the ends of its batch are not acknowledged. Batches above the limit of a call are divided beforehand; an outage with many changed jobs had the same effect as the record. A rejected announcement is not repeated, as heartbeats name the coordinator.

Figures: of 40 jobs with two at fault, 38 are stored in less than 30 appends (JournalWriterTest); with 1,000 jobs and a store that rejects everything for 1.2 s, less than 30 appends and no job failed.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Action.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Action.java
@@ -80,6 +80,9 @@
   /** Confirms to the caller that the cancellation is stored. */
   record ConfirmCancellation(String jobId) implements Action {}
 
+  /** Rejects the requests on a job that wait for a record which the store refuses. */
+  record RejectRequests(String jobId) implements Action {}
+
   /**
    * Reports that the end of a job is stored.
    *
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -29,6 +30,9 @@
     }
   }
 
+  /** State of a job as it is stored with the current batch. */
+  private record BatchedJob(JobPhase phase, ProgressForm form) {}
+
   private final CellState state;
   private final RunEndHandler endHandler;
   private final OrderAnswerHandler answerHandler;
@@ -41,8 +45,8 @@
   private final AdmissionPolicy admissionPolicy;
   private final EndedJobRemover endedJobRemover;
   private final EarlyCancellationHandler earlyCancellationHandler;
-  private final List<Job> batchJobs = new ArrayList<>();
-  private final List<JobPhase> batchPhases = new ArrayList<>();
+  private final RefusedRecordHandler refusedRecordHandler;
+  private final Map<Job, BatchedJob> batchJobs = new LinkedHashMap<>();
   private final List<Placement> batchStarts = new ArrayList<>();
   private final List<Action> batchActions = new ArrayList<>();
   private final List<StoredEnds> batchEnds = new ArrayList<>();
@@ -68,6 +72,7 @@
     drainEvictor = new DrainEvictor(state);
     endedJobRemover = new EndedJobRemover(state);
     earlyCancellationHandler = new EarlyCancellationHandler(state, endHandler);
+    refusedRecordHandler = new RefusedRecordHandler(state, endHandler);
   }
 
   /** Restores the state from stored records; returns the keys of those that cannot be decoded. */
@@ -264,11 +269,16 @@
         state.jobsToStore().isEmpty()
             && state.otherWrites().isEmpty()
             && state.actionsAfterStore().isEmpty();
-    if (batchOpen || (noChanges && state.workersWithUnstoredEnds().isEmpty())) {
+    boolean holdsEnds = refusedRecordHandler.holdsEnds();
+    if (batchOpen || (noChanges && (holdsEnds || state.workersWithUnstoredEnds().isEmpty()))) {
       return Optional.empty();
     }
     List<RecordWrite> writes = new ArrayList<>(state.otherWrites());
     for (Job job : state.jobsToStore()) {
+      if (refusedRecordHandler.mustWait(job)) {
+        // The release of its last placement marks it again.
+        continue;
+      }
       if (!job.stored() && job.phase().terminal() && job.placements().isEmpty()) {
         // Nothing would delete the definition, as the job has no further change.
         job.markDefinitionDeleted();
@@ -280,15 +290,16 @@
         job.markDefinitionDeleted();
         writes.add(JobRecordFactory.definitionDeletion(job));
       }
-      batchJobs.add(job);
-      batchPhases.add(job.phase());
+      batchJobs.put(job, new BatchedJob(job.phase(), ProgressForm.of(job)));
     }
     batchActions.addAll(state.actionsAfterStore());
     batchStarts.addAll(state.startsAfterStore());
-    for (Worker worker : state.workersWithUnstoredEnds()) {
-      batchEnds.add(new StoredEnds(worker, worker.incarnation(), worker.processedEnd()));
+    if (!holdsEnds) {
+      for (Worker worker : state.workersWithUnstoredEnds()) {
+        batchEnds.add(new StoredEnds(worker, worker.incarnation(), worker.processedEnd()));
+      }
+      state.workersWithUnstoredEnds().clear();
     }
-    state.workersWithUnstoredEnds().clear();
     state.jobsToStore().clear();
     state.otherWrites().clear();
     state.actionsAfterStore().clear();
@@ -297,18 +308,38 @@
     return Optional.of(new Batch(writes, List.copyOf(batchActions)));
   }
 
+  /**
+   * Handles records of the last batch that the store refuses for their content; {@link
+   * #batchStored} follows, for all others.
+   */
+  public void recordsRefused(List<RecordWrite> records, ClockReading now) {
+    for (RecordWrite write : records) {
+      Job job = state.jobs().get(write.owner());
+      BatchedJob batched = batchJobs.remove(job);
+      if (batched != null) {
+        refusedRecordHandler.refuse(job, batched.form(), batchActions, now);
+      }
+      refusedRecordHandler.refuse(write, batchActions);
+    }
+    if (refusedRecordHandler.holdsEnds()) {
+      batchEnds.forEach(ends -> state.workersWithUnstoredEnds().add(ends.worker()));
+      batchEnds.clear();
+    }
+  }
+
   /** Handles the confirmation that the last batch is stored. */
   public void batchStored(ClockReading now) {
     batchOpen = false;
-    for (int index = 0; index < batchJobs.size(); index++) {
-      Job job = batchJobs.get(index);
-      boolean ended = batchPhases.get(index).terminal() && !job.storedPhase().terminal();
-      state.markStored(job, batchPhases.get(index));
-      if (ended) {
-        state.actions().add(job.endReport(now.unixMillis()));
-      }
-    }
-    for (Job job : batchJobs) {
+    batchJobs.forEach(
+        (job, batched) -> {
+          boolean ended = batched.phase().terminal() && !job.storedPhase().terminal();
+          state.markStored(job, batched.phase());
+          refusedRecordHandler.stored(job);
+          if (ended) {
+            state.actions().add(job.endReport(now.unixMillis()));
+          }
+        });
+    for (Job job : batchJobs.keySet()) {
       if (job.phase() == JobPhase.CANCELLED && job.storedPhase() == JobPhase.CANCELLED) {
         job.placements().forEach(placement -> stopIfNotSent(placement, now));
       }
@@ -320,7 +351,6 @@
     startIssuer.issue(batchStarts, now);
     state.actions().addAll(batchActions);
     batchJobs.clear();
-    batchPhases.clear();
     batchEnds.clear();
     batchStarts.clear();
     batchActions.clear();
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/RecordWrite.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/RecordWrite.java
@@ -6,4 +6,13 @@
  * @param key key of the record
  * @param value new value, or an empty array to delete the record
  */
-public record RecordWrite(String key, byte[] value) {}
+public record RecordWrite(String key, byte[] value) {
+
+  /**
+   * Returns the part of the key that all records of a job share: its id, without the prefix of the
+   * kind. Such records are stored together or not at all.
+   */
+  public String owner() {
+    return key.substring(key.indexOf('/') + 1);
+  }
+}
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
@@ -350,6 +350,7 @@
       case Action.ReportDecision decision -> trace(decision.id(), decision.outcome());
       case Action.ReportLostRun lost -> lostRuns.add(lost);
       case Action.ReportJobEnd end -> ended.put(end.jobId(), end.ageMillis());
+      case Action.RejectRequests reject -> trace(reject.jobId(), "rejected");
       case Action.ConfirmSubmission(String jobId) -> accepted.put(jobId, null);
       case Action.ConfirmCancellation(String jobId) -> cancelled.putIfAbsent(jobId, nowMillis);
     }
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/AppendOutcome.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/AppendOutcome.java
@@ -6,8 +6,13 @@
   STORED,
   /** A coordinator with a higher epoch has claimed the journal, or its end has moved. */
   FENCED,
-  /** The store rejected the call, and nothing was stored. */
+  /** The store rejected the call, nothing was stored, and a repeated call may succeed. */
   REFUSED,
+  /**
+   * The store rejected the content, for example a record that is too large. Nothing was stored, the
+   * sequence number is not used up, and the same append is never accepted.
+   */
+  REJECTED,
   /** The records may or may not be stored; the same append can be repeated safely. */
   UNKNOWN
 }
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellStore.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellStore.java
@@ -51,7 +51,8 @@
 
   /**
    * Appends records atomically. An append that is repeated with the same sequence number takes
-   * effect once.
+   * effect once. After {@link AppendOutcome#REJECTED}, the next append has the same sequence
+   * number.
    *
    * @param sequence number of the append within the epoch, from 1
    */
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
@@ -75,7 +75,15 @@
     this.epoch = leadership.epoch();
     this.coordinator = new Coordinator(settings);
     this.journal =
-        new JournalWriter(leadership, claimedAt, store, loop, clock, metrics, this::stepDown);
+        new JournalWriter(
+            leadership,
+            claimedAt,
+            store,
+            loop,
+            clock,
+            metrics,
+            this::handleRejectedRecords,
+            this::stepDown);
     this.dispatcher =
         new OrderDispatcher(
             epoch,
@@ -250,6 +258,10 @@
     scheduleRound();
   }
 
+  private void handleRejectedRecords(List<RecordWrite> records) {
+    coordinator.recordsRefused(records, clock.get());
+  }
+
   private void stepDown() {
     if (running) {
       stop();
@@ -280,6 +292,7 @@
         metrics.recordWorkerEvent(category, outcome);
         log.write(category, id, outcome, inputs);
       }
+      case Action.RejectRequests(String jobId) -> requests.reject(jobId);
       case Action.ConfirmSubmission(String jobId) ->
           requests.confirmSubmission(jobId, journal.sequence());
       case Action.ConfirmCancellation(String jobId) ->
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/InstanceSettings.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/InstanceSettings.java
@@ -45,6 +45,9 @@
     long stopSeconds,
     int metricsPort) {
 
+  /** Maximum length of an instance id; readers of announcements refuse longer ones. */
+  private static final int MAX_ID_LENGTH = 256;
+
   private static final ObjectMapper MAPPER =
       new ObjectMapper().configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
 
@@ -73,7 +76,9 @@
   }
 
   private void check() throws IOException {
-    require(instanceId != null && !instanceId.isEmpty(), "instanceId must be given");
+    require(
+        instanceId != null && !instanceId.isEmpty() && instanceId.length() <= MAX_ID_LENGTH,
+        "instanceId must be given, with at most " + MAX_ID_LENGTH + " characters");
     require(zone != null && !zone.isEmpty(), "zone must be given");
     require(peerPort > 0 && peerPort < 65_536, "peerPort must be a port");
     require(requestAddress != null, "requestAddress must be given as ip:port");
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/JobRequestExecutor.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/JobRequestExecutor.java
@@ -72,6 +72,14 @@
     completeStored(pendingCancellations, jobId, "cancel", sequence);
   }
 
+  /** Replies to the requests on a job whose record the store refuses. */
+  void reject(String jobId) {
+    String reason = "the store refuses the record of this job; submit it with less content";
+    pendingSubmissions.complete(jobId, CellReply.of(CellOutcome.INVALID, reason));
+    pendingCancellations.complete(
+        jobId, CellReply.of(CellOutcome.UNKNOWN, "the store refuses the record of this job"));
+  }
+
   private void completeStored(
       PendingReplies pending, String jobId, String category, long sequence) {
     if (pending.complete(jobId, CellReply.done("stored"))) {
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/JournalHeartbeat.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/JournalHeartbeat.java
@@ -37,6 +37,12 @@
     return new RecordWrite(KEY, text.getBytes(StandardCharsets.UTF_8));
   }
 
+  /** Returns a heartbeat that does not name the coordinator, as builds up to 2b31587 read it. */
+  static RecordWrite unnamed(Leadership coordinator, long sequence) {
+    String text = coordinator.epoch() + "." + sequence;
+    return new RecordWrite(KEY, text.getBytes(StandardCharsets.UTF_8));
+  }
+
   /** Returns the coordinator that a journal record names, if it is a heartbeat that names one. */
   static Optional<Leadership> coordinatorIn(RecordWrite write) {
     if (!write.key().equals(KEY)) {
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/JournalWriter.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/JournalWriter.java
@@ -1,16 +1,29 @@
 package org.cicadaford.coordinator;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.cicadaford.cell.ClockReading;
 import org.cicadaford.cell.ElapsedTime;
+import org.cicadaford.cell.RecordLimits;
 import org.cicadaford.cell.RecordWrite;
 
-/** Appends the batches of one epoch to the journal in order, retrying each until it is stored. */
+/**
+ * Appends the batches of one epoch to the journal in order, retrying each until it is stored.
+ *
+ * <p>A batch that exceeds the store's limit on a call is stored in several appends. If the store
+ * rejects the content of an append, it is divided until the records at fault are found, and all
+ * others are stored. The records of one job are never divided. Designed for batches of thousands of
+ * records of which a few are at fault: each costs two appends for each halving of the batch.
+ */
 final class JournalWriter {
 
   /**
@@ -28,6 +41,9 @@
   /** Delay before a failed append is retried, in milliseconds. */
   private static final long APPEND_RETRY_DELAY_MILLIS = 50;
 
+  /** Maximum size of the records of an append, in bytes, which leaves room for a heartbeat. */
+  private static final int MAX_PART_BYTES = RecordLimits.MAX_CALL_BYTES - (4 << 10);
+
   /** Number of consecutive failed attempts after which the store counts as unavailable. */
   private static final int UNHEALTHY_FAILURE_COUNT = 3;
 
@@ -36,7 +52,21 @@
   private final ScheduledExecutorService loop;
   private final Supplier<ClockReading> clock;
   private final CellMetrics metrics;
+  private final Consumer<List<RecordWrite>> onRejected;
   private final Runnable onFenced;
+
+  /** Parts of the current batch that are to be appended, as lists of the records of each owner. */
+  private final Deque<List<List<RecordWrite>>> parts = new ArrayDeque<>();
+
+  /** Records of the current batch, by owner, that the store has rejected on their own. */
+  private final List<List<RecordWrite>> suspects = new ArrayList<>();
+
+  /** Records of the current batch that exceed the limit on a record and are never sent. */
+  private final List<RecordWrite> rejected = new ArrayList<>();
+
+  /** Whether the store has been asked for a heartbeat since it rejected a part of this batch. */
+  private boolean probed;
+
   private boolean running = true;
   private boolean appendPending;
   private long sequence;
@@ -50,6 +80,8 @@
    *
    * @param coordinator coordinator that has claimed it, which the heartbeats name
    * @param claimedAt time at which the claim was sent
+   * @param onRejected receives the records of a batch that the store rejects for their content,
+   *     once all others are stored and before the batch counts as stored
    * @param onFenced runs once when a higher epoch has taken over
    */
   JournalWriter(
@@ -59,12 +91,14 @@
       ScheduledExecutorService loop,
       Supplier<ClockReading> clock,
       CellMetrics metrics,
+      Consumer<List<RecordWrite>> onRejected,
       Runnable onFenced) {
     this.coordinator = coordinator;
     this.store = store;
     this.loop = loop;
     this.clock = clock;
     this.metrics = metrics;
+    this.onRejected = onRejected;
     this.onFenced = onFenced;
     this.lastStoredAt = claimedAt;
   }
@@ -123,59 +157,163 @@
 
   /**
    * Appends records, after a heartbeat record if one is due; {@code onStored} runs once they are
-   * stored.
+   * stored, except for rejected ones.
    */
   void append(List<RecordWrite> records, Runnable onStored) {
-    sequence++;
     appendPending = true;
+    divide(records);
+    if (parts.isEmpty()) {
+      parts.add(List.of());
+    }
+    appendNextPart(onStored);
+  }
+
+  /** Divides a batch into parts within the limit on a call; too large records are rejected here. */
+  private void divide(List<RecordWrite> records) {
+    Map<String, List<RecordWrite>> byOwner = new LinkedHashMap<>();
+    records.forEach(
+        write -> byOwner.computeIfAbsent(write.owner(), owner -> new ArrayList<>()).add(write));
+    List<List<RecordWrite>> part = new ArrayList<>();
+    int partBytes = 0;
+    for (List<RecordWrite> group : byOwner.values()) {
+      if (group.stream().anyMatch(RecordLimits::isTooLarge)) {
+        rejected.addAll(group);
+        continue;
+      }
+      int bytes = group.stream().mapToInt(RecordLimits::sizeOf).sum();
+      if (!part.isEmpty() && partBytes + bytes > MAX_PART_BYTES) {
+        parts.add(part);
+        part = new ArrayList<>();
+        partBytes = 0;
+      }
+      part.add(group);
+      partBytes += bytes;
+    }
+    if (!part.isEmpty()) {
+      parts.add(part);
+    }
+  }
+
+  private void appendNextPart(Runnable onStored) {
+    List<List<RecordWrite>> part = parts.poll();
+    sequence++;
     long nowMillis = clock.get().monotonicMillis();
     List<RecordWrite> appended = new ArrayList<>();
     if (!ElapsedTime.within(lastNamedAtMillis, nowMillis, NAMING_INTERVAL_MILLIS - 1)) {
       lastNamedAtMillis = OptionalLong.of(nowMillis);
       appended.add(JournalHeartbeat.record(coordinator, sequence));
     }
-    appended.addAll(records);
-    attempt(appended, onStored);
+    part.forEach(appended::addAll);
+    if (appended.isEmpty()) {
+      appended.add(JournalHeartbeat.unnamed(coordinator, sequence));
+    }
+    attempt(part, appended, onStored);
   }
 
-  private void attempt(List<RecordWrite> records, Runnable onStored) {
+  private void attempt(List<List<RecordWrite>> part, List<RecordWrite> records, Runnable onStored) {
     ClockReading sentAt = clock.get();
     lastAppendAtMillis = OptionalLong.of(sentAt.monotonicMillis());
     store
         .append(coordinator.epoch(), sequence, records)
         .exceptionally(failure -> AppendOutcome.UNKNOWN)
-        .thenAccept(outcome -> handleOutcome(outcome, records, onStored, sentAt));
+        .thenAccept(outcome -> handleOutcome(outcome, part, records, onStored, sentAt));
   }
 
   private void handleOutcome(
-      AppendOutcome outcome, List<RecordWrite> records, Runnable onStored, ClockReading sentAt) {
+      AppendOutcome outcome,
+      List<List<RecordWrite>> part,
+      List<RecordWrite> records,
+      Runnable onStored,
+      ClockReading sentAt) {
     metrics.recordAppend(outcome, clock.get().monotonicMillis() - sentAt.monotonicMillis());
     if (!running) {
       return;
     }
     switch (outcome) {
       case STORED -> {
-        appendPending = false;
         consecutiveFailures = 0;
         lastStoredAt = sentAt;
-        onStored.run();
+        if (parts.isEmpty()) {
+          complete(onStored);
+        } else {
+          appendNextPart(onStored);
+        }
       }
       case FENCED -> {
         running = false;
         onFenced.run();
       }
+      case REJECTED -> {
+        int count = part.stream().mapToInt(List::size).sum();
+        handleRejection(part, records.size() > count, onStored);
+      }
       case REFUSED, UNKNOWN -> {
         consecutiveFailures++;
-        loop.schedule(
-            () -> {
-              if (running) {
-                attempt(records, onStored);
-              }
-            },
-            APPEND_RETRY_DELAY_MILLIS,
-            TimeUnit.MILLISECONDS);
+        retryLater(() -> attempt(part, records, onStored));
       }
       default -> throw new IllegalStateException("unknown outcome " + outcome);
     }
   }
+
+  /**
+   * Divides a rejected part and appends the next one. Records that were rejected on their own are
+   * at fault only if the store accepts others afterwards, so an append follows in any case, if only
+   * of a heartbeat. A store that rejects even that counts as failed, and no job fails because of
+   * it.
+   */
+  private void handleRejection(
+      List<List<RecordWrite>> part, boolean withHeartbeat, Runnable onStored) {
+    // A rejected append does not use up its sequence number.
+    sequence--;
+    if (part.isEmpty()) {
+      consecutiveFailures++;
+      suspects.forEach(group -> parts.addFirst(List.of(group)));
+      suspects.clear();
+      parts.addFirst(part);
+      retryLater(() -> appendNextPart(onStored));
+      return;
+    }
+    if (part.size() == 1 && !withHeartbeat) {
+      suspects.add(part.get(0));
+      if (parts.isEmpty()) {
+        parts.add(List.of());
+      }
+    } else {
+      int half = part.size() / 2;
+      parts.addFirst(part.subList(half, part.size()));
+      if (half > 0) {
+        parts.addFirst(part.subList(0, half));
+      }
+      if (!probed) {
+        // If the store rejects all appends, dividing a large batch would cost thousands of calls.
+        probed = true;
+        parts.addFirst(List.of());
+      }
+    }
+    appendNextPart(onStored);
+  }
+
+  private void complete(Runnable onStored) {
+    appendPending = false;
+    probed = false;
+    suspects.forEach(rejected::addAll);
+    suspects.clear();
+    if (!rejected.isEmpty()) {
+      List<RecordWrite> reported = List.copyOf(rejected);
+      rejected.clear();
+      onRejected.accept(reported);
+    }
+    onStored.run();
+  }
+
+  private void retryLater(Runnable attempt) {
+    loop.schedule(
+        () -> {
+          if (running) {
+            attempt.run();
+          }
+        },
+        APPEND_RETRY_DELAY_MILLIS,
+        TimeUnit.MILLISECONDS);
+  }
 }
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/LeadershipAnnouncer.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/LeadershipAnnouncer.java
@@ -119,6 +119,9 @@
         metrics.recordElectionEvent("not-announced");
         loop.schedule(() -> attempt(announcement), RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
       }
+      case REJECTED ->
+          // The same content is never accepted. The heartbeats in the journal name the coordinator.
+          metrics.recordElectionEvent("not-announced");
       case FENCED -> {
         // A successor has announced itself.
         if (announcement == current) {
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceHarness.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceHarness.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.cicadaford.cell.Action;
 import org.cicadaford.cell.AdvicePolicy;
@@ -52,6 +53,10 @@
   long workerClockOffsetMillis;
   boolean storing = true;
   boolean deposed;
+
+  /** Whether the store rejects an append with a record for its content. */
+  Predicate<RecordWrite> refuses = write -> false;
+
   Supplier<CompletableFuture<List<ListedWorker>>> listing = CoordinatorServiceHarness::soundListing;
 
   /** Time in which the worker list is read. */
@@ -80,7 +85,8 @@
           long epoch, long sequence, List<RecordWrite> records) {
         CompletableFuture<AppendOutcome> outcome = new CompletableFuture<>();
         if (storing) {
-          return answer(5, () -> AppendOutcome.STORED);
+          boolean refused = records.stream().anyMatch(refuses);
+          return answer(5, () -> refused ? AppendOutcome.REJECTED : AppendOutcome.STORED);
         }
         appends.add(new Append(records, outcome));
         return outcome;
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceTest.java
@@ -5,6 +5,7 @@
 import java.util.Collections;
 import java.util.concurrent.CompletableFuture;
 import net.jqwik.api.Example;
+import org.cicadaford.cell.Action;
 import org.cicadaford.cell.ClockReading;
 import org.cicadaford.cell.Submitter;
 
@@ -143,4 +144,21 @@
     advanceTime(700);
     assertThat(starts).hasSize(2);
   }
+
+  /** Guards against a job that the store refuses and that keeps all others from starting. */
+  @Example
+  void jobThatTheStoreRefusesIsAnsweredAndOthersStart() throws Exception {
+    CoordinatorService service = service();
+    advanceTime(200);
+    refuses = write -> write.owner().equals("odd");
+    Submitter submitter = new Submitter("t", "z");
+    CompletableFuture<CellReply> odd = service.requests().submit("odd", QUEUE, submitter, SPEC);
+    CompletableFuture<CellReply> sound = service.requests().submit("sound", QUEUE, submitter, SPEC);
+    advanceTime(400);
+    assertThat(sound.get().outcome()).isEqualTo(CellOutcome.DONE);
+    assertThat(odd.get().outcome()).isEqualTo(CellOutcome.INVALID);
+    assertThat(starts).extracting(Action.StartTask::task).containsExactly("sound.0.0.0");
+    assertThat(deposed).isFalse();
+    assertThat(service.isStoreHealthy(1_000)).isTrue();
+  }
 }
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/JournalWriterTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/JournalWriterTest.java
@@ -7,8 +7,10 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import net.jqwik.api.Example;
 import org.cicadaford.cell.ClockReading;
+import org.cicadaford.cell.RecordLimits;
 import org.cicadaford.cell.RecordWrite;
 
 /** Tests that each batch is stored once and that a replaced coordinator stops. */
@@ -22,6 +24,9 @@
   private final List<List<RecordWrite>> appended = new ArrayList<>();
   private final List<Long> sequences = new ArrayList<>();
   private final List<AppendOutcome> outcomes = new ArrayList<>();
+  private final List<RecordWrite> rejected = new ArrayList<>();
+  private final List<RecordWrite> stored = new ArrayList<>();
+  private Predicate<RecordWrite> refuses = write -> false;
   private int storedCount;
   private int fencedCount;
   private long nowMillis;
@@ -35,7 +40,13 @@
               long epoch, long sequence, List<RecordWrite> records) {
             sequences.add(sequence);
             appended.add(records);
-            return CompletableFuture.completedFuture(outcomes.remove(0));
+            AppendOutcome outcome =
+                records.stream().anyMatch(refuses) ? AppendOutcome.REJECTED : AppendOutcome.STORED;
+            if (outcome == AppendOutcome.STORED) {
+              stored.addAll(records);
+            }
+            return CompletableFuture.completedFuture(
+                outcomes.isEmpty() ? outcome : outcomes.remove(0));
           }
         };
     return new JournalWriter(
@@ -45,6 +56,7 @@
         channel.eventLoop(),
         () -> new ClockReading(nowMillis, nowMillis),
         new CellMetrics(),
+        rejected::addAll,
         () -> fencedCount++);
   }
 
@@ -117,4 +129,133 @@
     advanceTime(60);
     assertThat(writer.isHealthy(1_000)).isFalse();
   }
+
+  private static List<RecordWrite> jobs(int count) {
+    List<RecordWrite> records = new ArrayList<>();
+    for (int job = 0; job < count; job++) {
+      records.add(new RecordWrite("d/" + job, new byte[10]));
+      records.add(new RecordWrite("p/" + job, new byte[10]));
+    }
+    return records;
+  }
+
+  /** Guards against a record that keeps all others from being stored, for ever. */
+  @Example
+  void recordsAtFaultAreFoundAndAllOthersAreStoredOnce() {
+    refuses = write -> write.key().equals("p/7") || write.key().equals("d/30");
+    JournalWriter writer = writer();
+    List<RecordWrite> records = jobs(40);
+    writer.append(records, () -> storedCount++);
+    assertThat(storedCount).isEqualTo(1);
+    assertThat(rejected)
+        .extracting(RecordWrite::key)
+        .containsExactlyInAnyOrder("d/7", "p/7", "d/30", "p/30");
+    assertThat(stored).filteredOn(records::contains).doesNotHaveDuplicates().hasSize(76);
+    assertThat(appended).doesNotHaveDuplicates().hasSizeLessThan(30);
+    assertThat(writer.isAppendPending()).isFalse();
+    assertThat(writer.isHealthy(1_000)).isTrue();
+  }
+
+  /**
+   * Guards against a gap in the sequence numbers, which the store answers as if a successor had
+   * taken over.
+   */
+  @Example
+  void rejectedAppendUsesNoSequenceNumber() {
+    refuses = write -> write.key().equals("p/1");
+    JournalWriter writer = writer();
+    writer.append(jobs(2), () -> storedCount++);
+    long expected = 1;
+    for (int append = 0; append < sequences.size(); append++) {
+      assertThat(sequences.get(append)).isEqualTo(expected);
+      if (appended.get(append).stream().noneMatch(refuses)) {
+        expected++;
+      }
+    }
+    assertThat(writer.sequence()).isEqualTo(expected - 1);
+  }
+
+  /** Guards against jobs that fail because a store in trouble rejects whatever it is sent. */
+  @Example
+  void storeThatRejectsEverythingFailsNoJob() {
+    refuses = write -> true;
+    JournalWriter writer = writer();
+    writer.append(jobs(1_000), () -> storedCount++);
+    for (int retry = 0; retry < 20; retry++) {
+      advanceTime(60);
+    }
+    assertThat(appended).hasSizeLessThan(30);
+    assertThat(writer.isHealthy(60_000)).isFalse();
+    refuses = write -> false;
+    advanceTime(60);
+    assertThat(storedCount).isEqualTo(1);
+    assertThat(rejected).isEmpty();
+    assertThat(stored).hasSizeGreaterThan(2_000);
+  }
+
+  /** Guards against blaming the only job of a batch for a store that rejects everything. */
+  @Example
+  void storeThatRejectsEverythingForAWhileStoresASingleJobAfterwards() {
+    refuses = write -> true;
+    JournalWriter writer = writer();
+    writer.append(RECORDS, () -> storedCount++);
+    advanceTime(60);
+    assertThat(storedCount).isZero();
+    refuses = write -> false;
+    advanceTime(60);
+    assertThat(storedCount).isEqualTo(1);
+    assertThat(rejected).isEmpty();
+    assertThat(stored).containsAll(RECORDS);
+  }
+
+  /** Guards against a heartbeat that the store rejects and that is taken for a fault of a job. */
+  @Example
+  void rejectedHeartbeatBlamesNoJob() {
+    refuses = write -> JournalHeartbeat.coordinatorIn(write).isPresent();
+    JournalWriter writer = writer();
+    writer.append(RECORDS, () -> storedCount++);
+    assertThat(storedCount).isEqualTo(1);
+    assertThat(rejected).isEmpty();
+  }
+
+  /**
+   * Guards against a lost append after a rejection that is stored under another number or never.
+   */
+  @Example
+  void storeThatFailsBetweenTheRejectionAndTheNextAppendIsAskedAgain() {
+    outcomes.addAll(
+        List.of(
+            AppendOutcome.REJECTED,
+            AppendOutcome.UNKNOWN,
+            AppendOutcome.REFUSED,
+            AppendOutcome.STORED));
+    refuses = write -> write.key().equals("p/1");
+    JournalWriter writer = writer();
+    writer.append(jobs(2), () -> storedCount++);
+    advanceTime(60);
+    advanceTime(60);
+    assertThat(sequences.subList(0, 4)).containsExactly(1L, 1L, 1L, 1L);
+    assertThat(storedCount).isEqualTo(1);
+    assertThat(rejected).extracting(RecordWrite::key).containsExactlyInAnyOrder("d/1", "p/1");
+  }
+
+  /** Guards against a batch that the store rejects for its size, after an outage for example. */
+  @Example
+  void batchLargerThanACallIsStoredInSeveral() {
+    List<RecordWrite> records = new ArrayList<>();
+    for (int job = 0; job < 30; job++) {
+      records.add(new RecordWrite("p/" + job, new byte[200_000]));
+    }
+    records.add(new RecordWrite("p/30", new byte[RecordLimits.MAX_RECORD_BYTES]));
+    JournalWriter writer = writer();
+    writer.append(records, () -> storedCount++);
+    assertThat(appended)
+        .hasSize(3)
+        .allMatch(
+            call ->
+                call.stream().mapToInt(RecordLimits::sizeOf).sum() <= RecordLimits.MAX_CALL_BYTES);
+    assertThat(stored).containsAll(records.subList(0, 30)).doesNotContain(records.get(30));
+    assertThat(rejected).containsExactly(records.get(30));
+    assertThat(sequences).containsExactly(1L, 2L, 3L);
+  }
 }
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/LeadershipAnnouncerTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/LeadershipAnnouncerTest.java
@@ -74,6 +74,15 @@
     assertThat(calls).hasSize(callCount);
   }
 
+  /** Guards against an announcement that the store refuses for its content and is sent for ever. */
+  @Example
+  void rejectedAnnouncementIsNotRepeated() {
+    outcomes.add(AppendOutcome.REJECTED);
+    announcer.announce(OWN);
+    advanceTime(5_000);
+    assertThat(calls).hasSize(1);
+  }
+
   /** Guards against a replaced coordinator that goes on announcing itself. */
   @Example
   void announcementEndsWhenASuccessorHasAnnouncedItself() {
