--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
@@ -22,9 +22,7 @@
   private final Map<String, Job> jobs = new LinkedHashMap<>();
   private final Map<String, Worker> workers = new LinkedHashMap<>();
 
-  /** Token offsets above 0 of removed workers, which have seen them and may be listed again. */
-  private final Map<String, Integer> removedTokenOffsets = new HashMap<>();
-
+  private final RemovedWorkerTokens removedTokens = new RemovedWorkerTokens();
   private final EventSequence events = new EventSequence();
   private final TeamUsageTracker usageTracker = new TeamUsageTracker();
   private final LimitReservations limitReservations = new LimitReservations(this);
@@ -121,7 +119,7 @@
     if (known != null) {
       return known;
     }
-    Worker worker = new Worker(id, incarnation, removedTokenOffsets.getOrDefault(id, 0));
+    Worker worker = new Worker(id, incarnation, removedTokens.offsetOf(id));
     recordEarlierLease(worker);
     workers.put(id, worker);
     return worker;
@@ -142,10 +140,7 @@
 
   void removeWorker(Worker worker) {
     workers.remove(worker.id());
-    int tokenOffset = worker.incarnations().tokenOffset();
-    if (tokenOffset > 0) {
-      removedTokenOffsets.put(worker.id(), tokenOffset);
-    }
+    removedTokens.remember(worker.id(), worker.incarnations().tokenOffset());
   }
 
   /** Returns the placement of a run on a worker, or null. */
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/RunEndHandler.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/RunEndHandler.java
@@ -145,7 +145,7 @@
     Task task = placement.task();
     StepRun step = task.step();
     placement.worker().quarantine().failed(step.job().id(), now.monotonicMillis());
-    task.failedOn().add(placement.worker().id());
+    task.recordFailureOn(placement.worker().id());
     if (step.spec().gang()) {
       if (step.countFailureOnce(placement.run())) {
         int count = task.failedCount() + 1;
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Task.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Task.java
@@ -8,6 +8,9 @@
 /** A task of a step in one occurrence of a job. */
 final class Task {
 
+  /** Maximum number of workers that are avoided because the task has failed there. */
+  static final int MAX_FAILED_ON = 100;
+
   private final StepRun step;
   private final int index;
   private final String name;
@@ -184,7 +187,18 @@
     return !done && placement == null && !hasUnplacedRun();
   }
 
-  /** Returns the workers on which a run of the task has failed. */
+  /**
+   * Records that a run of the task has failed on a worker. A long-running task may fail on any
+   * number of workers, so the set begins anew when it is full.
+   */
+  void recordFailureOn(String workerId) {
+    if (failedOn.size() >= MAX_FAILED_ON) {
+      failedOn.clear();
+    }
+    failedOn.add(workerId);
+  }
+
+  /** Returns workers on which runs of the task have failed. */
   Set<String> failedOn() {
     return failedOn;
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -375,7 +375,7 @@
     long nowMillis = now.monotonicMillis();
     if (!placement.stopRequested() && stalled(placement, nowMillis)) {
       placement.worker().quarantine().failed(placement.task().step().job().id(), nowMillis);
-      placement.task().failedOn().add(placement.worker().id());
+      placement.task().recordFailureOn(placement.worker().id());
       state.stop(placement, StopReason.STALLED, nowMillis);
     }
   }
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/http/HttpClient.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/http/HttpClient.java
@@ -256,6 +256,10 @@
       Deque<Connection> idle = idleByAddress.get(address);
       if (idle != null) {
         idle.remove(this);
+        if (idle.isEmpty()) {
+          // Workers that are replaced never return to their addresses.
+          idleByAddress.remove(address);
+        }
       }
       Exchange pending = exchange;
       exchange = null;
