--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/RefusedRecordTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/RefusedRecordTest.java
@@ -2,13 +2,17 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.IntStream;
 import net.jqwik.api.Example;
+import org.cicadaford.model.RecordCodec;
 import org.cicadaford.model.Resources;
 
 /** Tests records that the store refuses for their content: only their job may be harmed. */
@@ -138,8 +142,7 @@
     boolean general = write.value().length > 0 && !EndedJobCodec.isCompact(write.value());
     return write.key().equals("p/" + ODD)
         && general
-        && new String(write.value(), java.nio.charset.StandardCharsets.ISO_8859_1)
-            .contains("RUNNING");
+        && new String(write.value(), StandardCharsets.ISO_8859_1).contains("RUNNING");
   }
 
   private void startBoth() {
@@ -268,4 +271,32 @@
     assertThat(has(new Action.ConfirmCancellation(ODD))).isFalse();
     assertThat(coordinator.counts()).containsEntry("early_cancellations", 0L);
   }
+
+  /**
+   * Guards against a job that stops at the limit of a record: the build before stored 78,000
+   * completed occurrences as a list, and the store refused its record 600 occurrences later.
+   */
+  @Example
+  void jobAtTheLimitOfTheBuildBeforeIsCompleted() {
+    int count = 79_000;
+    JobSpec spec =
+        SimulatedJobs.recurringJob(ODD, count, 1, SimulatedJobs.step(1, 1_000, 5, false));
+    JobDefinition definition = new JobDefinition(ODD, QUEUE, "team", "zone", 1, false, spec);
+    List<Integer> done = IntStream.range(0, 78_000).boxed().toList();
+    List<Object> progress = List.of("q", "team", JobPhase.RUNNING, 0, List.of(), done, List.of());
+    records.put("d/" + ODD, RecordCodec.encode(definition));
+    records.put("p/" + ODD, RecordCodec.encode(progress));
+    refuses = RecordLimits::isTooLarge;
+    coordinator = coordinator();
+    Set<String> started = new HashSet<>();
+    for (int round = 0; round < 200 && phase(ODD) != JobPhase.COMPLETED; round++) {
+      advance(25);
+      for (String task : List.copyOf(running.keySet())) {
+        assertThat(started.add(task)).as(task).isTrue();
+        end(task, EndKind.DONE);
+      }
+    }
+    assertThat(phase(ODD)).isEqualTo(JobPhase.COMPLETED);
+    assertThat(started).hasSize(count - 78_000).contains(ODD + ".78000.0.0");
+  }
 }
