--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Action.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Action.java
@@ -80,6 +80,9 @@
   /** Confirms to a team that its cancellation of a job of a queue is stored. */
   record ConfirmCancellation(String jobId, String queue, String team) implements Action {}
 
+  /** Rejects the requests on a job that wait for a record which the store refuses. */
+  record RejectRequests(String jobId) implements Action {}
+
   /**
    * Reports that the end of a job is stored.
    *
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
@@ -3,7 +3,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -22,9 +21,7 @@
   private final Map<String, Job> jobs = new LinkedHashMap<>();
   private final Map<String, Worker> workers = new LinkedHashMap<>();
 
-  /** Token offsets above 0 of removed workers, which have seen them and may be listed again. */
-  private final Map<String, Integer> removedTokenOffsets = new HashMap<>();
-
+  private final RemovedWorkerTokens removedTokens = new RemovedWorkerTokens();
   private final EventSequence events = new EventSequence();
   private final TeamUsageTracker usageTracker = new TeamUsageTracker();
   private final LimitReservations limitReservations = new LimitReservations(this);
@@ -121,11 +118,7 @@
       return known;
     }
     Worker worker =
-        new Worker(
-            id,
-            incarnation,
-            removedTokenOffsets.getOrDefault(id, 0),
-            settings.bounds().drainMillis());
+        new Worker(id, incarnation, removedTokens.offsetOf(id), settings.bounds().drainMillis());
     recordEarlierLease(worker);
     workers.put(id, worker);
     return worker;
@@ -146,10 +139,7 @@
 
   void removeWorker(Worker worker) {
     workers.remove(worker.id());
-    int tokenOffset = worker.incarnations().tokenOffset();
-    if (tokenOffset > 0) {
-      removedTokenOffsets.put(worker.id(), tokenOffset);
-    }
+    removedTokens.remember(worker.id(), worker.incarnations().tokenOffset());
   }
 
   /** Returns the placement of a run on a worker, or null. */
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -1,6 +1,5 @@
 package org.cicadaford.cell;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,16 +18,6 @@
   /** Interval of the periodic checks, in milliseconds. */
   private static final long TICK_INTERVAL_MILLIS = 25;
 
-  /** Run ends of a worker, up to a number, whose effects are in the current batch. */
-  private record StoredEnds(Worker worker, long incarnation, long number) {
-
-    void apply() {
-      if (worker.incarnation() == incarnation) {
-        worker.storedEnd(number);
-      }
-    }
-  }
-
   private final CellState state;
   private final RunEndHandler endHandler;
   private final OrderAnswerHandler answerHandler;
@@ -36,17 +25,11 @@
   private final RenewalPlanner renewalPlanner;
   private final AdviceDispatcher dispatcher;
   private final PlacementPlanner planner;
-  private final StartIssuer startIssuer;
+  private final BatchTracker batches;
   private final DrainEvictor drainEvictor;
   private final AdmissionPolicy admissionPolicy;
   private final EndedJobRemover endedJobRemover;
   private final EarlyCancellationHandler earlyCancellationHandler;
-  private final List<Job> batchJobs = new ArrayList<>();
-  private final List<JobPhase> batchPhases = new ArrayList<>();
-  private final List<Placement> batchStarts = new ArrayList<>();
-  private final List<Action> batchActions = new ArrayList<>();
-  private final List<StoredEnds> batchEnds = new ArrayList<>();
-  private boolean batchOpen;
   private OptionalLong nextTickMillis = OptionalLong.empty();
 
   /** Creates a coordinator with an empty state. */
@@ -64,7 +47,9 @@
     GangReservations reservations = new GangReservations();
     AdvicePlanner advicePlanner = new AdvicePlanner(state, workerIndex, reservations, dispatcher);
     planner = new PlacementPlanner(state, workerIndex, reservations, advicePlanner);
-    startIssuer = new StartIssuer(state, endHandler);
+    batches =
+        new BatchTracker(
+            state, new StartIssuer(state, endHandler), new RefusedRecordHandler(state, endHandler));
     drainEvictor = new DrainEvictor(state);
     endedJobRemover = new EndedJobRemover(state);
     earlyCancellationHandler = new EarlyCancellationHandler(state, endHandler);
@@ -269,76 +254,20 @@
 
   /** Returns the changes to store, unless there are none or a batch is still being stored. */
   public Optional<Batch> takeBatch() {
-    boolean noChanges =
-        state.jobsToStore().isEmpty()
-            && state.otherWrites().isEmpty()
-            && state.actionsAfterStore().isEmpty();
-    if (batchOpen || (noChanges && state.workersWithUnstoredEnds().isEmpty())) {
-      return Optional.empty();
-    }
-    List<RecordWrite> writes = new ArrayList<>(state.otherWrites());
-    for (Job job : state.jobsToStore()) {
-      if (!job.stored() && job.phase().terminal() && job.placements().isEmpty()) {
-        // Nothing would delete the definition, as the job has no further change.
-        job.markDefinitionDeleted();
-      } else if (!job.stored()) {
-        writes.add(JobRecordFactory.definition(job));
-      }
-      writes.add(JobRecordFactory.progress(job));
-      if (job.definitionObsolete()) {
-        job.markDefinitionDeleted();
-        writes.add(JobRecordFactory.definitionDeletion(job));
-      }
-      batchJobs.add(job);
-      batchPhases.add(job.phase());
-    }
-    batchActions.addAll(state.actionsAfterStore());
-    batchStarts.addAll(state.startsAfterStore());
-    for (Worker worker : state.workersWithUnstoredEnds()) {
-      batchEnds.add(new StoredEnds(worker, worker.incarnation(), worker.processedEnd()));
-    }
-    state.workersWithUnstoredEnds().clear();
-    state.jobsToStore().clear();
-    state.otherWrites().clear();
-    state.actionsAfterStore().clear();
-    state.startsAfterStore().clear();
-    batchOpen = true;
-    return Optional.of(new Batch(writes, List.copyOf(batchActions)));
+    return batches.take();
   }
 
-  /** Handles the confirmation that the last batch is stored. */
-  public void batchStored(ClockReading now) {
-    batchOpen = false;
-    for (int index = 0; index < batchJobs.size(); index++) {
-      Job job = batchJobs.get(index);
-      boolean ended = batchPhases.get(index).terminal() && !job.storedPhase().terminal();
-      state.markStored(job, batchPhases.get(index));
-      if (ended) {
-        state.actions().add(job.endReport(now.unixMillis()));
-      }
-    }
-    for (Job job : batchJobs) {
-      if (job.phase() == JobPhase.CANCELLED && job.storedPhase() == JobPhase.CANCELLED) {
-        job.placements().forEach(placement -> stopIfNotSent(placement, now));
-      }
-    }
-    for (StoredEnds storedEnds : batchEnds) {
-      storedEnds.apply();
-      state.checkRenewal(storedEnds.worker());
-    }
-    startIssuer.issue(batchStarts, now);
-    state.actions().addAll(batchActions);
-    batchJobs.clear();
-    batchPhases.clear();
-    batchEnds.clear();
-    batchStarts.clear();
-    batchActions.clear();
+  /**
+   * Handles records of the last batch that the store refuses for their content; {@link
+   * #batchStored} follows, for all others.
+   */
+  public void recordsRefused(List<RecordWrite> records, ClockReading now) {
+    batches.recordsRefused(records, now);
   }
 
-  private void stopIfNotSent(Placement placement, ClockReading now) {
-    if (!placement.stopSent()) {
-      state.stop(placement, StopReason.CANCELLED, now.monotonicMillis());
-    }
+  /** Handles the confirmation that the last batch is stored. */
+  public void batchStored(ClockReading now) {
+    batches.stored(now);
   }
 
   /** Returns and removes the actions that may be carried out now. */
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/EarlyCancellations.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/EarlyCancellations.java
@@ -141,6 +141,21 @@
     return Optional.of(deletion(entry.getKey()));
   }
 
+  /** Forgets a cancellation whose record the store refuses. */
+  void discard(String key) {
+    EarlyCancellation removed = byKey.remove(key);
+    if (removed != null) {
+      uncount(removed);
+    }
+  }
+
+  /** Returns the id of the job that the cancellation of a key refers to. */
+  static String jobIdOf(String key) {
+    String rest = key.substring(key.indexOf('/') + 1);
+    int end = rest.indexOf('/');
+    return end < 0 ? rest : rest.substring(0, end);
+  }
+
   /** Returns whether a key is that of a cancellation. */
   static boolean isKey(String key) {
     return key.startsWith(PREFIX) || key.startsWith(FURTHER_PREFIX);
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
@@ -98,7 +98,7 @@
     job.phase(progress.phase());
     job.endedAtMillis(progress.endedAtMillis());
     job.doneOccurrences().addAll(progress.doneOccurrences());
-    if (!progress.doneOccurrences().isEmpty()) {
+    if (progress.doneOccurrences().count() > 0) {
       job.markBegun();
     }
     for (OccurrenceProgress stored : progress.occurrences()) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/RunEndHandler.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/RunEndHandler.java
@@ -149,7 +149,7 @@
     if (!placement.provenLongRun(now.monotonicMillis())) {
       countFailure(placement, now);
     }
-    task.failedOn().add(placement.worker().id());
+    task.recordFailureOn(placement.worker().id());
     if (step.spec().gang()) {
       if (step.countFailureOnce(placement.run())) {
         int count = task.failedCount() + 1;
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -377,7 +377,7 @@
     long nowMillis = now.monotonicMillis();
     if (!placement.stopRequested() && stalled(placement, nowMillis)) {
       endHandler.countFailure(placement, now);
-      placement.task().failedOn().add(placement.worker().id());
+      placement.task().recordFailureOn(placement.worker().id());
       state.stop(placement, StopReason.STALLED, nowMillis);
     }
   }
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/JobRequestExecutor.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/JobRequestExecutor.java
@@ -33,6 +33,8 @@
    */
   private static final long MAX_END_STORE_MILLIS = 300;
 
+  private static final String KEY_SEPARATOR = "/";
+
   private final long epoch;
   private final Coordinator coordinator;
   private final BooleanSupplier roleConfirmed;
@@ -101,9 +103,18 @@
     pendingEnds.complete(jobId, CellReply.done(phase.name()));
   }
 
+  /** Replies to the requests on a job whose record the store refuses. */
+  void reject(String jobId) {
+    String reason = "the store refuses the record of this job; submit it with less content";
+    pendingSubmissions.complete(jobId, CellReply.of(CellOutcome.INVALID, reason));
+    pendingCancellations.completeWithPrefix(
+        jobId + KEY_SEPARATOR,
+        CellReply.of(CellOutcome.UNKNOWN, "the store refuses the record of this job"));
+  }
+
   /** Returns the key of the replies to a cancellation; teams may cancel an id independently. */
   private static String cancellationKey(String jobId, String queue, String team) {
-    return jobId + "/" + queue + "/" + team;
+    return jobId + KEY_SEPARATOR + queue + KEY_SEPARATOR + team;
   }
 
   private void logStored(String category, String jobId, long sequence) {
