Learn the speeds of workers and use them for placement

Cause: on the turbine deployment a job is as late as its slowest run, and a third of the workers is slower by 1.3. Placement did not know it. A run on a worker slower by 6 could also be stopped as stalled.

Change: package learning. Steps with little slack avoid slow workers, also for another zone; steps with much slack take them first. Gangs with little slack use no slow worker where possible. The time allowed without progress grows by the learnt factor, at most 8.

StepComparisonTest, SpeedPlacementTest, PlacementPlannerTest, WorkerMonitorTest and WorkerIncarnationTest passed.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.cicadaford.cell.learning.SpeedClass;
 
 /**
  * Makes the scheduling decisions of a cell, from submission to the recorded result.
@@ -33,6 +34,7 @@
   private final RunEndHandler endHandler;
   private final OrderAnswerHandler answerHandler;
   private final WorkerMonitor monitor;
+  private final SpeedLearner speeds;
   private final RenewalPlanner renewalPlanner;
   private final AdviceDispatcher dispatcher;
   private final PlacementPlanner planner;
@@ -51,13 +53,19 @@
 
   /** Creates a coordinator with an empty state. */
   public Coordinator(CoordinatorSettings settings) {
+    this(settings, SpeedLearner.MIN_WORKERS);
+  }
+
+  /** Creates a coordinator that uses the speeds of workers from a number of workers. */
+  Coordinator(CoordinatorSettings settings, int minSpeedWorkers) {
     state = new CellState(settings);
     admissionPolicy = new AdmissionPolicy(state);
     PlacementReporter reporter = new PlacementReporter(state);
     endHandler = new RunEndHandler(state, reporter);
     answerHandler = new OrderAnswerHandler(state, endHandler);
     CrashAttributor crashes = new CrashAttributor(state, endHandler, reporter);
-    monitor = new WorkerMonitor(state, endHandler, reporter, crashes);
+    speeds = new SpeedLearner(state, minSpeedWorkers);
+    monitor = new WorkerMonitor(state, endHandler, reporter, crashes, speeds);
     renewalPlanner = new RenewalPlanner(state);
     dispatcher = new AdviceDispatcher(state);
     SchedulableWorkerIndex workerIndex = new SchedulableWorkerIndex(state);
@@ -235,6 +243,7 @@
     if (!ElapsedTime.isFuture(nextTickMillis, now.monotonicMillis())) {
       nextTickMillis = OptionalLong.of(now.monotonicMillis() + TICK_INTERVAL_MILLIS);
       monitor.tick(now);
+      speeds.tick(now);
       drainEvictor.tick(now);
       state.recurringJobs().removeIf(job -> job.phase().terminal());
       state.recurringJobs().forEach(job -> beginDueOccurrences(job, now));
@@ -357,6 +366,12 @@
         .map(ListedWorker::zone);
   }
 
+  /** Returns the class of the learnt speed of a worker. */
+  Optional<SpeedClass> speedClassOf(String workerId) {
+    return Optional.ofNullable(state.workers().get(workerId))
+        .map(worker -> worker.speed().speedClass());
+  }
+
   /** Returns the counts shown on the status page and in the metrics, by name. */
   public Map<String, Long> counts() {
     Map<String, Long> counts = new HashMap<>();
@@ -364,6 +379,7 @@
     counts.put("ready_steps", (long) state.waiting().all().size());
     counts.put("early_cancellations", (long) state.earlyCancellations().count());
     counts.put("workers", (long) state.workers().size());
+    counts.putAll(speeds.counts());
     return counts;
   }
 }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/GangPlacer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/GangPlacer.java
@@ -19,15 +19,46 @@
   }
 
   /** Returns a worker for each member among the permitted workers, or an empty list. */
-  List<Worker> select(StepRun step, List<Worker> permitted) {
+  List<Worker> select(StepRun step, List<Worker> permitted, ClockReading now) {
     Task first = step.tasks().getFirst();
-    return selectAmong(
-        step, permitted.stream().filter(w -> WorkerEvaluator.fits(first, w)).toList());
+    return selectBySpeed(
+        step, permitted.stream().filter(w -> WorkerEvaluator.fits(first, w)).toList(), now);
   }
 
   /** Returns a worker of a service for each member, or an empty list. */
-  List<Worker> select(StepRun step, String service) {
-    return selectAmong(step, candidates(step, service));
+  List<Worker> select(StepRun step, String service, ClockReading now) {
+    return selectBySpeed(step, candidates(step, service), now);
+  }
+
+  /**
+   * A gang is as slow as its slowest member. One with little slack uses no slow worker, unless that
+   * costs more in other respects than its zone or is not possible; then all workers are equal.
+   */
+  private List<Worker> selectBySpeed(StepRun step, List<Worker> candidates, ClockReading now) {
+    List<Worker> selected = selectAmong(step, candidates);
+    if (selected.stream().noneMatch(SpeedPreference::isSlow)
+        || !SpeedPreference.avoidsSlow(step, now)) {
+      return selected;
+    }
+    List<Worker> faster =
+        selectAmong(step, candidates.stream().filter(w -> !SpeedPreference.isSlow(w)).toList());
+    boolean preferred =
+        !faster.isEmpty()
+            && highestPenalty(step, faster) <= highestPenalty(step, selected)
+            && (!step.spec().rackLocal() || rackCount(faster) <= rackCount(selected));
+    return preferred ? faster : selected;
+  }
+
+  private static long rackCount(List<Worker> selected) {
+    return selected.stream().map(worker -> worker.listing().rack()).distinct().count();
+  }
+
+  private static int highestPenalty(StepRun step, List<Worker> selected) {
+    Task first = step.tasks().getFirst();
+    return selected.stream()
+        .mapToInt(worker -> WorkerEvaluator.withoutZone(WorkerEvaluator.penalty(first, worker)))
+        .max()
+        .orElse(0);
   }
 
   private List<Worker> selectAmong(StepRun step, List<Worker> candidates) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
@@ -31,6 +31,9 @@
    */
   private static final long MAX_CRASH_DELAY_MILLIS = START_SURVIVAL_MILLIS + 100;
 
+  /** Maximum time from a start order to its confirmation for which the start of a run is known. */
+  private static final long MAX_START_ERROR_MILLIS = 100;
+
   private final Task task;
   private final int run;
   private final Worker worker;
@@ -55,6 +58,8 @@
   private long savedAtMillis;
   private boolean survivalChecked;
   private boolean restored;
+  private final boolean resumed;
+  private boolean overdue;
 
   Placement(Task task, int run, Worker worker, long incarnation, long nowMillis) {
     this.task = task;
@@ -65,6 +70,7 @@
     this.placedAtMillis = nowMillis;
     this.orderedAtMillis = nowMillis;
     this.progressAtMillis = nowMillis;
+    this.resumed = !task.checkpoint().isEmpty();
   }
 
   Task task() {
@@ -156,6 +162,29 @@
     return sinceMillis >= 0 && sinceMillis <= MAX_CRASH_DELAY_MILLIS;
   }
 
+  /**
+   * Returns the time for which the run has worked on its whole task, if its start is known and it
+   * did not resume from a checkpoint.
+   */
+  OptionalLong runMillis(long nowMillis) {
+    boolean startKnown =
+        !restored
+            && confirmedAtMillis.isPresent()
+            && confirmedAtMillis.getAsLong() - orderedAtMillis <= MAX_START_ERROR_MILLIS;
+    return startKnown && !resumed
+        ? OptionalLong.of(nowMillis - confirmedAtMillis.getAsLong())
+        : OptionalLong.empty();
+  }
+
+  /** Returns whether the run was found to be overdue. */
+  boolean overdue() {
+    return overdue;
+  }
+
+  void markOverdue() {
+    overdue = true;
+  }
+
   private long survivalStartMillis() {
     return restored ? orderedAtMillis : confirmedAtMillis.orElse(orderedAtMillis);
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
@@ -137,7 +137,7 @@
       if (!withinLimit(step, 1, now)) {
         return;
       }
-      Worker best = select(task, permitted);
+      Worker best = select(task, permitted, now);
       if (best == null) {
         return;
       }
@@ -145,21 +145,21 @@
     }
   }
 
-  private Worker select(Task task, List<Worker> permitted) {
+  private Worker select(Task task, List<Worker> permitted, ClockReading now) {
     boolean advised = requiresAdvice(task.step());
     if (task.suspected()) {
       return advised
           ? isolatedStartPlacer.select(task, permitted)
           : isolatedStartPlacer.select(task, service(task.step()));
     }
-    return advised ? bestAmong(permitted, task) : bestOverall(task);
+    return advised ? bestAmong(permitted, task, now) : bestOverall(task);
   }
 
-  private Worker bestAmong(List<Worker> candidates, Task task) {
+  private Worker bestAmong(List<Worker> candidates, Task task, ClockReading now) {
     Worker best = null;
     for (Worker worker : candidates) {
       if (WorkerEvaluator.fits(task, worker)
-          && (best == null || WorkerEvaluator.isBetter(task, worker, best))) {
+          && (best == null || SpeedPreference.isBetter(task, worker, best, now))) {
         best = worker;
       }
     }
@@ -220,8 +220,8 @@
     }
     List<Worker> chosen =
         requiresAdvice(step)
-            ? gangPlacer.select(step, permitted(step, now))
-            : gangPlacer.select(step, service(step));
+            ? gangPlacer.select(step, permitted(step, now), now)
+            : gangPlacer.select(step, service(step), now);
     if (chosen.isEmpty()) {
       return;
     }
--- /dev/null
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StallDetector.java
@@ -0,0 +1,40 @@
+package org.cicadaford.cell;
+
+/**
+ * Stops runs that make no progress.
+ *
+ * <p>A run on a worker that is known to be slower makes progress at longer intervals, so it is
+ * given more time by the learnt factor, which is at most 8. The factor is forgotten within seconds
+ * of the last run that made progress slowly, so a run that stands still is still detected.
+ */
+final class StallDetector {
+
+  private final CellState state;
+
+  StallDetector(CellState state) {
+    this.state = state;
+  }
+
+  /** Stops a reported run that has made no progress for too long. */
+  void stopIfStalled(Placement placement, ClockReading now) {
+    long nowMillis = now.monotonicMillis();
+    if (!placement.stopRequested() && stalled(placement, nowMillis)) {
+      placement.worker().quarantine().failed(placement.task().step().job().id(), nowMillis);
+      placement.task().failedOn().add(placement.worker().id());
+      state.stop(placement, StopReason.STALLED, nowMillis);
+    }
+  }
+
+  private boolean stalled(Placement placement, long nowMillis) {
+    StepSpec spec = placement.task().step().spec();
+    if (placement.stage() != Placement.Stage.RUNNING || spec.longRunning() || spec.fills()) {
+      return false;
+    }
+    Worker worker = placement.worker();
+    double factor = Math.max(1, worker.speed().factor());
+    long allowedMillis =
+        (long) (factor * Math.max(state.settings().stallMillis(), spec.estimateMillis() / 2));
+    boolean reportedSince = worker.answeredAfter(placement.progressAtMillis() + allowedMillis);
+    return reportedSince && nowMillis - placement.progressAtMillis() > allowedMillis;
+  }
+}
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.cicadaford.cell.learning.StepComparison;
 
 /** A step of a job in one occurrence, with its tasks and placement advice. */
 final class StepRun {
@@ -34,6 +35,7 @@
   private int countedFailureRun;
   private final WaitTimeTracker waitTimes = new WaitTimeTracker();
   private final PhaseTimes phaseTimes = new PhaseTimes();
+  private final List<StepComparison.Run> timedRuns = new ArrayList<>();
   private final long latestOnTimeStartMillis;
   private final long latestUsefulStartMillis;
 
@@ -61,6 +63,11 @@
     return phaseTimes;
   }
 
+  /** Returns the runs that have completed tasks of the step, while others are not done. */
+  List<StepComparison.Run> timedRuns() {
+    return timedRuns;
+  }
+
   /** Records an attempt to place tasks of the step. */
   void markReady(long nowMillis) {
     if (readyAtMillis.isEmpty()) {
@@ -153,6 +160,11 @@
         : !waiting.isEmpty();
   }
 
+  /** Returns the number of tasks that are placed. */
+  int placedCount() {
+    return placedCount;
+  }
+
   int placedOn(Worker worker) {
     return placedByWorker.getOrDefault(worker, 0);
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.cicadaford.cell.learning.WorkerSpeed;
 import org.cicadaford.model.Resources;
 
 /** A worker with its listing, its last reports and its placements. */
@@ -32,6 +33,7 @@
   private final WorkerQuarantine quarantine = new WorkerQuarantine();
   private final StartSurvivalTracker startSurvival = new StartSurvivalTracker();
   private final UnplacedRuns unplacedRuns = new UnplacedRuns();
+  private WorkerSpeed speed = new WorkerSpeed();
   private long reportedClockMillis;
   private long reportedClockAtMillis;
   private boolean clockKnown;
@@ -112,6 +114,7 @@
     processedEnd = 0;
     storedEnd = 0;
     quarantine.reset();
+    speed = new WorkerSpeed();
   }
 
   Map<String, Placement> placements() {
@@ -153,6 +156,11 @@
     return quarantine;
   }
 
+  /** Returns the learnt speed of this incarnation. */
+  WorkerSpeed speed() {
+    return speed;
+  }
+
   /** Returns the tracker of the starts that the worker has to survive. */
   StartSurvivalTracker startSurvival() {
     return startSurvival;
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerEvaluator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerEvaluator.java
@@ -76,6 +76,11 @@
     return penalty;
   }
 
+  /** Returns a penalty without the part for another zone than that of the job. */
+  static int withoutZone(int penalty) {
+    return penalty & ~OTHER_ZONE_PENALTY;
+  }
+
   /** Returns whether a worker has the label that a step requires. */
   static boolean hasRequiredLabel(StepSpec spec, Worker worker) {
     return spec.requiredLabel().isEmpty()
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -33,16 +33,21 @@
   private final PlacementReporter reporter;
   private final UnknownRunHandler unknownRuns;
   private final CrashAttributor crashes;
+  private final SpeedLearner speeds;
+  private final StallDetector stallDetector;
 
   WorkerMonitor(
       CellState state,
       RunEndHandler endHandler,
       PlacementReporter reporter,
-      CrashAttributor crashes) {
+      CrashAttributor crashes,
+      SpeedLearner speeds) {
     this.state = state;
     this.endHandler = endHandler;
     this.reporter = reporter;
     this.crashes = crashes;
+    this.speeds = speeds;
+    this.stallDetector = new StallDetector(state);
     this.unknownRuns = new UnknownRunHandler(state, reporter);
   }
 
@@ -141,12 +146,13 @@
       incarnationChanged(worker, report.incarnation(), now);
       updateListing(worker, listing.get(), now);
     }
+    boolean prompt = worker.answeredWithin(now.monotonicMillis(), promptMillis());
     worker.answered(now.monotonicMillis());
     worker.startSurvival().signOfLife(report.sentAtMillis());
     worker.clock(report.clockMillis(), now.monotonicMillis());
     worker.nextRenewalAtMillis(now.monotonicMillis());
     state.checkRenewal(worker);
-    applyEnds(worker, report, now);
+    applyEnds(worker, report, prompt, now);
     applyRunning(worker, report, requestNumber, now);
     crashes.answered(worker);
     state.markChanged(worker);
@@ -156,7 +162,12 @@
     return placements.stream().filter(Placement::orderSent).toList();
   }
 
-  private void applyEnds(Worker worker, WorkerReport report, ClockReading now) {
+  /** Returns the time between the answers of a worker that reports ends without delay. */
+  private long promptMillis() {
+    return state.settings().renewalWaitMillis() + state.settings().answerMillis();
+  }
+
+  private void applyEnds(Worker worker, WorkerReport report, boolean prompt, ClockReading now) {
     for (ReportedEnd end : report.ended()) {
       if (end.number() <= worker.processedEnd()) {
         continue;
@@ -166,6 +177,9 @@
       Placement placement = worker.placements().get(end.task());
       if (placement != null && placement.run() == end.run()) {
         endHandler.runEnded(placement, end.kind(), end.checkpoint(), now);
+        if (end.kind() == EndKind.DONE) {
+          speeds.runCompleted(placement, prompt, now);
+        }
       } else if (end.kind() == EndKind.DONE) {
         state
             .task(end.task())
@@ -191,7 +205,8 @@
           placement.stopConfirmedAtMillis(), report.sentAtMillis(), STOP_COMPLETION_MILLIS)) {
         placement.clearStopConfirmation();
       }
-      stopIfStalled(placement, now);
+      speeds.runReported(placement, now);
+      stallDetector.stopIfStalled(placement, now);
     }
     unknownRuns.handle(worker, unplaced, report, requestNumber, now);
     if (!report.complete()) {
@@ -370,24 +385,4 @@
       state.sendStop(placement, nowMillis);
     }
   }
-
-  private void stopIfStalled(Placement placement, ClockReading now) {
-    long nowMillis = now.monotonicMillis();
-    if (!placement.stopRequested() && stalled(placement, nowMillis)) {
-      placement.worker().quarantine().failed(placement.task().step().job().id(), nowMillis);
-      placement.task().failedOn().add(placement.worker().id());
-      state.stop(placement, StopReason.STALLED, nowMillis);
-    }
-  }
-
-  private boolean stalled(Placement placement, long nowMillis) {
-    StepSpec spec = placement.task().step().spec();
-    if (placement.stage() != Placement.Stage.RUNNING || spec.longRunning() || spec.fills()) {
-      return false;
-    }
-    long allowedMillis = Math.max(state.settings().stallMillis(), spec.estimateMillis() / 2);
-    boolean reportedSince =
-        placement.worker().answeredAfter(placement.progressAtMillis() + allowedMillis);
-    return reportedSince && nowMillis - placement.progressAtMillis() > allowedMillis;
-  }
 }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
@@ -9,6 +9,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.ToLongBiFunction;
 import org.cicadaford.model.Resources;
 
 /**
@@ -50,6 +51,12 @@
   /** Whether the coordinator cannot read the worker list. */
   boolean listUnreadable;
 
+  /** Number of workers from which a coordinator that takes over uses the speeds of workers. */
+  int minSpeedWorkers = SpeedLearner.MIN_WORKERS;
+
+  /** Returns the work of a task; by default what its step states. */
+  ToLongBiFunction<String, StepSpec> workMillis = (task, step) -> step.estimateMillis();
+
   /** Number of the next advice calls that permit no worker. */
   int emptyAdvice;
 
@@ -103,7 +110,7 @@
   void takeOver() {
     epoch += FencingToken.COUNT_PER_EPOCH;
     appendOpen = false;
-    coordinator = new Coordinator(CoordinatorSettings.forPlatform(6_000, 600_000));
+    coordinator = new Coordinator(CoordinatorSettings.forPlatform(6_000, 600_000), minSpeedWorkers);
     List<RecordWrite> records = new ArrayList<>();
     store.forEach((key, value) -> records.add(new RecordWrite(key, value)));
     coordinator.restore(records, moment());
@@ -360,7 +367,8 @@
     String[] name = order.task().split("\\.");
     StepSpec step = SimulatedJobs.specOf(name[0]).steps().get(Integer.parseInt(name[2]));
     boolean fails = random.nextDouble() < faults.failedRun();
-    SimulatedWorker.Run run = SimulatedWorker.Run.of(order, step, fails);
+    long millis = workMillis.applyAsLong(order.task(), step);
+    SimulatedWorker.Run run = SimulatedWorker.Run.of(order, step, millis, fails);
     boolean known = worker.hasRun(order.task(), order.run());
     StartOutcome outcome = worker.start(run, sentEpoch, order.deadlineMillis());
     trace(
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedWorker.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedWorker.java
@@ -33,6 +33,7 @@
     final int gangSize;
     final boolean checkpointing;
     long workedMillis;
+    private double unroundedMillis;
     long savedMillis;
 
     /** Whether all members of its gang are running; always true for a run without a gang. */
@@ -63,11 +64,11 @@
     }
 
     /** Returns the run that an order for a task of the step starts. */
-    static Run of(Action.StartTask order, StepSpec step, boolean fails) {
+    static Run of(Action.StartTask order, StepSpec step, long workMillis, boolean fails) {
       return new Run(
           order.task(),
           order.run(),
-          step.longRunning() ? Long.MAX_VALUE : step.estimateMillis(),
+          step.longRunning() ? Long.MAX_VALUE : workMillis,
           fails,
           step.reservation(),
           step.gang() ? step.taskCount() : 1,
@@ -75,6 +76,13 @@
           order.checkpoint());
     }
 
+    private void work(double millis) {
+      unroundedMillis += millis;
+      long wholeMillis = (long) unroundedMillis;
+      workedMillis += wholeMillis;
+      unroundedMillis -= wholeMillis;
+    }
+
     private void save(long millis) {
       if (checkpointing) {
         savedMillis = Math.max(savedMillis, millis);
@@ -116,6 +124,9 @@
 
   boolean reachable = true;
 
+  /** Factor by which runs take longer than on a worker of normal speed. */
+  double slowness = 1;
+
   /** Whether the platform lists the worker while it is up. */
   boolean listed = true;
 
@@ -205,7 +216,7 @@
       }
     }
     for (Run run : List.copyOf(runs.values())) {
-      run.workedMillis += run.complete ? millis : 0;
+      run.work(run.complete ? millis / slowness : 0);
       run.save(run.workedMillis / CHECKPOINT_MILLIS * CHECKPOINT_MILLIS);
       if (nowMillis >= run.stopAtMillis) {
         run.save(run.workedMillis);
