Read the bounds of a deployment from environment variables

Cause: the bounds stood in the template of the settings file. Change: deploy/system.toml sets environment variables instead; absent or empty ones have their defaults, as before.

--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/BoundSettings.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/BoundSettings.java
@@ -3,12 +3,12 @@
 import java.io.IOException;
 import java.math.BigDecimal;
 import java.math.RoundingMode;
+import java.util.Map;
 import org.cicadaford.cell.DeploymentBounds;
 
 /**
- * Settings that state the bounds of a deployment, as rendered by {@code
- * deploy/settings.template.json}. They are strings because a value that a deployment lacks is
- * rendered as an empty one; its default is then used.
+ * Environment variables that state the bounds of a deployment, as {@code deploy/system.toml} sets
+ * them. A value that a deployment lacks is rendered as an empty one; its default is then used.
  *
  * @param runStopMillis maximum time in which a worker stops a run, in milliseconds
  * @param restoreMillis time for the restore from a checkpoint, in milliseconds
@@ -27,8 +27,15 @@
     String noticeMillis,
     String maxRecordBytes) {
 
-  /** Settings of a deployment that states no bounds. */
-  static final BoundSettings NONE = new BoundSettings("", "", "", "", "", "", "");
+  private static final String PREFIX = "CICADAFORD_";
+
+  private static final String RUN_STOP_MILLIS = PREFIX + "RUN_STOP_MILLIS";
+  private static final String RESTORE_MILLIS = PREFIX + "RESTORE_MILLIS";
+  private static final String CHECKPOINT_SECONDS = PREFIX + "CHECKPOINT_SECONDS";
+  private static final String DRAIN_MILLIS = PREFIX + "DRAIN_MILLIS";
+  private static final String GANG_TIMEOUT_MILLIS = PREFIX + "GANG_TIMEOUT_MILLIS";
+  private static final String NOTICE_MILLIS = PREFIX + "NOTICE_MILLIS";
+  private static final String RECORD_BYTES_NAME = PREFIX + "MAX_RECORD_BYTES";
 
   private static final long MAX_MILLIS = 3_600_000;
   private static final int MILLIS_PER_SECOND = 1_000;
@@ -39,6 +46,18 @@
   /** The store accepts at most 2 MiB in a call. */
   private static final int MAX_RECORD_BYTES = 2_097_152;
 
+  /** Returns the settings in an environment; those that it lacks are empty. */
+  static BoundSettings of(Map<String, String> environment) {
+    return new BoundSettings(
+        environment.getOrDefault(RUN_STOP_MILLIS, ""),
+        environment.getOrDefault(RESTORE_MILLIS, ""),
+        environment.getOrDefault(CHECKPOINT_SECONDS, ""),
+        environment.getOrDefault(DRAIN_MILLIS, ""),
+        environment.getOrDefault(GANG_TIMEOUT_MILLIS, ""),
+        environment.getOrDefault(NOTICE_MILLIS, ""),
+        environment.getOrDefault(RECORD_BYTES_NAME, ""));
+  }
+
   /**
    * Returns the bounds.
    *
@@ -47,21 +66,21 @@
   DeploymentBounds bounds() throws IOException {
     DeploymentBounds defaults = DeploymentBounds.DEFAULT;
     return new DeploymentBounds(
-        millis("runStopMillis", runStopMillis, defaults.runStopMillis()),
-        millis("restoreMillis", restoreMillis, defaults.restoreMillis()),
+        millis(RUN_STOP_MILLIS, runStopMillis, defaults.runStopMillis()),
+        millis(RESTORE_MILLIS, restoreMillis, defaults.restoreMillis()),
         scaled(
-            "checkpointSeconds",
+            CHECKPOINT_SECONDS,
             checkpointSeconds,
             0,
             MAX_MILLIS / MILLIS_PER_SECOND,
             MILLIS_PER_SECOND,
             defaults.checkpointMillis()),
-        millis("drainMillis", drainMillis, defaults.drainMillis()),
-        millis("gangTimeoutMillis", gangTimeoutMillis, defaults.gangTimeoutMillis()),
-        millis("noticeMillis", noticeMillis, defaults.noticeMillis()),
+        millis(DRAIN_MILLIS, drainMillis, defaults.drainMillis()),
+        millis(GANG_TIMEOUT_MILLIS, gangTimeoutMillis, defaults.gangTimeoutMillis()),
+        millis(NOTICE_MILLIS, noticeMillis, defaults.noticeMillis()),
         (int)
             scaled(
-                "maxRecordBytes",
+                RECORD_BYTES_NAME,
                 maxRecordBytes,
                 MIN_RECORD_BYTES,
                 MAX_RECORD_BYTES,
@@ -85,12 +104,12 @@
     try {
       value = new BigDecimal(text.strip());
     } catch (NumberFormatException e) {
-      throw new IOException(InstanceSettings.message("bounds." + name + " " + range), e);
+      throw new IOException(InstanceSettings.message(name + " " + range), e);
     }
     InstanceSettings.require(
         value.compareTo(BigDecimal.valueOf(minimum)) >= 0
             && value.compareTo(BigDecimal.valueOf(maximum)) <= 0,
-        "bounds." + name + " " + range);
+        name + " " + range);
     return value
         .multiply(BigDecimal.valueOf(factor))
         .setScale(0, RoundingMode.HALF_UP)
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/InstanceSettings.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/InstanceSettings.java
@@ -1,9 +1,11 @@
 package org.cicadaford.coordinator;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.File;
 import java.io.IOException;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -26,7 +28,7 @@
  * @param revokeMillis time after which a withdrawn key must be rejected, in milliseconds
  * @param stopSeconds time from the stop request until the process is killed, in seconds
  * @param metricsPort port that serves the metrics
- * @param bounds bounds of the deployment; those that are absent have their defaults
+ * @param bounds bounds of the deployment, from environment variables
  */
 public record InstanceSettings(
     String instanceId,
@@ -45,7 +47,7 @@
     long revokeMillis,
     long stopSeconds,
     int metricsPort,
-    BoundSettings bounds) {
+    @JsonIgnore BoundSettings bounds) {
 
   /** Maximum length of an instance id; readers of announcements refuse longer ones. */
   private static final int MAX_ID_LENGTH = 256;
@@ -53,22 +55,41 @@
   private static final ObjectMapper MAPPER =
       new ObjectMapper().configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
 
-  /** Replaces absent bounds by those of a deployment that states none. */
-  public InstanceSettings {
-    bounds = bounds == null ? BoundSettings.NONE : bounds;
-  }
-
   /**
    * Reads and validates the settings.
    *
+   * @param environment environment variables, which state the bounds of the deployment
    * @throws IOException if the file cannot be read or a setting is not valid
    */
-  public static InstanceSettings load(File file) throws IOException {
-    InstanceSettings settings = MAPPER.readValue(file, InstanceSettings.class);
+  public static InstanceSettings load(File file, Map<String, String> environment)
+      throws IOException {
+    InstanceSettings settings =
+        MAPPER.readValue(file, InstanceSettings.class).withBounds(BoundSettings.of(environment));
     settings.check();
     return settings;
   }
 
+  private InstanceSettings withBounds(BoundSettings newBounds) {
+    return new InstanceSettings(
+        instanceId,
+        zone,
+        ip,
+        peerPort,
+        requestAddress,
+        readinessAddress,
+        storeAddress,
+        adviceAddress,
+        maxLeaseMillis,
+        keepEndedSeconds,
+        processorShare,
+        processorCount,
+        linkMegabits,
+        revokeMillis,
+        stopSeconds,
+        metricsPort,
+        newBounds);
+  }
+
   /**
    * Returns the settings of the instance in its cell.
    *
@@ -110,8 +131,8 @@
     }
   }
 
-  /** Returns the message of a fault in the settings file. */
+  /** Returns the message of a fault in the settings. */
   static String message(String fault) {
-    return "setting: " + fault + "; correct the settings file";
+    return "setting: " + fault + "; correct the settings file or the environment";
   }
 }
--- a/cicadaford-daemon/src/main/java/org/cicadaford/daemon/SettingsPageRenderer.java
+++ b/cicadaford-daemon/src/main/java/org/cicadaford/daemon/SettingsPageRenderer.java
@@ -13,28 +13,26 @@
 
       ## Bounds of the cell daemon
 
-      The cell daemon reads these from its settings file, where `deploy/settings.template.json` \
-      renders them as strings from the
-      platform's bounds. An absent or empty one has its default, which is that of the first \
-      deployments. One that is not a
-      number in its range is refused at the start, with a message that names it; on SIGHUP it is \
-      only reported, and the running
-      instance keeps what it has.
+      The cell daemon reads these environment variables, which `deploy/system.toml` sets from the \
+      platform's bounds. An absent or
+      empty one has its default, which is that of the first deployments. One that is not a number \
+      in its range is refused at the
+      start, with a message that names it.
 
       | setting | unit | range | default | meaning |
       | --- | --- | --- | --- | --- |
-      | `bounds.runStopMillis` | ms | 0 to 3600000 | 400 | Maximum time in which a worker stops \
+      | `CICADAFORD_RUN_STOP_MILLIS` | ms | 0 to 3600000 | 400 | Maximum time in which a worker stops \
       a run. |
-      | `bounds.restoreMillis` | ms | 0 to 3600000 | 600 | Time for the restore from a \
+      | `CICADAFORD_RESTORE_MILLIS` | ms | 0 to 3600000 | 600 | Time for the restore from a \
       checkpoint. |
-      | `bounds.checkpointSeconds` | s, may have a fraction | 0 to 3600 | 1 | Work between two \
+      | `CICADAFORD_CHECKPOINT_SECONDS` | s, may have a fraction | 0 to 3600 | 1 | Work between two \
       checkpoints of a run. |
-      | `bounds.drainMillis` | ms | 0 to 3600000 | 2000 | Time for which a draining worker \
+      | `CICADAFORD_DRAIN_MILLIS` | ms | 0 to 3600000 | 2000 | Time for which a draining worker \
       serves, if it does not report the remaining time. |
-      | `bounds.gangTimeoutMillis` | ms | 0 to 3600000 | 3000 | Time for which a gang member \
+      | `CICADAFORD_GANG_TIMEOUT_MILLIS` | ms | 0 to 3600000 | 3000 | Time for which a gang member \
       waits for the others. |
-      | `bounds.noticeMillis` | ms | 0 to 3600000 | 4500 | Notice before a worker is taken away. |
-      | `bounds.maxRecordBytes` | bytes | 4096 to 2097152 | 262144 | Maximum size of a record in \
+      | `CICADAFORD_NOTICE_MILLIS` | ms | 0 to 3600000 | 4500 | Notice before a worker is taken away. |
+      | `CICADAFORD_MAX_RECORD_BYTES` | bytes | 4096 to 2097152 | 262144 | Maximum size of a record in \
       the store. |
 
       What follows from them, in milliseconds:
