--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
@@ -1,6 +1,7 @@
 package org.cicadaford.cell;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -41,7 +42,7 @@
   private final Map<String, ListedWorker> listings = new HashMap<>();
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(
-          java.util.Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::order));
+          Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::order));
   private final CellConfig config;
   private final SimulatedRules rules = new SimulatedRules(workers.values(), this::violation);
   final SimulatedCrashes crashes = new SimulatedCrashes(this, rules);
@@ -51,7 +52,7 @@
   /** Whether the coordinator cannot read the worker list. */
   boolean listUnreadable;
 
-  /** Number of workers from which a coordinator that takes over uses the speeds of workers. */
+  /** Number of workers from which a new coordinator uses their speeds. */
   int minSpeedWorkers = SpeedLearner.MIN_WORKERS;
 
   /** Returns the work of a task; by default what its step states. */
@@ -303,11 +304,8 @@
 
   private void store(Batch batch) {
     for (RecordWrite write : batch.writes()) {
-      if (write.value().length == 0) {
-        store.remove(write.key());
-      } else {
-        store.put(write.key(), write.value());
-      }
+      // An empty value deletes the record.
+      store.compute(write.key(), (key, old) -> write.value().length == 0 ? null : write.value());
     }
   }
 
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/StallDetectorTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/StallDetectorTest.java
@@ -14,7 +14,8 @@
   private static final long STALL_MILLIS = 2_500;
 
   private final CellState state = new CellState(CoordinatorSettings.forPlatform(6_000, 60_000));
-  private final StallDetector detector = new StallDetector(state);
+  private final StallDetector detector =
+      new StallDetector(state, new RunEndHandler(state, new PlacementReporter(state)));
   private final Worker worker = new Worker("w0", 1);
   private final Placement placement;
 
--- a/cicadaford-wire/src/main/java/org/cicadaford/wire/PeerMessage.java
+++ b/cicadaford-wire/src/main/java/org/cicadaford/wire/PeerMessage.java
@@ -1,5 +1,6 @@
 package org.cicadaford.wire;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
@@ -117,7 +118,11 @@
    * @param waitMillis time for which the answer may be delayed until the job has ended, in
    *     milliseconds; 0 in requests of builds without it
    */
-  record JobPhaseRequest(String jobId, String queue, String team, long waitMillis)
+  record JobPhaseRequest(
+      String jobId,
+      String queue,
+      String team,
+      @JsonInclude(JsonInclude.Include.NON_DEFAULT) long waitMillis)
       implements CellMessage {}
 
   /** Requests the number of jobs of a queue that have not started from the cell coordinator. */
