Serve teams within their share first while a service is short

Cause: steps waited in one order of objectives for all teams, so a team with large jobs within its rate of jobs delayed every other team by its backlog.

Ruled out: dividing the whole capacity (parts of workers stay free that no task fits into, so a team could fill the service and be within its share); computing usage from all placements at each tick (91,000 at the design size).

Change: ShortageMonitor follows placements for the usage of each team in a service, and updates its shares in the planner's tick. StepOrder puts teams within their share before those beyond it at the same priority, in placement and in the queue for advice calls. Work that has waited too long, of a less urgent priority and a team within its share, goes before teams beyond theirs. Without shortage the comparator is the earlier one.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/AdvicePlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/AdvicePlanner.java
@@ -91,7 +91,7 @@
 
   private void requestQueued(Set<StepRun> queue, boolean shortCalls, ClockReading now) {
     while (!queue.isEmpty() && dispatcher.hasFreeCaller(shortCalls, now.monotonicMillis())) {
-      StepRun step = Collections.min(queue, StepOrder.at(now.unixMillis()));
+      StepRun step = Collections.min(queue, StepOrder.at(now.unixMillis(), state.shortages()));
       queue.remove(step);
       if (state.waiting().all().contains(step)) {
         requestIfMissing(step, now);
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
@@ -29,6 +29,7 @@
   private final TeamUsageTracker usageTracker = new TeamUsageTracker();
   private final LimitReservations limitReservations = new LimitReservations(this);
   private final LimitPreemptor preemptor = new LimitPreemptor(this);
+  private final ShortageMonitor shortages = new ShortageMonitor(this);
   private final Set<Job> recurringJobs = new LinkedHashSet<>();
   private final WaitingSteps waiting = new WaitingSteps();
   private final WorkerListAge workerListAge = new WorkerListAge(this);
@@ -323,6 +324,10 @@
     return preemptor;
   }
 
+  ShortageMonitor shortages() {
+    return shortages;
+  }
+
   void place(Placement placement) {
     Task task = placement.task();
     task.place(placement);
@@ -330,6 +335,7 @@
     placement.worker().add(placement);
     markChanged(placement.worker());
     preemptor.placed(placement);
+    shortages.placed(placement);
     Job job = task.step().job();
     usageTracker.add(
         job.team(),
@@ -348,6 +354,7 @@
     stopping.remove(placement);
     placement.worker().remove(placement);
     preemptor.released(placement);
+    shortages.released(placement);
     Job job = task.step().job();
     usageTracker.remove(job.team(), job.queue().priority(), task.step().spec().demand());
     job.removeIfIdle(task.step().occurrence());
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -373,6 +373,12 @@
     counts.put("ready_steps", (long) state.waiting().all().size());
     counts.put("early_cancellations", (long) state.earlyCancellations().count());
     counts.put("workers", (long) state.workers().size());
+    counts.put("short_services", state.shortages().shortServiceCount());
     return counts;
   }
+
+  /** Returns 1 for each team that exceeds its share of a short service, and 0 for others. */
+  public Map<String, Long> teamsBeyondShare() {
+    return state.shortages().teamsBeyondShare();
+  }
 }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
@@ -65,6 +65,7 @@
     if (state.workerListAge().isCurrent(now)) {
       state.limitReservations().teams().forEach(team -> state.preemptor().preempt(team, now));
     }
+    state.shortages().tick(workerIndex, now);
     state.waiting().retryAllowed(step -> withinLimit(step, tasksAtOnce(step), now));
     reserve(now);
     for (StepRun step : state.waiting().all()) {
@@ -88,7 +89,8 @@
       return;
     }
     unplaceableDemands.clear();
-    for (StepRun step : state.waiting().takeDue(StepOrder.at(now.unixMillis()))) {
+    for (StepRun step :
+        state.waiting().takeDue(StepOrder.at(now.unixMillis(), state.shortages()))) {
       attempt(step, now);
     }
     advicePlanner.requestQueued(now);
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StepOrder.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StepOrder.java
@@ -10,6 +10,11 @@
  * its latest start; then late work whose result is still useful; then the rest by age. Work that
  * has been past its useful start for long goes before all other work of its priority, which
  * prevents starvation.
+ *
+ * <p>While a service is short, teams within their share go before teams beyond it at the same
+ * priority. Work of a team within its share that has been past its useful start for long goes, at
+ * any priority, before the work of teams beyond their share, so that an overloaded team does not
+ * starve less urgent work of the others.
  */
 final class StepOrder {
 
@@ -26,6 +31,51 @@
 
   private StepOrder() {}
 
+  /** Position of a step among those of the same priority, or of the most urgent one if raised. */
+  private enum Standing {
+    WAITED_TOO_LONG,
+    WITHIN_SHARE,
+    RAISED,
+    BEYOND_SHARE,
+    EXCESS
+  }
+
+  /**
+   * Returns the order that applies at a Unix time, with the shares of the services that are short.
+   */
+  static Comparator<StepRun> at(long unixMillis, ShortageMonitor shortages) {
+    Comparator<StepRun> withoutShortage = at(unixMillis);
+    if (!shortages.anyShort()) {
+      return withoutShortage;
+    }
+    return Comparator.<StepRun>comparingInt(
+            step -> raised(step, unixMillis, shortages) ? 0 : step.job().queue().priority())
+        .thenComparing(step -> standing(step, unixMillis, shortages))
+        .thenComparing(withoutShortage);
+  }
+
+  private static Standing standing(StepRun step, long unixMillis, ShortageMonitor shortages) {
+    if (raised(step, unixMillis, shortages)) {
+      return Standing.RAISED;
+    }
+    if (status(step, unixMillis) == ObjectiveStatus.WAITED_TOO_LONG) {
+      return Standing.WAITED_TOO_LONG;
+    }
+    if (step.job().definition().excess()) {
+      return Standing.EXCESS;
+    }
+    return shortages.exceedsShare(step) ? Standing.BEYOND_SHARE : Standing.WITHIN_SHARE;
+  }
+
+  /** Returns whether a step with a less urgent priority goes before teams beyond their share. */
+  private static boolean raised(StepRun step, long unixMillis, ShortageMonitor shortages) {
+    return step.job().queue().priority() > 0
+        && status(step, unixMillis) == ObjectiveStatus.WAITED_TOO_LONG
+        && shortages.isShort(step)
+        && !step.job().definition().excess()
+        && !shortages.exceedsShare(step);
+  }
+
   /** Returns the order that applies at a Unix time. */
   static Comparator<StepRun> at(long unixMillis) {
     return Comparator.<StepRun>comparingInt(step -> step.job().queue().priority())
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WaitTimeTracker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WaitTimeTracker.java
@@ -20,6 +20,11 @@
     sinceMillis = OptionalLong.of(nowMillis);
   }
 
+  /** Returns whether the step waits for that cause now. */
+  boolean waitsFor(WaitCause waitCause) {
+    return sinceMillis.isPresent() && cause == waitCause;
+  }
+
   /** Ends the current wait. */
   void endWait(long nowMillis) {
     if (sinceMillis.isPresent()) {
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellMetrics.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CellMetrics.java
@@ -67,6 +67,13 @@
           .labelNames("what")
           .register(registry);
 
+  private final Gauge beyondShare =
+      Gauge.builder()
+          .name("cicadaford_cell_beyond_share")
+          .help("1 while a service is short and a team exceeds its share of it.")
+          .labelNames("team")
+          .register(registry);
+
   private Counter counter(String name, String help, String... labels) {
     return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
   }
@@ -137,4 +144,8 @@
   void setStateGauge(String what, long value) {
     state.labelValues(what).set(value);
   }
+
+  void setBeyondShareGauge(String team, long value) {
+    beyondShare.labelValues(team).set(value);
+  }
 }
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
@@ -293,5 +293,6 @@
   /** Updates the gauges of the coordinator's state. */
   public void updateGauges() {
     coordinator.counts().forEach(metrics::setStateGauge);
+    coordinator.teamsBeyondShare().forEach(metrics::setBeyondShareGauge);
   }
 }
