--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SharesUnderShortageTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SharesUnderShortageTest.java
@@ -119,6 +119,17 @@
     long left = (128 - 24) / 4 * SIMULATED_MILLIS / (RUN_MILLIS + 100);
     assertThat(startsOf(shared, "shared-large")).isGreaterThanOrEqualTo(left * 9 / 10);
     assertThat(shared.violations).isEmpty();
+    shared.run(20_000);
+    // One line for each change: the order does not change by turns while the shortage lasts.
+    assertThat(shared.traces.get("svc"))
+        .satisfiesExactly(
+            line -> assertThat(line).endsWith(" short"),
+            line -> assertThat(line).endsWith(" sufficient"));
+    assertThat(shared.traces.get("large"))
+        .satisfiesExactly(
+            line -> assertThat(line).endsWith(" beyond_share"),
+            line -> assertThat(line).endsWith(" within_share"));
+    assertThat(shared.coordinator.teamsBeyondShare()).containsEntry("large", 0L);
   }
 
   /**
