Bound the cost of learning speeds for each reported run

Cause: for each running row of a report, SpeedLearner copied and sorted the durations of all completed runs of the step before it checked whether enough had completed. At each end, compareIfComplete walked all tasks of the step. StepComparison.compare searched its list of slow runs once for each run.

Ruled out: sorting once after each change of the completed runs. Where ends and reports alternate, this still sorts at each end.

The numbers of completed and placed tasks are checked first. StepRun keeps the set of placed tasks that are not done and not overdue. The slow runs of a comparison are a set by identity.

Existing tests only changed in how they construct the completed runs.

Conclusion: the work for a row no longer depends on the size of its step, and that for an end grows with the logarithm of it. Which runs are compared, and with what result, is as before.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
@@ -183,6 +183,7 @@
 
   void markOverdue() {
     overdue = true;
+    task.step().taskChanged(task);
   }
 
   private long survivalStartMillis() {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/SpeedLearner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/SpeedLearner.java
@@ -1,18 +1,19 @@
 package org.cicadaford.cell;
 
-import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.TreeMap;
 import org.cicadaford.cell.learning.SpeedClass;
 import org.cicadaford.cell.learning.StepComparison;
+import org.cicadaford.cell.learning.TimedRuns;
 
 /**
  * Learns the speeds of workers from the ends of runs and from overdue runs.
  *
  * <p>Members of a gang end together, so they are not compared. Runs from a checkpoint, and runs
- * whose start or end was not reported at once, are not timed.
+ * whose start or end was not reported at once, are not timed. The work for each reported run does
+ * not depend on the number of tasks of its step.
  */
 final class SpeedLearner {
 
@@ -64,21 +65,22 @@
    * workers would be missing; waiting for an overdue run would delay the comparison by seconds.
    */
   private void compareIfComplete(StepRun step, ClockReading now) {
-    if (step.timedRuns().size() < Math.max(1, step.placedCount())) {
+    TimedRuns timedRuns = step.timedRuns();
+    if (timedRuns.count() < Math.max(1, step.placedCount()) || step.runsNotOverdue()) {
       return;
     }
-    for (Task task : step.tasks()) {
-      if (task.placement() != null && !task.done() && !task.placement().overdue()) {
-        return;
-      }
-    }
-    comparison.compare(step.timedRuns(), now.monotonicMillis());
-    step.timedRuns().clear();
+    comparison.compare(timedRuns, now.monotonicMillis());
+    timedRuns.clear();
   }
 
   /** Learns from the report of a run in progress, once, if it is overdue and not stalled. */
   void runReported(Placement placement, ClockReading now) {
     StepRun step = placement.task().step();
+    TimedRuns timedRuns = step.timedRuns();
+    int taskCount = timedRuns.count() + step.placedCount();
+    if (!timedRuns.suffice(taskCount)) {
+      return;
+    }
     long nowMillis = now.monotonicMillis();
     OptionalLong runMillis = placement.runMillis(nowMillis);
     boolean progresses =
@@ -87,13 +89,8 @@
     if (!comparable(step) || !progresses || runMillis.isEmpty() || placement.overdue()) {
       return;
     }
-    List<Long> completedMillis =
-        step.timedRuns().stream().map(StepComparison.Run::durationMillis).toList();
-    if (comparison.compareRunning(
-        timedRun(placement, runMillis.getAsLong()),
-        completedMillis,
-        step.timedRuns().size() + step.placedCount(),
-        nowMillis)) {
+    StepComparison.Run running = timedRun(placement, runMillis.getAsLong());
+    if (comparison.compareRunning(running, timedRuns, taskCount, nowMillis)) {
       placement.markOverdue();
       compareIfComplete(step, now);
     }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
-import org.cicadaford.cell.learning.StepComparison;
+import org.cicadaford.cell.learning.TimedRuns;
 
 /** A step of a job in one occurrence, with its tasks and placement advice. */
 final class StepRun {
@@ -22,6 +22,7 @@
   private final Set<String> advisedAgainst = new HashSet<>();
   private final BitSet waiting = new BitSet();
   private final BitSet done = new BitSet();
+  private final BitSet notOverdue = new BitSet();
   private final Map<Worker, Integer> placedByWorker = new HashMap<>();
   private int placedCount;
   private int unplacedRunCount;
@@ -35,7 +36,7 @@
   private int countedFailureRun;
   private final WaitTimeTracker waitTimes = new WaitTimeTracker();
   private final PhaseTimes phaseTimes = new PhaseTimes();
-  private final List<StepComparison.Run> timedRuns = new ArrayList<>();
+  private final TimedRuns timedRuns = new TimedRuns();
   private final long latestOnTimeStartMillis;
   private final long latestUsefulStartMillis;
 
@@ -64,7 +65,7 @@
   }
 
   /** Returns the runs that have completed tasks of the step, while others are not done. */
-  List<StepComparison.Run> timedRuns() {
+  TimedRuns timedRuns() {
     return timedRuns;
   }
 
@@ -90,10 +91,12 @@
     return latestUsefulStartMillis;
   }
 
-  /** Updates the index of waiting and completed tasks after a change of a task. */
+  /** Updates the index of waiting, completed and overdue tasks after a change of a task. */
   void taskChanged(Task task) {
     waiting.set(task.index(), task.waiting());
     done.set(task.index(), task.done());
+    Placement placement = task.placement();
+    notOverdue.set(task.index(), placement != null && !task.done() && !placement.overdue());
   }
 
   /** Updates the placement counts after a task is placed or released. */
@@ -144,6 +147,11 @@
     return done.cardinality() == tasks.size();
   }
 
+  /** Returns whether a task that is not done is placed, and its run is not overdue. */
+  boolean runsNotOverdue() {
+    return !notOverdue.isEmpty();
+  }
+
   /** Returns the number of tasks that are neither done nor placed. */
   int waitingCount() {
     return waiting.cardinality();
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/learning/StepComparison.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/learning/StepComparison.java
@@ -1,18 +1,19 @@
 package org.cicadaford.cell.learning;
 
-import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Compares the run times of the tasks of one step, to learn the speeds of their workers.
  *
  * <p>The tasks of a step do the same kind of work, so the error of its estimate cancels out.
- * Designed for steps of 2 to 150 tasks whose work differs by 0.15 to 0.3 (standard deviation of the
- * logarithm), which is learnt as well, and of which one in 33 takes seven times as long. A step of
- * one task, or one that ran on one worker, shows nothing.
+ * Designed for steps of 2 to 150 tasks, with a bounded cost up to 5,000, whose work differs by 0.15
+ * to 0.3 (standard deviation of the logarithm), which is learnt as well, and of which one in 33
+ * takes seven times as long. A step of one task, or one that ran on one worker, shows nothing.
  */
 public final class StepComparison {
 
@@ -64,16 +65,18 @@
   }
 
   /** Learns from the runs that completed the tasks of a step. */
-  public void compare(List<Run> allRuns, long nowMillis) {
+  public void compare(TimedRuns completed, long nowMillis) {
     List<Run> runs =
-        allRuns.stream().filter(run -> run.durationMillis() >= MIN_DURATION_MILLIS).toList();
+        completed.runs().stream()
+            .filter(run -> run.durationMillis() >= MIN_DURATION_MILLIS)
+            .toList();
     if (runs.stream().map(Run::speed).distinct().limit(2).count() < 2) {
       return;
     }
     double[] work = runs.stream().mapToDouble(StepComparison::work).sorted().toArray();
     double usual = work[(work.length - 1) / 2];
     Map<WorkerSpeed, WorkerRuns> byWorker = new IdentityHashMap<>();
-    List<Run> slow = new ArrayList<>();
+    Set<Run> slow = Collections.newSetFromMap(new IdentityHashMap<>());
     for (Run run : runs) {
       if (work(run) - usual > largeSlowness()) {
         slow.add(run);
@@ -97,17 +100,15 @@
   /**
    * Learns from a run in progress that is overdue in relation to the completed runs of its step.
    *
-   * @param completedMillis durations of the completed runs
-   * @param runCount number of completed and running tasks; half of them must be completed
+   * @param completed completed runs of the step
+   * @param taskCount number of completed and running tasks; half of them must be completed
    * @return whether the run is overdue
    */
-  public boolean compareRunning(
-      Run running, List<Long> completedMillis, int runCount, long nowMillis) {
-    if (completedMillis.size() < 2 || 2 * completedMillis.size() < runCount) {
+  public boolean compareRunning(Run running, TimedRuns completed, int taskCount, long nowMillis) {
+    if (!completed.suffice(taskCount)) {
       return false;
     }
-    double[] sorted = completedMillis.stream().mapToDouble(Long::doubleValue).sorted().toArray();
-    double usualMillis = Math.max(MIN_DURATION_MILLIS, sorted[sorted.length / 2]);
+    double usualMillis = Math.max(MIN_DURATION_MILLIS, completed.medianMillis());
     double slowness = work(running) - Math.log(usualMillis);
     if (slowness > largeSlowness()) {
       running.speed().observeSlowRun(running.run(), slowness, nowMillis);
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/StallDetectorTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/StallDetectorTest.java
@@ -6,6 +6,8 @@
 import java.util.Set;
 import net.jqwik.api.Example;
 import org.cicadaford.cell.learning.StepComparison;
+import org.cicadaford.cell.learning.TimedRuns;
+import org.cicadaford.cell.learning.WorkerSpeed;
 import org.cicadaford.model.Resources;
 
 /** Tests when a run without progress is stopped, on workers of normal and of low speed. */
@@ -66,9 +68,12 @@
   @Example
   void aRunOnASlowWorkerHasMoreTimeWhileTheWorkerIsKnownToBeSlow() {
     StepComparison comparison = new StepComparison();
+    TimedRuns completed = new TimedRuns();
+    completed.add(new StepComparison.Run(new WorkerSpeed(), "other0", 500));
+    completed.add(new StepComparison.Run(new WorkerSpeed(), "other1", 500));
     for (int run = 0; run < 2; run++) {
       StepComparison.Run slow = new StepComparison.Run(worker.speed(), "run" + run, 3_000);
-      comparison.compareRunning(slow, List.of(500L, 500L), 3, 2_000 + run * 1_000);
+      comparison.compareRunning(slow, completed, 3, 2_000 + run * 1_000);
     }
     assertThat(stoppedAt(1_000 + STALL_MILLIS + 1)).isFalse();
     assertThat(stoppedAt(6_000)).isFalse();
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/learning/StepComparisonTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/learning/StepComparisonTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.stream.IntStream;
@@ -24,9 +23,19 @@
   private long nowMillis = 1_000;
   private int steps;
 
+  private static TimedRuns timedRuns(StepComparison.Run... runs) {
+    TimedRuns timedRuns = new TimedRuns();
+    List.of(runs).forEach(timedRuns::add);
+    return timedRuns;
+  }
+
+  private static StepComparison.Run run(long durationMillis) {
+    return new StepComparison.Run(new WorkerSpeed(), "other", durationMillis);
+  }
+
   /** Compares a step of 25 tasks on random workers, of which the first may be slow. */
   private void playStep(double spread, double slowFactor, int slowWorkers) {
-    List<StepComparison.Run> runs = new ArrayList<>();
+    TimedRuns runs = new TimedRuns();
     for (int task = 0; task < TASKS; task++) {
       int worker = random.nextInt(WORKERS);
       double factor = worker < slowWorkers ? slowFactor : 1;
@@ -87,8 +96,8 @@
     for (int run = 0; run < 2; run++) {
       StepComparison.Run running = new StepComparison.Run(slow, "slow/" + run, 5_700);
       assertThat(count(SpeedClass.VERY_SLOW, 0, 1)).isZero();
-      assertThat(comparison.compareRunning(running, List.of(1_900L, 2_000L), 4, nowMillis))
-          .isTrue();
+      TimedRuns completed = timedRuns(run(1_900), run(2_000));
+      assertThat(comparison.compareRunning(running, completed, 4, nowMillis)).isTrue();
     }
     assertThat(count(SpeedClass.VERY_SLOW, 0, 1)).isOne();
     assertThat(slow.factor()).isBetween(2.0, 8.0);
@@ -101,11 +110,11 @@
   @Example
   void aStepOfOneTaskOrOnOneWorkerShowsNothing() {
     WorkerSpeed worker = workers.getFirst();
-    comparison.compare(List.of(new StepComparison.Run(worker, "a", 9_000)), nowMillis);
+    comparison.compare(timedRuns(new StepComparison.Run(worker, "a", 9_000)), nowMillis);
     StepComparison.Run first = new StepComparison.Run(worker, "b", 100);
-    comparison.compare(List.of(first, new StepComparison.Run(worker, "c", 9_000)), nowMillis);
+    comparison.compare(timedRuns(first, new StepComparison.Run(worker, "c", 9_000)), nowMillis);
     assertThat(worker.comparedCount()).isZero();
-    assertThat(comparison.compareRunning(first, List.of(1L), 1, nowMillis)).isFalse();
+    assertThat(comparison.compareRunning(first, timedRuns(run(1)), 1, nowMillis)).isFalse();
     assertThat(count(SpeedClass.NORMAL, 0, WORKERS)).isEqualTo(WORKERS);
   }
 }
