Give runs more time only on workers that are significantly slower

Cause: WorkerSpeed.ignore reset the class and kept the factor, so in cells of fewer than 100 workers a stalled run waited up to 8 times as long. In large cells the factor also counted where the difference was not significant.

Ruled out: a check of the class in StallDetector. It would leave a factor on the worker that other callers could use in the same way.

Change: the factor is 1 after ignore and for the classes FAST and NORMAL. SpeedPreference therefore no longer takes a worker without a significant difference to be slower or faster when it checks whether a run on it ends in time.

Figures: in a small cell with two runs seen as 6 times slower, a run without progress is stopped after 2.5 s; before, it went on until the slowness expired, 5 s after its last progress.

Conclusion: small cells stop stalled runs as before speeds were learnt.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StallDetector.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StallDetector.java
@@ -4,8 +4,9 @@
  * Stops runs that make no progress.
  *
  * <p>A run on a worker that is known to be slower makes progress at longer intervals, so it is
- * given more time by the learnt factor, which is at most 8. The factor is forgotten within seconds
- * of the last run that made progress slowly, so a run that stands still is still detected.
+ * given more time by the learnt factor, which is at most 8, and 1 where learnt speeds are not in
+ * effect. The factor is forgotten within seconds of the last run that made progress slowly, so a
+ * run that stands still is still detected.
  */
 final class StallDetector {
 
@@ -33,9 +34,10 @@
       return false;
     }
     Worker worker = placement.worker();
-    double factor = Math.max(1, worker.speed().factor());
     long allowedMillis =
-        (long) (factor * Math.max(state.settings().stallMillis(), spec.estimateMillis() / 2));
+        (long)
+            (worker.speed().factor()
+                * Math.max(state.settings().stallMillis(), spec.estimateMillis() / 2));
     boolean reportedSince = worker.answeredAfter(placement.progressAtMillis() + allowedMillis);
     return reportedSince && nowMillis - placement.progressAtMillis() > allowedMillis;
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/learning/WorkerSpeed.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/learning/WorkerSpeed.java
@@ -117,7 +117,6 @@
     double permanent = comparedCount == 0 ? 0 : mean - usualSlowness;
     double temporary = temporarySlowness(nowMillis);
     double required = Math.max(RELEVANT_SLOWNESS, SIGNIFICANCE * Math.sqrt(variance));
-    factor = Math.min(MAX_FACTOR, Math.exp(Math.max(permanent, temporary)));
     if (temporary > 0) {
       speedClass = SpeedClass.VERY_SLOW;
     } else if (permanent > required) {
@@ -125,11 +124,14 @@
     } else {
       speedClass = permanent < -required ? SpeedClass.FAST : SpeedClass.NORMAL;
     }
+    boolean slow = speedClass == SpeedClass.SLOW || speedClass == SpeedClass.VERY_SLOW;
+    factor = slow ? Math.min(MAX_FACTOR, Math.exp(Math.max(permanent, temporary))) : 1;
   }
 
   /** Treats the worker as one of normal speed until the next update. */
   public void ignore() {
     speedClass = SpeedClass.NORMAL;
+    factor = 1;
   }
 
   /** Returns the class of the worker as of the last update. */
@@ -137,7 +139,10 @@
     return speedClass;
   }
 
-  /** Returns the factor by which runs take longer than on the median worker, as last updated. */
+  /**
+   * Returns the factor by which runs take longer than on the median worker, as last updated; 1
+   * unless the worker is significantly slower.
+   */
   public double factor() {
     return factor;
   }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/StallDetectorTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/StallDetectorTest.java
@@ -67,6 +67,25 @@
    */
   @Example
   void aRunOnASlowWorkerHasMoreTimeWhileTheWorkerIsKnownToBeSlow() {
+    observeSlowRuns();
+    assertThat(stoppedAt(1_000 + STALL_MILLIS + 1)).isFalse();
+    assertThat(stoppedAt(6_000)).isFalse();
+    assertThat(stoppedAt(6_001)).isTrue();
+  }
+
+  /** Guards against stalled runs that go on for longer where learnt speeds are not in effect. */
+  @Example
+  void aRunOnASlowWorkerOfASmallCellHasTheUsualTime() {
+    observeSlowRuns();
+    worker.speed().update(0, 1_000 + STALL_MILLIS);
+    assertThat(worker.speed().factor()).isGreaterThan(2);
+    worker.speed().ignore();
+    worker.answered(1_000 + STALL_MILLIS + 1);
+    detector.stopIfStalled(placement, new ClockReading(3_501, 3_501));
+    assertThat(placement.stopRequested()).isTrue();
+  }
+
+  private void observeSlowRuns() {
     StepComparison comparison = new StepComparison();
     TimedRuns completed = new TimedRuns();
     completed.add(new StepComparison.Run(new WorkerSpeed(), "other0", 500));
@@ -75,8 +94,5 @@
       StepComparison.Run slow = new StepComparison.Run(worker.speed(), "run" + run, 3_000);
       comparison.compareRunning(slow, completed, 3, 2_000 + run * 1_000);
     }
-    assertThat(stoppedAt(1_000 + STALL_MILLIS + 1)).isFalse();
-    assertThat(stoppedAt(6_000)).isFalse();
-    assertThat(stoppedAt(6_001)).isTrue();
   }
 }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/learning/StepComparisonTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/learning/StepComparisonTest.java
@@ -106,6 +106,17 @@
     assertThat(slow.factor()).isLessThan(1.2);
   }
 
+  /** Guards against a factor that gives runs more time because of a difference by chance. */
+  @Example
+  void theFactorOfAWorkerThatIsNotSignificantlySlowerIsOne() {
+    WorkerSpeed worker = workers.getFirst();
+    worker.observe(Math.log(1.3), 0.04, nowMillis);
+    worker.update(0, nowMillis);
+    assertThat(worker.slowness()).isGreaterThan(0.05);
+    assertThat(worker.speedClass()).isEqualTo(SpeedClass.NORMAL);
+    assertThat(worker.factor()).isEqualTo(1);
+  }
+
   /** Guards against conclusions from a task that nothing can be compared with. */
   @Example
   void aStepOfOneTaskOrOnOneWorkerShowsNothing() {
