Keep a worker suspected until its probe ends, and name probes

Cause: a suspicion expired 10 s after the last failure even while a probe ran, so a worker that fails tasks of more than 10 s at their end was filled again each time. A long-running task that had run for 3 s cleared a suspicion that failures of other tasks had caused. The failures of a suspected worker were kept for each job without a bound.

Ruled out: a longer expiry, as it delays the return of workers that get no probe. A long-running probe that stays one until it ends: as a suspicion no longer expires while a probe runs, such a worker would stay suspected for as long as the service runs.

Change: no expiry while a probe runs. A long-running task that has run for 3 s is no probe any more; it clears the suspicion only if all counted failures were of long-running tasks, otherwise the next probe may start. Failures of further jobs are not added while the worker is suspected, so at most 3 jobs are kept. isTest, underTest and checkTest are renamed to isProbe, probeRuns and checkProbe, and succeeded, which also served expiry and reset, to clearSuspicion.

Conclusion: a worker that fails long tasks is avoided at the cost of one task at a time. A probe without a bound on its run time that is not long-running keeps its worker at one task until it ends.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Placement.java
@@ -60,6 +60,7 @@
   private boolean restored;
   private final boolean resumed;
   private boolean overdue;
+  private boolean longRunProven;
 
   Placement(Task task, int run, Worker worker, long incarnation, long nowMillis) {
     this.task = task;
@@ -337,6 +338,15 @@
         && ElapsedTime.isOlderThan(confirmedAtMillis, nowMillis, WorkerQuarantine.PROVEN_MILLIS);
   }
 
+  /** Returns whether it was a long-running probe of its worker that has run long enough. */
+  boolean longRunProven() {
+    return longRunProven;
+  }
+
+  void markLongRunProven() {
+    longRunProven = true;
+  }
+
   /** Returns the time worked since the start order or the last reported checkpoint. */
   long unsavedMillis(long nowMillis) {
     return nowMillis - Math.max(orderedAtMillis, savedAtMillis);
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/RunEndHandler.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/RunEndHandler.java
@@ -31,7 +31,7 @@
     task.checkpoint(placement.checkpoint());
     task.checkpoint(checkpoint);
     state.release(placement);
-    if (kind == EndKind.DONE && placement.worker().quarantine().succeeded()) {
+    if (kind == EndKind.DONE && placement.worker().quarantine().clearSuspicion()) {
       reporter.trusted(placement.worker(), "DONE");
     }
     boolean gang = task.step().spec().gang();
@@ -169,23 +169,31 @@
   /** Counts a failure against the worker, which may be the cause. */
   void countFailure(Placement placement, ClockReading now) {
     Worker worker = placement.worker();
-    if (worker.quarantine().failed(placement.task().step().job().id(), now.monotonicMillis())) {
+    StepRun step = placement.task().step();
+    boolean longRunning = step.spec().longRunning();
+    if (worker.quarantine().failed(step.job().id(), longRunning, now.monotonicMillis())) {
       reporter.suspected(worker);
     }
   }
 
-  /** Ends the suspicion of a worker on which a long-running test has run long enough. */
-  void checkTest(Placement placement, ClockReading now) {
+  /**
+   * Ends a long-running probe that has run long enough, and the suspicion of its worker if only
+   * long-running tasks have failed there.
+   */
+  void checkProbe(Placement placement, ClockReading now) {
     WorkerQuarantine quarantine = placement.worker().quarantine();
-    boolean passed = quarantine.isTest(placement) && placement.provenLongRun(now.monotonicMillis());
-    if (passed && quarantine.succeeded()) {
+    if (!quarantine.isProbe(placement) || !placement.provenLongRun(now.monotonicMillis())) {
+      return;
+    }
+    placement.markLongRunProven();
+    if (quarantine.clearedByLongRun() && quarantine.clearSuspicion()) {
       reporter.trusted(placement.worker(), "RUNS");
     }
   }
 
   /** Ends the suspicion of a worker whose failures no longer count. */
   void expireFailures(Worker worker, ClockReading now) {
-    if (worker.quarantine().expire(now.monotonicMillis())) {
+    if (worker.quarantine().expire(worker.placements().values(), now.monotonicMillis())) {
       reporter.trusted(worker, "EXPIRED");
     }
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/SchedulableWorkerIndex.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/SchedulableWorkerIndex.java
@@ -123,7 +123,7 @@
         && worker.reachable(nowMillis, state.settings().unreachableMillis())
         && !worker.quarantine().quarantined(nowMillis)
         && worker.startSurvival().isolated().isEmpty()
-        && !worker.quarantine().underTest(worker.placements().values())
+        && !worker.quarantine().probeRuns(worker.placements().values())
         && !unreachableDetector.excludes(worker);
   }
 
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerEvaluator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerEvaluator.java
@@ -38,10 +38,10 @@
     return limit <= 0 ? slots : Math.max(0, Math.min(slots, limit - step.placedOn(worker)));
   }
 
-  /** Next to an isolated start, or to a test after several failures, a worker gets no task. */
+  /** Next to an isolated start, or to a probe after several failures, a worker gets no task. */
   private static boolean acceptsTask(Worker worker) {
     return worker.startSurvival().isolated().isEmpty()
-        && !worker.quarantine().underTest(worker.placements().values());
+        && !worker.quarantine().probeRuns(worker.placements().values());
   }
 
   /** Returns whether a worker suits a task better than the best one so far. */
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -207,7 +207,7 @@
       }
       speeds.runReported(placement, now);
       stallDetector.stopIfStalled(placement, now);
-      endHandler.checkTest(placement, now);
+      endHandler.checkProbe(placement, now);
     }
     unknownRuns.handle(worker, unplaced, report, requestNumber, now);
     if (!report.complete()) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerQuarantine.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerQuarantine.java
@@ -8,10 +8,12 @@
  * Keeps tasks off a worker on which runs of several jobs failed, or which refused a start.
  *
  * <p>After failures of several jobs the worker is suspected: it gets no task for a short time, then
- * one at a time, whatever else runs there. The suspicion ends when a run is done, when a
- * long-running one has run for {@link #PROVEN_MILLIS}, or when {@link #EXPIRY_MILLIS} have passed
- * since the last failure. Designed for cells whose tasks take up to 5 s and fail in up to 5% of
- * their runs, and for services whose tasks fail every few seconds.
+ * one at a time as a probe, whatever else runs there. The suspicion ends when a run is done, or
+ * when {@link #EXPIRY_MILLIS} have passed since the last failure and no probe runs. A long-running
+ * task that has run for {@link #PROVEN_MILLIS} is no probe any more, and ends the suspicion if only
+ * long-running tasks have failed: it does not show that the worker can complete tasks. Designed for
+ * cells whose tasks take up to 5 s and fail in up to 5% of their runs, and for services whose tasks
+ * fail every few seconds.
  */
 final class WorkerQuarantine {
 
@@ -33,8 +35,8 @@
 
   /**
    * Time after which a failure no longer counts, in milliseconds. It covers a quarantine of 2 s and
-   * a task of 5 s on a slow worker (6.5 s), so that a worker that fails each of its tests only at
-   * the end of the task stays suspected.
+   * a task of 5 s on a slow worker (6.5 s). A probe that takes longer keeps the worker suspected
+   * until it ends.
    */
   static final long EXPIRY_MILLIS = 10_000;
 
@@ -44,21 +46,27 @@
    */
   static final long PROVEN_MILLIS = 3_000;
 
-  private final Map<String, Long> lastFailureByJob = new HashMap<>();
+  /** Last failure of a job, and whether only long-running tasks of the job have failed. */
+  private record Failure(long atMillis, boolean longRunning) {}
+
+  /** Counted failures; complete until the worker is suspected, and not extended from then on. */
+  private final Map<String, Failure> lastFailureByJob = new HashMap<>();
+
   private OptionalLong lastFailureMillis = OptionalLong.empty();
   private OptionalLong suspectedSinceMillis = OptionalLong.empty();
+  private boolean onlyLongRunningFailed;
   private OptionalLong quarantinedUntilMillis = OptionalLong.empty();
   private long quarantineMillis;
   private OptionalLong pausedUntilMillis = OptionalLong.empty();
 
   /** Forgets the failures of an earlier incarnation of the worker. */
   void reset() {
-    succeeded();
+    clearSuspicion();
     quarantinedUntilMillis = OptionalLong.empty();
   }
 
-  /** Ends the suspicion; returns whether there was one. */
-  boolean succeeded() {
+  /** Forgets all failures and ends the suspicion; returns whether there was one. */
+  boolean clearSuspicion() {
     boolean suspected = suspected();
     lastFailureByJob.clear();
     lastFailureMillis = OptionalLong.empty();
@@ -71,11 +79,17 @@
    * Counts a failed run and quarantines the worker after failures of several jobs; returns whether
    * the worker is suspected from now on.
    */
-  boolean failed(String jobId, long nowMillis) {
-    lastFailureByJob.put(jobId, nowMillis);
+  boolean failed(String jobId, boolean longRunning, long nowMillis) {
     lastFailureMillis = OptionalLong.of(nowMillis);
-    if (!suspected() && lastFailureByJob.size() < FAILURES_BEFORE_QUARANTINE) {
-      return false;
+    if (suspected()) {
+      onlyLongRunningFailed &= longRunning;
+    } else {
+      Failure earlier = lastFailureByJob.get(jobId);
+      boolean onlyLongRunning = longRunning && (earlier == null || earlier.longRunning());
+      lastFailureByJob.put(jobId, new Failure(nowMillis, onlyLongRunning));
+      if (lastFailureByJob.size() < FAILURES_BEFORE_QUARANTINE) {
+        return false;
+      }
     }
     quarantineMillis =
         quarantineMillis == 0
@@ -85,17 +99,22 @@
     boolean begins = !suspected();
     if (begins) {
       suspectedSinceMillis = OptionalLong.of(nowMillis);
+      onlyLongRunningFailed = lastFailureByJob.values().stream().allMatch(Failure::longRunning);
     }
     return begins;
   }
 
-  /** Forgets failures that no longer count; returns whether a suspicion has ended. */
-  boolean expire(long nowMillis) {
+  /**
+   * Forgets failures that no longer count; returns whether a suspicion has ended.
+   *
+   * @param placements placements of the worker
+   */
+  boolean expire(Iterable<Placement> placements, long nowMillis) {
     if (ElapsedTime.isOlderThan(lastFailureMillis, nowMillis, EXPIRY_MILLIS)) {
-      return succeeded();
+      return !probeRuns(placements) && clearSuspicion();
     }
     if (!suspected() && !lastFailureByJob.isEmpty()) {
-      lastFailureByJob.values().removeIf(atMillis -> nowMillis - atMillis > EXPIRY_MILLIS);
+      lastFailureByJob.values().removeIf(failure -> nowMillis - failure.atMillis() > EXPIRY_MILLIS);
     }
     return false;
   }
@@ -115,16 +134,23 @@
     return suspectedSinceMillis.isPresent();
   }
 
-  /** Returns whether a placement tests whether the worker still fails what it starts. */
-  boolean isTest(Placement placement) {
-    return suspected() && placement.placedAtMillis() >= suspectedSinceMillis.getAsLong();
+  /** Returns whether a placement shows by its end whether the worker still fails what it starts. */
+  boolean isProbe(Placement placement) {
+    return suspected()
+        && placement.placedAtMillis() >= suspectedSinceMillis.getAsLong()
+        && !placement.longRunProven();
+  }
+
+  /** Returns whether a long-running task that runs shows that the worker does not fail. */
+  boolean clearedByLongRun() {
+    return suspected() && onlyLongRunningFailed;
   }
 
-  /** Returns whether a test is in progress among the placements of the worker. */
-  boolean underTest(Iterable<Placement> placements) {
+  /** Returns whether a probe is among the placements of the worker. */
+  boolean probeRuns(Iterable<Placement> placements) {
     if (suspected()) {
       for (Placement placement : placements) {
-        if (isTest(placement)) {
+        if (isProbe(placement)) {
           return true;
         }
       }
@@ -132,7 +158,10 @@
     return false;
   }
 
-  /** Returns the number of different jobs that failed lately, since the last success. */
+  /**
+   * Returns the number of different jobs that failed lately, since the last success; at most {@link
+   * #FAILURES_BEFORE_QUARANTINE}.
+   */
   int failuresInARow() {
     return lastFailureByJob.size();
   }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/PlacementPlannerTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/PlacementPlannerTest.java
@@ -169,7 +169,7 @@
           && permitted
           && !worker.listing().draining()
           && !worker.quarantine().quarantined(nowMillis)
-          && !worker.quarantine().underTest(worker.placements().values())
+          && !worker.quarantine().probeRuns(worker.placements().values())
           && spec.reservation().fitsIn(worker.free())) {
         return worker;
       }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/WorkerQuarantineTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/WorkerQuarantineTest.java
@@ -65,8 +65,8 @@
       }
       long slots = 8;
       // From then on a run of at least lifeMillis follows each quarantine of 1 s and then 2 s.
-      long tests = 60_000 / (2_000 + lifeMillis) + 2;
-      assertThat(cell.ordersTo(FAILING)).isBetween(3, (int) (2 * slots + tests));
+      long probes = 60_000 / (2_000 + lifeMillis) + 2;
+      assertThat(cell.ordersTo(FAILING)).isBetween(3, (int) (2 * slots + probes));
     }
   }
 
@@ -86,4 +86,52 @@
     cell.run(WorkerQuarantine.PROVEN_MILLIS + 3_000);
     assertThat(worker.runs).hasSize(6);
   }
+
+  /** Guards against a worker that is filled again while a probe longer than the expiry runs. */
+  @Example
+  void workerThatFailsLongTasksAtTheirEndGetsOneAtATime() {
+    SimulatedCell cell = cell(1);
+    SimulatedWorker worker = cell.workers.get(FAILING);
+    worker.life = () -> WorkerQuarantine.EXPIRY_MILLIS + 5_000;
+    for (int index = 0; index < 20; index++) {
+      cell.submit("long" + index, SimulatedJobs.step(1, 2_000, 30_000, false));
+    }
+    cell.run(WorkerQuarantine.EXPIRY_MILLIS + 6_500);
+    int mostRuns = 0;
+    for (int round = 0; round < 500; round++) {
+      cell.run(100);
+      mostRuns = Math.max(mostRuns, worker.runs.size());
+    }
+    assertThat(mostRuns).isOne();
+  }
+
+  /**
+   * Guards against a worker that fails all tasks that end and is filled again because a
+   * long-running one runs there, and against one that stays suspected because of that one.
+   */
+  @Example
+  void longRunningTaskDoesNotClearFailuresOfOtherTasks() {
+    SimulatedCell cell = cell(1);
+    SimulatedWorker worker = cell.workers.get(FAILING);
+    worker.life = () -> 100;
+    for (int index = 0; index < 3; index++) {
+      cell.submit("failed" + index, SimulatedJobs.step(1, 1_000, 5_000, false));
+    }
+    cell.run(400);
+    worker.life = () -> Long.MAX_VALUE;
+    for (int index = 0; index < 3; index++) {
+      cell.coordinator.cancel("failed" + index, cell.moment());
+    }
+    cell.submit("service", SimulatedJobs.longRunningStep(1, 1_000));
+    cell.run(2_000);
+    assertThat(worker.runs).hasSize(1);
+    cell.submit("waiting", SimulatedJobs.step(4, 1_000, 60_000, false));
+    cell.run(WorkerQuarantine.PROVEN_MILLIS + 1_000);
+    assertThat(worker.runs).hasSize(2);
+    cell.coordinator.cancel("waiting", cell.moment());
+    cell.run(WorkerQuarantine.EXPIRY_MILLIS);
+    cell.submit("later", SimulatedJobs.step(4, 1_000, 60_000, false));
+    cell.run(1_000);
+    assertThat(worker.runs).hasSize(5);
+  }
 }
