--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/StallDetectorTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/StallDetectorTest.java
@@ -6,6 +6,8 @@
 import java.util.Set;
 import net.jqwik.api.Example;
 import org.cicadaford.cell.learning.StepComparison;
+import org.cicadaford.cell.learning.TimedRuns;
+import org.cicadaford.cell.learning.WorkerSpeed;
 import org.cicadaford.model.Resources;
 
 /** Tests when a run without progress is stopped, on workers of normal and of low speed. */
@@ -65,13 +67,32 @@
    */
   @Example
   void aRunOnASlowWorkerHasMoreTimeWhileTheWorkerIsKnownToBeSlow() {
+    observeSlowRuns();
+    assertThat(stoppedAt(1_000 + STALL_MILLIS + 1)).isFalse();
+    assertThat(stoppedAt(6_000)).isFalse();
+    assertThat(stoppedAt(6_001)).isTrue();
+  }
+
+  /** Guards against stalled runs that go on for longer where learnt speeds are not in effect. */
+  @Example
+  void aRunOnASlowWorkerOfASmallCellHasTheUsualTime() {
+    observeSlowRuns();
+    worker.speed().update(0, 1_000 + STALL_MILLIS);
+    assertThat(worker.speed().factor()).isGreaterThan(2);
+    worker.speed().ignore();
+    worker.answered(1_000 + STALL_MILLIS + 1);
+    detector.stopIfStalled(placement, new ClockReading(3_501, 3_501));
+    assertThat(placement.stopRequested()).isTrue();
+  }
+
+  private void observeSlowRuns() {
     StepComparison comparison = new StepComparison();
+    TimedRuns completed = new TimedRuns();
+    completed.add(new StepComparison.Run(new WorkerSpeed(), "other0", 500));
+    completed.add(new StepComparison.Run(new WorkerSpeed(), "other1", 500));
     for (int run = 0; run < 2; run++) {
       StepComparison.Run slow = new StepComparison.Run(worker.speed(), "run" + run, 3_000);
-      comparison.compareRunning(slow, List.of(500L, 500L), 3, 2_000 + run * 1_000);
+      comparison.compareRunning(slow, completed, 3, 2_000 + run * 1_000);
     }
-    assertThat(stoppedAt(1_000 + STALL_MILLIS + 1)).isFalse();
-    assertThat(stoppedAt(6_000)).isFalse();
-    assertThat(stoppedAt(6_001)).isTrue();
   }
 }
