Report faults of append callbacks and send suspects once more

Cause: an exception in a callback of JournalWriter was kept by its future, so the batch stayed open while heartbeats kept the role. Records that were rejected alone were blamed once any later append was stored, so a short fault of the store failed a job. On a slow store a heartbeat was due in each attempt, and a single record at fault was sent with it without end. Ruled out: blaming after a fixed number of rejections, as a store that rejects everything would fail jobs. Change: exceptions go to CoordinatorService.handleFault. After the confirming append each suspect is sent once more, alone, before it is blamed. After a rejection a single group is sent without a heartbeat. A test required that no append is sent twice; it now requires that only the records at fault are, alone. Conclusion: a batch ends in each of these cases; a record must be rejected twice to be blamed.

--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
@@ -83,7 +83,8 @@
             clock,
             metrics,
             this::handleRejectedRecords,
-            this::stepDown);
+            this::stepDown,
+            this::handleFault);
     this.dispatcher =
         new OrderDispatcher(
             epoch,
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/JournalWriter.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/JournalWriter.java
@@ -21,8 +21,10 @@
  *
  * <p>A batch that exceeds the store's limit on a call is stored in several appends. If the store
  * rejects the content of an append, it is divided until the records at fault are found, and all
- * others are stored. The records of one job are never divided. Designed for batches of thousands of
- * records of which a few are at fault: each costs two appends for each halving of the batch.
+ * others are stored. The records of one job are never divided. Records that are rejected alone are
+ * sent once more after the store has accepted another append, and are at fault if it rejects them
+ * again. Designed for batches of thousands of records of which a few are at fault: each costs two
+ * appends for each halving of the batch, and one more.
  */
 final class JournalWriter {
 
@@ -54,6 +56,7 @@
   private final CellMetrics metrics;
   private final Consumer<List<RecordWrite>> onRejected;
   private final Runnable onFenced;
+  private final Consumer<Throwable> onFault;
 
   /** Parts of the current batch that are to be appended, as lists of the records of each owner. */
   private final Deque<List<List<RecordWrite>>> parts = new ArrayDeque<>();
@@ -61,12 +64,18 @@
   /** Records of the current batch, by owner, that the store has rejected on their own. */
   private final List<List<RecordWrite>> suspects = new ArrayList<>();
 
-  /** Records of the current batch that exceed the limit on a record and are never sent. */
+  /** Records of the current batch that are at fault, or that exceed the limit on a record. */
   private final List<RecordWrite> rejected = new ArrayList<>();
 
   /** Whether the store has been asked for a heartbeat since it rejected a part of this batch. */
   private boolean probed;
 
+  /** Whether the store has rejected an append of the current batch. */
+  private boolean rejectionSeen;
+
+  /** Whether all else of the current batch is stored, and the suspects are sent once more. */
+  private boolean resending;
+
   private boolean running = true;
   private boolean appendPending;
   private long sequence;
@@ -83,6 +92,7 @@
    * @param onRejected receives the records of a batch that the store rejects for their content,
    *     once all others are stored and before the batch counts as stored
    * @param onFenced runs once when a higher epoch has taken over
+   * @param onFault receives an exception in the handling of an outcome; the batch stays open
    */
   JournalWriter(
       Leadership coordinator,
@@ -92,7 +102,8 @@
       Supplier<ClockReading> clock,
       CellMetrics metrics,
       Consumer<List<RecordWrite>> onRejected,
-      Runnable onFenced) {
+      Runnable onFenced,
+      Consumer<Throwable> onFault) {
     this.coordinator = coordinator;
     this.store = store;
     this.loop = loop;
@@ -100,6 +111,7 @@
     this.metrics = metrics;
     this.onRejected = onRejected;
     this.onFenced = onFenced;
+    this.onFault = onFault;
     this.lastStoredAt = claimedAt;
   }
 
@@ -199,7 +211,12 @@
     sequence++;
     long nowMillis = clock.get().monotonicMillis();
     List<RecordWrite> appended = new ArrayList<>();
-    if (!ElapsedTime.within(lastNamedAtMillis, nowMillis, NAMING_INTERVAL_MILLIS - 1)) {
+    // A heartbeat would leave open which of the two the store rejects. On a slow store one is due
+    // in
+    // each attempt, so that the records would be sent without end.
+    boolean alone = rejectionSeen && part.size() == 1;
+    boolean named = ElapsedTime.within(lastNamedAtMillis, nowMillis, NAMING_INTERVAL_MILLIS - 1);
+    if (!alone && !named) {
       lastNamedAtMillis = OptionalLong.of(nowMillis);
       appended.add(JournalHeartbeat.record(coordinator, sequence));
     }
@@ -216,7 +233,17 @@
     store
         .append(coordinator.epoch(), sequence, records)
         .exceptionally(failure -> AppendOutcome.UNKNOWN)
-        .thenAccept(outcome -> handleOutcome(outcome, part, records, onStored, sentAt));
+        .thenAccept(
+            outcome -> guard(() -> handleOutcome(outcome, part, records, onStored, sentAt)));
+  }
+
+  /** Runs a step; its exception would otherwise be lost in a future. */
+  private void guard(Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException e) {
+      onFault.accept(e);
+    }
   }
 
   private void handleOutcome(
@@ -233,11 +260,12 @@
       case STORED -> {
         consecutiveFailures = 0;
         lastStoredAt = sentAt;
-        if (parts.isEmpty()) {
-          complete(onStored);
-        } else {
-          appendNextPart(onStored);
+        if (parts.isEmpty() && !suspects.isEmpty()) {
+          resending = true;
+          suspects.forEach(group -> parts.add(List.of(group)));
+          suspects.clear();
         }
+        continueBatch(onStored);
       }
       case FENCED -> {
         running = false;
@@ -255,16 +283,30 @@
     }
   }
 
+  private void continueBatch(Runnable onStored) {
+    if (parts.isEmpty()) {
+      complete(onStored);
+    } else {
+      appendNextPart(onStored);
+    }
+  }
+
   /**
    * Divides a rejected part and appends the next one. Records that were rejected on their own are
-   * at fault only if the store accepts others afterwards, so an append follows in any case, if only
-   * of a heartbeat. A store that rejects even that counts as failed, and no job fails because of
-   * it.
+   * at fault only if the store accepts others afterwards and rejects them again, so an append
+   * follows in any case, if only of a heartbeat. A store that rejects even that counts as failed,
+   * and no job fails because of it.
    */
   private void handleRejection(
       List<List<RecordWrite>> part, boolean withHeartbeat, Runnable onStored) {
     // A rejected append does not use up its sequence number.
     sequence--;
+    rejectionSeen = true;
+    if (resending) {
+      part.forEach(rejected::addAll);
+      continueBatch(onStored);
+      return;
+    }
     if (part.isEmpty()) {
       consecutiveFailures++;
       suspects.forEach(group -> parts.addFirst(List.of(group)));
@@ -296,8 +338,8 @@
   private void complete(Runnable onStored) {
     appendPending = false;
     probed = false;
-    suspects.forEach(rejected::addAll);
-    suspects.clear();
+    rejectionSeen = false;
+    resending = false;
     if (!rejected.isEmpty()) {
       List<RecordWrite> reported = List.copyOf(rejected);
       rejected.clear();
@@ -310,7 +352,7 @@
     loop.schedule(
         () -> {
           if (running) {
-            attempt.run();
+            guard(attempt);
           }
         },
         APPEND_RETRY_DELAY_MILLIS,
