Confirm nothing of a refused record before it, or its deletion, is stored

Cause: a job whose record must wait was skipped, but the confirmations of its requests went into that batch. A job that was given up no longer held the ends of runs, although the deletions of its records were only in the next batch, so a takeover in between ran a completed task again. A job removed at the end of its retention held all ends for ever. A refused early cancellation rejected other teams' requests. Ruled out: leaving waiting jobs marked, as a job that is given up would be written together with its deletions and refused again. Change: confirmations of waiting jobs stay in actionsAfterStore. The entry of a given-up job lasts until its deletions are stored; its end is shown, and its requests rejected, then. If the store refuses the deletions too, they are not sent again. Entries of removed jobs are dropped. RejectRequests names queue and team, RejectCancellation rejects one team's cancellation, and RecordWrite.owner of xo/ID/... is ID. Conclusion: what callers and workers are told of a refused job relies on a stored record or deletion.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Action.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Action.java
@@ -81,7 +81,10 @@
   record ConfirmCancellation(String jobId, String queue, String team) implements Action {}
 
   /** Rejects the requests on a job that wait for a record which the store refuses. */
-  record RejectRequests(String jobId) implements Action {}
+  record RejectRequests(String jobId, String queue, String team) implements Action {}
+
+  /** Rejects a team's cancellation of an unknown job, whose record the store refuses. */
+  record RejectCancellation(String jobId, String queue, String team) implements Action {}
 
   /**
    * Reports that the end of a job is stored.
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/BatchTracker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/BatchTracker.java
@@ -40,11 +40,11 @@
 
   /** Returns the changes to store, unless there are none or a batch is still being stored. */
   Optional<Batch> take() {
+    boolean holdsEnds = refusedRecordHandler.holdsEnds();
     boolean noChanges =
-        state.jobsToStore().isEmpty()
+        state.jobsToStore().stream().allMatch(refusedRecordHandler::mustWait)
             && state.otherWrites().isEmpty()
-            && state.actionsAfterStore().isEmpty();
-    boolean holdsEnds = refusedRecordHandler.holdsEnds();
+            && state.actionsAfterStore().stream().allMatch(refusedRecordHandler::mustWait);
     if (batchOpen || (noChanges && (holdsEnds || state.workersWithUnstoredEnds().isEmpty()))) {
       return Optional.empty();
     }
@@ -67,7 +67,13 @@
       }
       batchJobs.put(job, new BatchedJob(job.phase(), ProgressForm.of(job)));
     }
-    batchActions.addAll(state.actionsAfterStore());
+    for (Job job : refusedRecordHandler.takeGivenUp()) {
+      batchJobs.put(job, new BatchedJob(job.phase(), ProgressForm.ENDED));
+    }
+    List<Action> waitingActions = new ArrayList<>();
+    for (Action action : state.actionsAfterStore()) {
+      (refusedRecordHandler.mustWait(action) ? waitingActions : batchActions).add(action);
+    }
     batchStarts.addAll(state.startsAfterStore());
     if (!holdsEnds) {
       for (Worker worker : state.workersWithUnstoredEnds()) {
@@ -78,6 +84,7 @@
     state.jobsToStore().clear();
     state.otherWrites().clear();
     state.actionsAfterStore().clear();
+    state.actionsAfterStore().addAll(waitingActions);
     state.startsAfterStore().clear();
     batchOpen = true;
     return Optional.of(new Batch(writes, List.copyOf(batchActions)));
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/EarlyCancellations.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/EarlyCancellations.java
@@ -149,6 +149,15 @@
     }
   }
 
+  /** Returns the cancellation of a record that {@link #add} has returned. */
+  static EarlyCancellation decode(RecordWrite write) {
+    try {
+      return RecordCodec.decode(write.value(), EarlyCancellation.class);
+    } catch (MalformedRecordException e) {
+      throw new IllegalStateException("cannot decode the own record " + write.key(), e);
+    }
+  }
+
   /** Returns the id of the job that the cancellation of a key refers to. */
   static String jobIdOf(String key) {
     String rest = key.substring(key.indexOf('/') + 1);
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/RecordWrite.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/RecordWrite.java
@@ -10,9 +10,12 @@
 
   /**
    * Returns the part of the key that all records of a job share: its id, without the prefix of the
-   * kind. Such records are stored together or not at all.
+   * kind and what follows the id. Such records are stored together or not at all.
    */
   public String owner() {
+    if (key.startsWith(EarlyCancellations.FURTHER_PREFIX)) {
+      return EarlyCancellations.jobIdOf(key);
+    }
     return key.substring(key.indexOf('/') + 1);
   }
 }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/RefusedRecordHandler.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/RefusedRecordHandler.java
@@ -1,8 +1,10 @@
 package org.cicadaford.cell;
 
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Handles records that the store refuses for their content, so that they harm only their job.
@@ -19,6 +21,9 @@
   /** Jobs whose newest state is not stored, by the form of their progress that was refused. */
   private final Map<Job, ProgressForm> refusedForms = new HashMap<>();
 
+  /** Jobs whose records are deleted by the next batch, as their end cannot be stored. */
+  private final Set<Job> givenUp = new LinkedHashSet<>();
+
   RefusedRecordHandler(CellState state, RunEndHandler endHandler) {
     this.state = state;
     this.endHandler = endHandler;
@@ -27,16 +32,34 @@
   /**
    * Returns whether the ends of runs must not be acknowledged: the end of a run of a refused job is
    * not stored, and after a takeover its task would start again. It lasts until the runs of the job
-   * have been stopped.
+   * have been stopped and its end, or the deletion of its records, is stored.
    */
   boolean holdsEnds() {
+    // A job may be removed, at the end of its retention, before its newest state is stored.
+    refusedForms.keySet().removeIf(job -> state.jobs().get(job.id()) != job);
     return !refusedForms.isEmpty();
   }
 
-  /** Returns whether the record of a job can be stored only once its runs have ended. */
+  /**
+   * Returns whether no record of a job can be stored now: until its runs have ended, or until its
+   * records are deleted.
+   */
   boolean mustWait(Job job) {
-    return ProgressForm.of(job) == ProgressForm.RUNS_ONLY
-        && refusedForms.get(job) == ProgressForm.RUNS_ONLY;
+    ProgressForm refused = refusedForms.get(job);
+    return refused == ProgressForm.ENDED
+        || refused == ProgressForm.RUNS_ONLY && ProgressForm.of(job) == ProgressForm.RUNS_ONLY;
+  }
+
+  /** Returns whether an action confirms a request on a job whose record must wait. */
+  boolean mustWait(Action action) {
+    return refusedForms.keySet().stream().anyMatch(job -> confirms(action, job) && mustWait(job));
+  }
+
+  /** Returns and removes the jobs whose records are deleted by the next batch. */
+  List<Job> takeGivenUp() {
+    List<Job> taken = List.copyOf(givenUp);
+    givenUp.clear();
+    return taken;
   }
 
   /** Records that the newest state of a job is stored. */
@@ -49,8 +72,14 @@
     String inputs = "key=" + write.key() + " bytes=" + RecordLimits.sizeOf(write);
     state.actions().add(new Action.ReportDecision("record", write.owner(), "refused", inputs));
     if (EarlyCancellations.isKey(write.key()) && write.value().length > 0) {
+      EarlyCancellation refused = EarlyCancellations.decode(write);
       state.earlyCancellations().discard(write.key());
-      rejectRequests(EarlyCancellations.jobIdOf(write.key()), batchActions);
+      String jobId = EarlyCancellations.jobIdOf(write.key());
+      Action confirmation =
+          new Action.ConfirmCancellation(jobId, refused.queue(), refused.team());
+      // A repeated cancellation is confirmed twice.
+      batchActions.removeIf(confirmation::equals);
+      state.actions().add(new Action.RejectCancellation(jobId, refused.queue(), refused.team()));
     }
   }
 
@@ -74,36 +103,45 @@
     }
     // The requests are answered once a smaller record is stored.
     for (Action action : List.copyOf(batchActions)) {
-      if (confirms(action, job.id())) {
+      if (confirms(action, job)) {
         batchActions.remove(action);
         state.actionsAfterStore().add(action);
       }
     }
   }
 
-  /** Removes the records of a job whose end cannot be stored, so that it does not run again. */
+  /**
+   * Removes the records of a job whose end cannot be stored, so that it does not run again. Its end
+   * is shown, and its requests are rejected, once the deletions are stored.
+   */
   private void giveUp(Job job, List<Action> batchActions) {
-    refusedForms.remove(job);
     state.jobsToStore().remove(job);
-    rejectRequests(job.id(), batchActions);
-    if (job.stored()) {
+    batchActions.removeIf(action -> confirms(action, job));
+    Action rejection = new Action.RejectRequests(job.id(), job.queueName(), job.team());
+    if (!job.stored()) {
+      refusedForms.remove(job);
+      state.jobs().remove(job.id());
+      state.actions().add(rejection);
+    } else if (refusedForms.put(job, ProgressForm.ENDED) == ProgressForm.ENDED) {
+      // The store refuses the deletions too, and they must not be sent again unchanged.
+      refusedForms.remove(job);
       state.markStored(job, job.phase());
+      state.actions().add(rejection);
+    } else {
       state.otherWrites().add(JobRecordFactory.definitionDeletion(job));
       state.otherWrites().add(JobRecordFactory.progressDeletion(job));
-    } else {
-      state.jobs().remove(job.id());
+      state.actionsAfterStore().add(rejection);
+      givenUp.add(job);
     }
   }
 
-  private void rejectRequests(String jobId, List<Action> batchActions) {
-    batchActions.removeIf(action -> confirms(action, jobId));
-    state.actions().add(new Action.RejectRequests(jobId));
-  }
-
-  private static boolean confirms(Action action, String jobId) {
+  private static boolean confirms(Action action, Job job) {
     return switch (action) {
-      case Action.ConfirmSubmission submission -> submission.jobId().equals(jobId);
-      case Action.ConfirmCancellation cancellation -> cancellation.jobId().equals(jobId);
+      case Action.ConfirmSubmission submission -> submission.jobId().equals(job.id());
+      case Action.ConfirmCancellation cancellation ->
+          cancellation.jobId().equals(job.id())
+              && cancellation.queue().equals(job.queueName())
+              && cancellation.team().equals(job.team());
       default -> false;
     };
   }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/RefusedRecordTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/RefusedRecordTest.java
@@ -238,7 +238,7 @@
     submit(SOUND);
     advance(500);
     assertThat(coordinator.job(ODD)).isEmpty();
-    assertThat(has(new Action.RejectRequests(ODD))).isTrue();
+    assertThat(has(new Action.RejectRequests(ODD, "q", "team"))).isTrue();
     assertThat(has(new Action.ConfirmSubmission(ODD))).isFalse();
     assertThat(running).containsOnlyKeys(SOUND + ".0.0.0", SOUND + ".0.0.1");
   }
@@ -267,11 +267,82 @@
     refuses = write -> write.key().startsWith("x/");
     assertThat(coordinator.cancelUnknown(ODD, "q", "team", now())).isEmpty();
     advance(200);
-    assertThat(has(new Action.RejectRequests(ODD))).isTrue();
+    assertThat(has(new Action.RejectCancellation(ODD, "q", "team"))).isTrue();
     assertThat(has(new Action.ConfirmCancellation(ODD, "q", "team"))).isFalse();
     assertThat(coordinator.counts()).containsEntry("early_cancellations", 0L);
   }
 
+  /** Guards against a refused cancellation by which another team's request is rejected. */
+  @Example
+  void refusedCancellationOfOneTeamRejectsNoOtherRequest() {
+    refuses = write -> write.key().startsWith("x/");
+    assertThat(coordinator.cancelUnknown(ODD, "q", "other", now())).isEmpty();
+    submit(ODD);
+    advance(25);
+    assertThat(has(new Action.RejectCancellation(ODD, "q", "other"))).isTrue();
+    assertThat(actions).noneMatch(Action.RejectRequests.class::isInstance);
+    assertThat(new RecordWrite("xo/" + ODD + "/q/t", new byte[0]).owner()).isEqualTo(ODD);
+  }
+
+  /** Guards against a cancellation that is confirmed although nothing of it is stored. */
+  @Example
+  void cancellationOfAJobThatMustWaitIsConfirmedOnceItsEndIsStored() {
+    startBoth();
+    refuses = write -> write.key().equals("p/" + ODD) && !EndedJobCodec.isCompact(write.value());
+    coordinator.cancel(ODD, now());
+    advance(200);
+    coordinator.cancel(ODD, now());
+    end(SOUND + ".0.0.0", EndKind.DONE);
+    advance(200);
+    Action confirmation = new Action.ConfirmCancellation(ODD, "q", "team");
+    assertThat(has(confirmation)).isFalse();
+    assertThat(coordinator.takeBatch()).as("nothing can be stored").isEmpty();
+    end(ODD + ".0.0.0", EndKind.STOPPED);
+    end(ODD + ".0.0.1", EndKind.STOPPED);
+    advance(100);
+    assertThat(has(confirmation)).isTrue();
+    assertThat(phase(ODD)).isEqualTo(JobPhase.CANCELLED);
+  }
+
+  /**
+   * Guards against ends that are acknowledged, or shown, before the deletions of a job's records
+   * are stored: a successor would run its completed task again.
+   */
+  @Example
+  void endOfAJobThatIsGivenUpIsHeldUntilItsRecordsAreDeleted() {
+    startBoth();
+    refuses = write -> write.key().equals("p/" + ODD) && write.value().length > 0;
+    end(ODD + ".0.0.0", EndKind.DONE);
+    advance(100);
+    end(ODD + ".0.0.1", EndKind.STOPPED);
+    for (int round = 0; round < 40 && records.containsKey("d/" + ODD); round++) {
+      assertThat(phase(ODD)).isEqualTo(JobPhase.RUNNING);
+      assertThat(acknowledged).isZero();
+      advance(25);
+    }
+    advance(1_500);
+    assertThat(records).doesNotContainKeys("d/" + ODD, "p/" + ODD);
+    assertThat(phase(ODD)).isEqualTo(JobPhase.FAILED);
+    assertThat(acknowledged).isEqualTo(2);
+  }
+
+  /** Guards against a removed job because of which no end is acknowledged any more. */
+  @Example
+  void removedJobHoldsNoEnds() {
+    startBoth();
+    coordinator.cancel(ODD, now());
+    advance(KEPT_MILLIS + 1_000);
+    refuses = write -> write.key().equals("p/" + ODD) && !EndedJobCodec.isCompact(write.value());
+    coordinator.cancel(ODD, now());
+    // Both runs end just before the check that removes ended jobs, each full second.
+    advance(2_000 - nowMillis % 1_000);
+    end(ODD + ".0.0.0", EndKind.STOPPED);
+    end(ODD + ".0.0.1", EndKind.STOPPED);
+    advance(3_000);
+    assertThat(coordinator.job(ODD)).isEmpty();
+    assertThat(acknowledged).isEqualTo(2);
+  }
+
   /**
    * Guards against a job that stops at the limit of a record: the build before stored 78,000
    * completed occurrences as a list, and the store refused its record 600 occurrences later.
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedCell.java
@@ -356,6 +356,7 @@
       case Action.ReportLostRun lost -> lostRuns.add(lost);
       case Action.ReportJobEnd end -> ended.put(end.jobId(), end.ageMillis());
       case Action.RejectRequests reject -> trace(reject.jobId(), "rejected");
+      case Action.RejectCancellation reject -> trace(reject.jobId(), "cancellation-rejected");
       case Action.ConfirmSubmission(String jobId) -> accepted.put(jobId, null);
       case Action.ConfirmCancellation cancel -> cancelled.putIfAbsent(cancel.jobId(), nowMillis);
     }
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
@@ -296,7 +296,8 @@
         metrics.recordWorkerEvent(category, outcome);
         log.write(category, id, outcome, inputs);
       }
-      case Action.RejectRequests(String jobId) -> requests.reject(jobId);
+      case Action.RejectRequests reject -> requests.reject(reject);
+      case Action.RejectCancellation reject -> requests.reject(reject);
       case Action.ConfirmSubmission(String jobId) ->
           requests.confirmSubmission(jobId, journal.sequence());
       case Action.ConfirmCancellation cancellation ->
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/JobRequestExecutor.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/JobRequestExecutor.java
@@ -104,11 +104,20 @@
   }
 
   /** Replies to the requests on a job whose record the store refuses. */
-  void reject(String jobId) {
+  void reject(Action.RejectRequests rejected) {
     String reason = "the store refuses the record of this job; submit it with less content";
-    pendingSubmissions.complete(jobId, CellReply.of(CellOutcome.INVALID, reason));
-    pendingCancellations.completeWithPrefix(
-        jobId + KEY_SEPARATOR,
+    pendingSubmissions.complete(rejected.jobId(), CellReply.of(CellOutcome.INVALID, reason));
+    rejectCancellation(rejected.jobId(), rejected.queue(), rejected.team());
+  }
+
+  /** Replies to the cancellation of an unknown job whose record the store refuses. */
+  void reject(Action.RejectCancellation rejected) {
+    rejectCancellation(rejected.jobId(), rejected.queue(), rejected.team());
+  }
+
+  private void rejectCancellation(String jobId, String queue, String team) {
+    pendingCancellations.complete(
+        cancellationKey(jobId, queue, team),
         CellReply.of(CellOutcome.UNKNOWN, "the store refuses the record of this job"));
   }
 
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/PendingReplies.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/PendingReplies.java
@@ -40,14 +40,6 @@
     return true;
   }
 
-  /** Completes the replies that wait for keys with a prefix. */
-  void completeWithPrefix(String prefix, CellReply reply) {
-    repliesByKey.keySet().stream()
-        .filter(key -> key.startsWith(prefix))
-        .toList()
-        .forEach(key -> complete(key, reply));
-  }
-
   /** Completes all replies. */
   void completeAll(CellReply reply) {
     List.copyOf(repliesByKey.keySet()).forEach(key -> complete(key, reply));
