Check only the size of unknown jobs, and bound the delay by the wait

Cause: the size of a submitted job was checked before the look-up of known jobs, so the repeated submission of a job that an earlier build had stored could be refused as invalid while it ran. A request for the state of a job was delayed by up to 300 ms while the end was being stored, however short the caller's wait. The further delay is the smaller of 300 ms and three times the wait. The refusal of an invalid job no longer says that it cannot be decoded. Conclusion: a repeated submission of a known job is answered as known, whatever its size.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobSpecValidator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobSpecValidator.java
@@ -67,13 +67,25 @@
    * Checks that a submitted description fits a record of the journal. Stored descriptions are not
    * checked: they have fitted.
    *
-   * @param nameLength number of characters in the names of its queue, team and zone, or 0 if they
-   *     are not known yet
+   * @param nameLength number of characters in the names of its queue, team and zone
    * @throws InvalidJobException if it does not
    */
   public static void checkSize(JobSpec spec, int nameLength) throws InvalidJobException {
     long nameBytes = OTHER_FIELDS_BYTES + (long) MAX_CHARACTER_BYTES * nameLength;
-    long maxBytes = RecordLimits.MAX_RECORD_BYTES - Math.max(RESERVED_BYTES, nameBytes);
+    checkEncodedSize(spec, RecordLimits.MAX_RECORD_BYTES - Math.max(RESERVED_BYTES, nameBytes));
+  }
+
+  /**
+   * Checks that a description may be that of a stored job. Earlier builds stored descriptions that
+   * leave less room in a record than {@link #checkSize} requires.
+   *
+   * @throws InvalidJobException if no build can have stored it
+   */
+  public static void checkStorable(JobSpec spec) throws InvalidJobException {
+    checkEncodedSize(spec, RecordLimits.MAX_RECORD_BYTES);
+  }
+
+  private static void checkEncodedSize(JobSpec spec, long maxBytes) throws InvalidJobException {
     // Most descriptions are far smaller, so they need not be encoded to be sure.
     boolean fits = maxEncodedBytes(spec) <= maxBytes || RecordCodec.encode(spec).length <= maxBytes;
     require(
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorRequestHandler.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorRequestHandler.java
@@ -70,9 +70,15 @@
       JobSpec decoded = RecordCodec.decode(spec, JobSpec.class);
       // The decoder fills in null for values that the message lacks.
       JobSpecValidator.check(decoded);
-      JobSpecValidator.checkSize(decoded, nameLength(queue, submitter));
+      if (!coordinator.requests().isKnown(jobId)) {
+        // An earlier build may have stored a larger job, whose submission may be repeated.
+        JobSpecValidator.checkSize(decoded, nameLength(queue, submitter));
+      }
       return coordinator.requests().submit(jobId, queue, submitter, decoded);
-    } catch (MalformedRecordException | InvalidJobException e) {
+    } catch (InvalidJobException e) {
+      return CompletableFuture.completedFuture(
+          CellReply.of(CellOutcome.INVALID, "invalid job: " + e.getMessage()));
+    } catch (MalformedRecordException e) {
       return CompletableFuture.completedFuture(
           CellReply.of(
               CellOutcome.INVALID, "cannot decode the job description: " + e.getMessage()));
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/JobRequestExecutor.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/JobRequestExecutor.java
@@ -33,6 +33,9 @@
    */
   private static final long MAX_END_STORE_MILLIS = 300;
 
+  /** The same as a multiple of the caller's wait, as a short wait implies a short time-out. */
+  private static final int MAX_END_STORE_WAITS = 3;
+
   private static final String KEY_SEPARATOR = "/";
 
   private final long epoch;
@@ -130,6 +133,11 @@
     log.write(category, jobId, "stored", "epoch=" + epoch + " sequence=" + sequence);
   }
 
+  /** Returns whether a job of that id is known here, whose size needs no check. */
+  boolean isKnown(String jobId) {
+    return coordinator.job(jobId).isPresent();
+  }
+
   /** Submits a job; the future completes once the job is stored. */
   CompletableFuture<CellReply> submit(
       String jobId, Queue queue, Submitter submitter, JobSpec spec) {
@@ -223,7 +231,7 @@
           if (endsNow && !reply.isDone()) {
             loop.schedule(
                 () -> stopAwaiting(reply, jobId, queue, team),
-                MAX_END_STORE_MILLIS,
+                Math.min(MAX_END_STORE_MILLIS, MAX_END_STORE_WAITS * waitMillis),
                 TimeUnit.MILLISECONDS);
           } else {
             stopAwaiting(reply, jobId, queue, team);
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/JobRequestExecutorTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/JobRequestExecutorTest.java
@@ -2,9 +2,16 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import net.jqwik.api.Example;
+import org.cicadaford.cell.CellConfig;
+import org.cicadaford.cell.JobSpec;
+import org.cicadaford.cell.StepSpec;
 import org.cicadaford.cell.Submitter;
+import org.cicadaford.model.RecordCodec;
+import org.cicadaford.wire.PeerMessage;
 
 /** Tests requests on jobs that are being stored, or that have not arrived yet. */
 class JobRequestExecutorTest extends CoordinatorServiceHarness {
@@ -157,6 +164,57 @@
     assertThat(phase.join().value()).isEqualTo("RUNNING");
   }
 
+  /** Guards against refusing the repeated submission of a job that an earlier build has stored. */
+  @Example
+  void sizeOfAKnownJobIsNotChecked() {
+    ConfigHolder config = new ConfigHolder();
+    CellConfig cell = new CellConfig(1, List.of(QUEUE), List.of());
+    config.update(new CellDirectory.PublishedConfig(cell, Set.of()), now());
+    CoordinatorRequestHandler handler = new CoordinatorRequestHandler(config);
+    StepSpec step = SPEC.steps().get(0);
+    StepSpec large =
+        new StepSpec(
+            1,
+            step.demand(),
+            500,
+            List.of(),
+            false,
+            false,
+            false,
+            "x".repeat(260_000),
+            "",
+            0,
+            false,
+            false,
+            "",
+            0,
+            false,
+            0);
+    byte[] spec = RecordCodec.encode(new JobSpec("payload", List.of(large), 0, 0, 0));
+    PeerMessage message = new PeerMessage.SubmitJob(JOB, "q", "t", spec);
+    advanceTime(200);
+    assertThat(handler.handle(service, "z", message).join().outcome())
+        .isEqualTo(CellOutcome.INVALID);
+    submit();
+    advanceTime(500);
+    assertThat(handler.handle(service, "z", message).join().outcome()).isEqualTo(CellOutcome.DONE);
+  }
+
+  /** Guards against an answer that comes after the caller's time-out, which its wait bounds. */
+  @Example
+  void furtherDelayIsBoundedByTheWait() {
+    advanceTime(200);
+    submit();
+    advanceTime(500);
+    storing = false;
+    cancel();
+    CompletableFuture<CellReply> phase = service.requests().jobPhase(JOB, "q", "t", 20);
+    advanceTime(70);
+    assertThat(phase).as("the end is being stored").isNotDone();
+    advanceTime(20);
+    assertThat(phase.join().value()).isEqualTo("RUNNING");
+  }
+
   /** Guards against answers that are held back while the store does not store the end of a job. */
   @Example
   void phaseIsToldWhenTheEndCannotBeStored() {
