--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/RefusedRecordHandler.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/RefusedRecordHandler.java
@@ -75,8 +75,7 @@
       EarlyCancellation refused = EarlyCancellations.decode(write);
       state.earlyCancellations().discard(write.key());
       String jobId = EarlyCancellations.jobIdOf(write.key());
-      Action confirmation =
-          new Action.ConfirmCancellation(jobId, refused.queue(), refused.team());
+      Action confirmation = new Action.ConfirmCancellation(jobId, refused.queue(), refused.team());
       // A repeated cancellation is confirmed twice.
       batchActions.removeIf(confirmation::equals);
       state.actions().add(new Action.RejectCancellation(jobId, refused.queue(), refused.team()));
