Check label, service and tasks per worker where a start is issued

Cause: the label was checked only when an untested worker was named in a call for advice. Tickets of the earlier incarnation were renewed by id, and neither the placement among permitted workers nor StartIssuer looked at the label.

Ruled out: a stale list. The wrong starts went on for seconds after the new kind was listed, and SchedulableWorkerIndex requires a listing of the current incarnation.

Change: tickets and refusals of advice belong to an incarnation, also when the worker restarts during the call; tickets of an earlier one are discarded, and the worker is untested for the step. The label is part of WorkerEvaluator.fits and availableSlots. StartIssuer checks service, label, incarnation of the listing and tasks per worker.

SimulatedRules checks ROUTE for every simulated start.

Conclusion: what was learnt of a worker's kind ends with its incarnation.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/AdviceDispatcher.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/AdviceDispatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -64,7 +65,7 @@
 
   /** A call that has not been answered yet. */
   private record OpenCall(
-      StepRun step, Caller caller, List<String> workerIds, long expectedEndMillis) {}
+      StepRun step, Caller caller, Map<String, Long> incarnations, long expectedEndMillis) {}
 
   /** An instance that makes calls one at a time. */
   private static final class Caller implements Comparable<Caller> {
@@ -155,9 +156,11 @@
     }
     long endMillis = Math.max(nowMillis, caller.busyUntilMillis) + callMillis;
     busyUntil(caller, endMillis);
-    List<String> workerIds = workers.stream().map(Worker::id).toList();
+    Map<String, Long> incarnations = new LinkedHashMap<>();
+    workers.forEach(worker -> incarnations.put(worker.id(), worker.incarnation()));
+    List<String> workerIds = List.copyOf(incarnations.keySet());
     long callId = ++nextCallId;
-    openCalls.put(callId, new OpenCall(step, caller, workerIds, endMillis));
+    openCalls.put(callId, new OpenCall(step, caller, incarnations, endMillis));
     step.adviceInFlight(true);
     long timeoutMillis = endMillis - nowMillis + caller.timeoutMarginMillis();
     state
@@ -200,14 +203,19 @@
     markFree(call, nowMillis);
     StepRun step = call.step();
     step.adviceInFlight(false);
-    updatePermittedShare(step.job().queueName(), call.workerIds().size(), tickets.size());
-    for (String workerId : call.workerIds()) {
+    updatePermittedShare(step.job().queueName(), call.incarnations().size(), tickets.size());
+    for (Map.Entry<String, Long> named : call.incarnations().entrySet()) {
+      String workerId = named.getKey();
       Worker worker = state.workers().get(workerId);
+      if (worker != null && worker.incarnation() != named.getValue()) {
+        // The answer may be about the incarnation that was named, so this one stays untested.
+        continue;
+      }
       String ticket = tickets.get(workerId);
       if (ticket == null) {
         step.tickets().remove(workerId);
         state.waiting().forbid(step, workerId);
-        step.advisedAgainst().add(workerId);
+        step.advisedAgainst().put(workerId, named.getValue());
       } else if (worker != null) {
         step.tickets()
             .put(workerId, new Ticket(ticket, worker.incarnation(), nowMillis + validMillis));
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/AdvicePlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/AdvicePlanner.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
 
@@ -106,6 +108,7 @@
    */
   private List<Worker> workersToName(StepRun step, AdvicePolicy policy, long nowMillis) {
     double wantedSlots = RESERVE_FACTOR * tasksToPlace(step);
+    discardEarlierTickets(step);
     boolean first = step.tickets().isEmpty() && step.advisedAgainst().isEmpty();
     if (first) {
       return untestedWorkers(step, wantedSlots, 0, worker -> true);
@@ -151,6 +154,23 @@
     return named;
   }
 
+  /**
+   * Discards tickets whose worker has restarted and is schedulable again. It may be of another
+   * kind, and is named as an untested worker only if it has the label that the step requires.
+   */
+  private void discardEarlierTickets(StepRun step) {
+    String service = state.queueOf(step.job()).service();
+    Iterator<Map.Entry<String, Ticket>> tickets = step.tickets().entrySet().iterator();
+    while (tickets.hasNext()) {
+      Map.Entry<String, Ticket> entry = tickets.next();
+      Worker worker = state.workers().get(entry.getKey());
+      if (worker != null && !step.hasTicket(worker) && workerIndex.contains(worker, service)) {
+        tickets.remove();
+        state.waiting().forbid(step, worker.id());
+      }
+    }
+  }
+
   private static int tasksToPlace(StepRun step) {
     return step.spec().gang() ? step.tasks().size() : step.waitingTasks().size();
   }
@@ -227,9 +247,7 @@
 
     private void add(Worker worker) {
       boolean untested =
-          !step.tickets().containsKey(worker.id())
-              && !step.advisedAgainst().contains(worker.id())
-              && allowed.test(worker);
+          !step.hasTicket(worker) && !step.isAdvisedAgainst(worker) && allowed.test(worker);
       if (untested && workers.add(worker)) {
         expectedSlots += permittedShare * availableSlots(step, worker);
       }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
@@ -314,7 +314,10 @@
     List<Worker> permitted = new ArrayList<>();
     for (String workerId : step.tickets().keySet()) {
       Worker worker = state.workers().get(workerId);
-      if (worker != null && workerIndex.contains(worker, service(step))) {
+      boolean known = worker != null && step.hasTicket(worker);
+      if (known
+          && workerIndex.contains(worker, service(step))
+          && WorkerEvaluator.hasRequiredLabel(step.spec(), worker)) {
         permitted.add(worker);
       }
     }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StartIssuer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StartIssuer.java
@@ -33,7 +33,9 @@
       if (placement.task().placement() != placement) {
         continue;
       }
-      if (mayStart(placement, now) && fitsCapacity(placement, admitted)) {
+      if (mayStart(placement, now)
+          && fitsCapacity(placement, admitted)
+          && withinTaskLimit(placement, admitted)) {
         admitted.add(placement);
       } else {
         endHandler.runLost(placement, ReleaseReason.NOT_SENT, now);
@@ -60,6 +62,7 @@
     boolean zoneOpen =
         worker.listing() != null && !state.zonesOut().contains(worker.listing().zone());
     boolean schedulable = worker.listed() && !worker.listing().draining();
+    boolean suitable = worker.listing() != null && suits(step, worker.listing(), worker);
     // A report may have listed a run that is not placed, since the placement was decided.
     boolean unplacedRun = placement.task().hasUnplacedRun() || !worker.unplacedRuns().isEmpty();
     boolean listCurrent = state.workerListAge().isCurrent(now);
@@ -69,7 +72,34 @@
         && permitted
         && sameIncarnation
         && zoneOpen
-        && schedulable;
+        && schedulable
+        && suitable;
+  }
+
+  /** Returns whether a worker still has the service and the label that a step requires. */
+  private boolean suits(StepRun step, ListedWorker listing, Worker worker) {
+    return listing.incarnation() == worker.incarnation()
+        && listing.service().equals(state.queueOf(step.job()).service())
+        && WorkerEvaluator.hasRequiredLabel(step.spec(), worker);
+  }
+
+  /**
+   * Returns whether a worker has at most the permitted number of tasks of the step, including runs
+   * that were found there since the placement was decided.
+   */
+  private static boolean withinTaskLimit(Placement placement, Set<Placement> admitted) {
+    StepRun step = placement.task().step();
+    int limit = step.spec().maxTasksPerWorker();
+    Worker worker = placement.worker();
+    if (limit <= 0 || step.placedOn(worker) <= limit) {
+      return true;
+    }
+    long others =
+        worker.placements().values().stream()
+            .filter(other -> other != placement && other.task().step() == step)
+            .filter(other -> other.orderSent() || admitted.contains(other))
+            .count();
+    return others < limit;
   }
 
   /**
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
@@ -3,11 +3,9 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
-import java.util.Set;
 
 /** A step of a job in one occurrence, with its tasks and placement advice. */
 final class StepRun {
@@ -18,7 +16,7 @@
   private final String name;
   private final List<Task> tasks = new ArrayList<>();
   private final Map<String, Ticket> tickets = new HashMap<>();
-  private final Set<String> advisedAgainst = new HashSet<>();
+  private final Map<String, Long> advisedAgainst = new HashMap<>();
   private final BitSet waiting = new BitSet();
   private final BitSet done = new BitSet();
   private final Map<Worker, Integer> placedByWorker = new HashMap<>();
@@ -176,8 +174,20 @@
     return valid ? ticket : null;
   }
 
-  /** Returns the workers that advice has refused for the step. */
-  Set<String> advisedAgainst() {
+  /** Returns whether the present incarnation of a worker has a ticket, which may have expired. */
+  boolean hasTicket(Worker worker) {
+    Ticket ticket = tickets.get(worker.id());
+    return ticket != null && ticket.incarnation() == worker.incarnation();
+  }
+
+  /** Returns whether advice has refused the present incarnation of a worker. */
+  boolean isAdvisedAgainst(Worker worker) {
+    Long incarnation = advisedAgainst.get(worker.id());
+    return incarnation != null && incarnation == worker.incarnation();
+  }
+
+  /** Returns the incarnations that advice has refused for the step, by worker. */
+  Map<String, Long> advisedAgainst() {
     return advisedAgainst;
   }
 
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerEvaluator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerEvaluator.java
@@ -21,13 +21,14 @@
     StepRun step = task.step();
     int limit = step.spec().maxTasksPerWorker();
     return acceptsTask(worker)
+        && hasRequiredLabel(step.spec(), worker)
         && (limit <= 0 || step.placedOn(worker) < limit)
         && step.spec().reservation().fitsIn(worker.free());
   }
 
   /** Returns how many more tasks of a step a worker can run now. */
   static int availableSlots(StepRun step, Worker worker) {
-    if (!acceptsTask(worker)) {
+    if (!acceptsTask(worker) || !hasRequiredLabel(step.spec(), worker)) {
       return 0;
     }
     int slots = step.spec().slotsIn(worker.free());
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedRules.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedRules.java
@@ -117,6 +117,10 @@
         reportViolation.accept("TWICE on " + other.id, run.task);
       }
     }
+    StepSpec step = SimulatedJobs.specOf(name[0]).steps().get(Integer.parseInt(name[2]));
+    if (!step.requiredLabel().isEmpty() && !worker.labels.contains(step.requiredLabel())) {
+      reportViolation.accept("ROUTE on " + worker.id, run.task);
+    }
     if (doneTasks.contains(run.task)) {
       reportViolation.accept("AGAIN", run.task);
     }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedWorker.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedWorker.java
@@ -121,6 +121,9 @@
 
   String address;
 
+  /** Labels of the present incarnation. */
+  Set<String> labels = Set.of("a");
+
   /** Runs by task and run number; several runs of a task may be present. */
   final Map<String, Run> runs = new LinkedHashMap<>();
 
@@ -163,7 +166,7 @@
         draining,
         remainingMillis,
         capacity.listed(),
-        Set.of("a"),
+        labels,
         "rack-" + zone);
   }
 
