Acknowledge and start nothing while a worker's incarnation is in doubt

Cause: RenewalPlanner sent the stored cursor after failed renewals too, and workers stayed schedulable for up to 1.9 s after contact was lost, so the next incarnation ran tasks before the coordinator knew of it.

Change: a failed renewal, a start or stop without an answer, a refused ticket or connection, and a clock that went back put the incarnation in doubt until a renewal that was sent later is answered. Until then, and 200 ms after the last answer, renewals acknowledge nothing and are answered at once; StartIssuer and the index of schedulable workers leave the worker out. Ends done in late reports of another incarnation count.

Tests: RestartedWorkerTest; renewalAfterAFailedOneAcknowledgesNothing and startAnsweredWithALowerClockIsFollowedByAReport failed before.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -55,9 +55,10 @@
     admissionPolicy = new AdmissionPolicy(state);
     PlacementReporter reporter = new PlacementReporter(state);
     endHandler = new RunEndHandler(state, reporter);
-    answerHandler = new OrderAnswerHandler(state, endHandler);
+    EarlierOrderGuard earlierOrderGuard = new EarlierOrderGuard(state);
+    answerHandler = new OrderAnswerHandler(state, endHandler, earlierOrderGuard);
     CrashAttributor crashes = new CrashAttributor(state, endHandler, reporter);
-    monitor = new WorkerMonitor(state, endHandler, reporter, crashes);
+    monitor = new WorkerMonitor(state, endHandler, reporter, crashes, earlierOrderGuard);
     renewalPlanner = new RenewalPlanner(state);
     dispatcher = new AdviceDispatcher(state);
     SchedulableWorkerIndex workerIndex = new SchedulableWorkerIndex(state);
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/IncarnationTracker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/IncarnationTracker.java
@@ -23,6 +23,8 @@
   private ListedWorker lowerListing;
   private long lowerListingEvent;
   private long lowerListingAtMillis;
+  private boolean inDoubt;
+  private long doubtEvent;
 
   IncarnationTracker(long current, int tokenOffset) {
     this.current = current;
@@ -46,6 +48,25 @@
     return currentEvent <= requestNumber;
   }
 
+  /** Records that the worker may have restarted, because it has not answered or not as expected. */
+  void doubt(long eventNumber) {
+    inDoubt = true;
+    doubtEvent = eventNumber;
+  }
+
+  /** Returns whether the worker may have restarted since its last answer. */
+  boolean inDoubt() {
+    return inDoubt;
+  }
+
+  /**
+   * Records a report of the current incarnation. It ends a doubt only if it was requested after
+   * that, as an answer may be delayed.
+   */
+  void answered(long requestNumber) {
+    inDoubt &= requestNumber < doubtEvent;
+  }
+
   /** Records that the current incarnation is listed at another address. */
   void addressChanged(long eventNumber) {
     addressEvent = eventNumber;
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/OrderAnswerHandler.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/OrderAnswerHandler.java
@@ -5,10 +5,13 @@
 
   private final CellState state;
   private final RunEndHandler endHandler;
+  private final EarlierOrderGuard earlierOrderGuard;
 
-  OrderAnswerHandler(CellState state, RunEndHandler endHandler) {
+  OrderAnswerHandler(
+      CellState state, RunEndHandler endHandler, EarlierOrderGuard earlierOrderGuard) {
     this.state = state;
     this.endHandler = endHandler;
+    this.earlierOrderGuard = earlierOrderGuard;
   }
 
   void startAnswered(
@@ -23,8 +26,15 @@
       return;
     }
     long nowMillis = now.monotonicMillis();
+    Worker worker = placement.worker();
+    boolean wentBack = worker.clockWentBack(clockMillis, placement.orderedAtMillis());
+    if (outcome != StartOutcome.NO_ROOM && (wentBack || outcome != StartOutcome.STARTED)) {
+      // A next incarnation refuses the tickets of this one, and its clock starts anew. A refused
+      // connection or a missing answer may be due to a restart as well.
+      earlierOrderGuard.doubtIncarnation(worker);
+    }
     if (clockMillis > 0) {
-      placement.worker().clock(clockMillis, nowMillis);
+      worker.clock(clockMillis, nowMillis);
     }
     switch (outcome) {
       case STARTED -> {
@@ -47,7 +57,6 @@
         // The order may have been carried out or still be in transit. If the next report does not
         // list the run, it is stopped before its task is placed again.
         placement.markUncertain(state.events().next(), nowMillis);
-        state.requestImmediateReport(placement.worker());
       }
       default -> throw new IllegalStateException("unknown outcome " + outcome);
     }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/RenewalPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/RenewalPlanner.java
@@ -9,6 +9,12 @@
   /** Maximum delay of a renewal while run ends are being stored, in milliseconds. */
   private static final long END_STORE_MILLIS = 500;
 
+  /**
+   * Time since the last answer after which a worker may have restarted without a failed renewal, as
+   * none was in transit. A process takes longer than this to restart.
+   */
+  private static final long MAX_CONTACT_GAP_MILLIS = 200;
+
   private final CellState state;
 
   RenewalPlanner(CellState state) {
@@ -46,7 +52,8 @@
     CoordinatorSettings settings = state.settings();
     boolean responsive = worker.clockKnown() && worker.failedRenewals() == 0;
     boolean endsUnstored = worker.storedEnd() < worker.processedEnd();
-    boolean mayWait = responsive && !endsUnstored && !worker.immediateReportRequested();
+    boolean certain = incarnationCertain(worker, nowMillis);
+    boolean mayWait = responsive && certain && !endsUnstored && !worker.immediateReportRequested();
     long waitMillis = mayWait ? settings.renewalWaitMillis() : 0;
     long deadlineMillis = 0;
     long leaseMillis = state.grantableLeaseMillis(now);
@@ -60,9 +67,19 @@
         worker.id(),
         worker.incarnation(),
         worker.renewalAddress(nowMillis, settings.unreachableMillis()),
-        worker.incarnations().mayBeLower(worker.lastAnswerAtMillis()) ? 0 : worker.storedEnd(),
+        certain ? worker.storedEnd() : 0,
         deadlineMillis,
         waitMillis,
         waitMillis + settings.answerMillis());
   }
+
+  /**
+   * Returns whether a renewal reaches the incarnation whose ends it acknowledges. Ends are numbered
+   * anew in each incarnation, so it would remove unread ends of the next one.
+   */
+  private static boolean incarnationCertain(Worker worker, long nowMillis) {
+    return !worker.incarnations().inDoubt()
+        && !worker.incarnations().mayBeLower(worker.lastAnswerAtMillis())
+        && worker.answeredWithin(nowMillis, MAX_CONTACT_GAP_MILLIS);
+  }
 }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StartIssuer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StartIssuer.java
@@ -58,7 +58,8 @@
     boolean permitted =
         !state.queueOf(step.job()).advice().required()
             || step.ticketFor(worker, now.monotonicMillis()) != null;
-    boolean sameIncarnation = worker.incarnation() == placement.incarnation();
+    boolean sameIncarnation =
+        worker.incarnation() == placement.incarnation() && !worker.incarnations().inDoubt();
     boolean zoneOpen =
         worker.listing() != null && !state.zonesOut().contains(worker.listing().zone());
     boolean schedulable = worker.listed() && !worker.listing().draining();
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
@@ -180,6 +180,17 @@
     return reportedClockMillis + (nowMillis - reportedClockAtMillis);
   }
 
+  /**
+   * Returns whether the clock in the answer to an order is lower than in an earlier answer, so that
+   * the worker has restarted; an answer without a clock has 0.
+   */
+  boolean clockWentBack(long clockMillis, long orderedAtMillis) {
+    return clockKnown
+        && clockMillis > 0
+        && reportedClockAtMillis <= orderedAtMillis
+        && clockMillis < reportedClockMillis;
+  }
+
   /** Records that an order with this deadline on the clock of the worker was sent. */
   void deadlineSent(long deadlineMillis, double maxClockSlowdown) {
     highestDeadlineMillis = Math.max(highestDeadlineMillis, deadlineMillis);
@@ -209,12 +220,13 @@
   }
 
   /**
-   * Returns whether the worker can run tasks: its clock is known, it has answered recently, and its
-   * capacity is only used by placements.
+   * Returns whether the worker can run tasks: its clock and incarnation are known, it has answered
+   * recently, and its capacity is only used by placements.
    */
   boolean reachable(long nowMillis, long unreachableMillis) {
     boolean capacityKnown = unplacedRuns.isEmpty() && !earlierOrders.mayStart();
-    return clockKnown && capacityKnown && answeredWithin(nowMillis, unreachableMillis);
+    boolean known = clockKnown && !incarnations.inDoubt();
+    return known && capacityKnown && answeredWithin(nowMillis, unreachableMillis);
   }
 
   boolean answeredWithin(long nowMillis, long millis) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -33,16 +33,19 @@
   private final PlacementReporter reporter;
   private final UnknownRunHandler unknownRuns;
   private final CrashAttributor crashes;
+  private final EarlierOrderGuard earlierOrderGuard;
 
   WorkerMonitor(
       CellState state,
       RunEndHandler endHandler,
       PlacementReporter reporter,
-      CrashAttributor crashes) {
+      CrashAttributor crashes,
+      EarlierOrderGuard earlierOrderGuard) {
     this.state = state;
     this.endHandler = endHandler;
     this.reporter = reporter;
     this.crashes = crashes;
+    this.earlierOrderGuard = earlierOrderGuard;
     this.unknownRuns = new UnknownRunHandler(state, reporter);
   }
 
@@ -136,12 +139,14 @@
       Optional<ListedWorker> listing =
           worker.incarnations().confirmedListing(report.incarnation(), requestNumber);
       if (listing.isEmpty()) {
+        applyCompletedRuns(report, now);
         return;
       }
       incarnationChanged(worker, report.incarnation(), now);
       updateListing(worker, listing.get(), now);
     }
     worker.answered(now.monotonicMillis());
+    worker.incarnations().answered(requestNumber);
     worker.startSurvival().signOfLife(report.sentAtMillis());
     worker.clock(report.clockMillis(), now.monotonicMillis());
     worker.nextRenewalAtMillis(now.monotonicMillis());
@@ -152,6 +157,17 @@
     state.markChanged(worker);
   }
 
+  /** Applies the runs that a late report of another incarnation shows as completed. */
+  private void applyCompletedRuns(WorkerReport report, ClockReading now) {
+    for (ReportedEnd end : report.ended()) {
+      if (end.kind() == EndKind.DONE) {
+        state
+            .task(end.task())
+            .ifPresent(task -> endHandler.completedByEarlierRun(task, end.run(), now));
+      }
+    }
+  }
+
   private static List<Placement> ordered(Collection<Placement> placements) {
     return placements.stream().filter(Placement::orderSent).toList();
   }
@@ -244,6 +260,7 @@
     }
     worker.renewalFinished();
     worker.renewalFailed();
+    worker.incarnations().doubt(state.events().next());
     state.checkRenewal(worker);
     state.markChanged(worker);
     worker.nextRenewalAtMillis(
@@ -277,11 +294,13 @@
       expireLeases(worker, now);
       checkUnansweredStarts(worker, now);
       checkIsolatedStarts(worker, now.monotonicMillis());
-      stopEarlierOrders(worker, now.monotonicMillis());
+      earlierOrderGuard.stopEarlierOrders(worker, now.monotonicMillis());
       state.checkRenewal(worker);
       boolean vacant = worker.placements().isEmpty() && worker.unplacedRuns().isEmpty();
       boolean idle = vacant && !worker.renewalInFlight();
-      if (!worker.listed() && idle && !mayExecuteOrders(worker, now)) {
+      if (!worker.listed()
+          && idle
+          && !earlierOrderGuard.mayExecuteOrders(worker, now.monotonicMillis())) {
         removed.add(worker);
       }
     }
@@ -289,14 +308,6 @@
     List.copyOf(state.stopping()).forEach(placement -> repeatStop(placement, now));
   }
 
-  /** Returns whether the worker may come back while orders to it are in transit. */
-  private boolean mayExecuteOrders(Worker worker, ClockReading now) {
-    long nowMillis = now.monotonicMillis();
-    long lateOrderMillis = state.settings().lateOrderMillis();
-    return worker.earlierOrders().inTransit(nowMillis, lateOrderMillis)
-        || worker.renewalSentWithin(nowMillis, lateOrderMillis);
-  }
-
   /**
    * Requests a report on starts that the worker has not answered. A later answer is not needed; a
    * run that is not reported is stopped before its task is placed again.
@@ -305,7 +316,7 @@
     for (Placement placement : List.copyOf(worker.unconfirmed())) {
       if (placement.startUnansweredFor(now.monotonicMillis(), START_CHECK_MILLIS)) {
         placement.markUncertain(state.events().next(), now.monotonicMillis());
-        state.requestImmediateReport(worker);
+        earlierOrderGuard.doubtIncarnation(worker);
       }
     }
   }
@@ -319,16 +330,6 @@
     }
   }
 
-  private void stopEarlierOrders(Worker worker, long nowMillis) {
-    if (worker.listing() != null && worker.earlierOrders().mayStart()) {
-      long lateOrderMillis = state.settings().lateOrderMillis();
-      for (EarlierOrders.Run run :
-          worker.earlierOrders().takeDue(nowMillis, STOP_RETRY_MILLIS, lateOrderMillis)) {
-        state.sendStop(worker, run.task(), run.number(), StopReason.UNCERTAIN);
-      }
-    }
-  }
-
   private void expireLeases(Worker worker, ClockReading now) {
     long nowMillis = now.monotonicMillis();
     boolean unresponsive = !worker.answeredWithin(nowMillis, state.settings().unreachableMillis());
@@ -367,6 +368,9 @@
     boolean due =
         !placement.stopConfirmed() && !placement.stopSentWithin(nowMillis, STOP_RETRY_MILLIS);
     if (placement.orderSent() && due) {
+      if (placement.stopSent() && !placement.worker().incarnations().inDoubt()) {
+        earlierOrderGuard.doubtIncarnation(placement.worker());
+      }
       state.sendStop(placement, nowMillis);
     }
   }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/RefusedRenewalTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/RefusedRenewalTest.java
@@ -27,6 +27,7 @@
     driver.answerStart(order("confirmed"), StartOutcome.STARTED);
     driver.refuse(renewal);
     assertThat(driver.starts(50)).isEmpty();
+    assertThat(driver.takeReleased(ReleaseReason.REPLACED)).isEmpty();
   }
 
   /** Guards against giving up a start that was ordered while the refusal was on its way. */
@@ -38,6 +39,7 @@
     assertThat(driver.starts(50)).isEmpty();
     driver.answerStart(start, StartOutcome.STARTED);
     assertThat(driver.starts(500)).isEmpty();
+    assertThat(driver.takeReleased(ReleaseReason.REPLACED)).isEmpty();
   }
 
   /** Guards against giving up an unanswered start that was ordered after the request. */
@@ -47,6 +49,7 @@
     driver.answerStart(order("uncertain"), StartOutcome.UNKNOWN);
     driver.refuse(renewal);
     assertThat(driver.starts(50)).isEmpty();
+    assertThat(driver.takeReleased(ReleaseReason.REPLACED)).isEmpty();
   }
 
   /** Guards against keeping runs on a worker that another one has replaced. */
@@ -63,6 +66,8 @@
     // Both starts are suspected to have crashed the worker, so their next ones follow in turn.
     assertThat(driver.takeReleased(ReleaseReason.REPLACED))
         .containsExactlyInAnyOrder(running.task(), uncertain.task());
+    assertThat(driver.starts(0)).isEmpty();
+    driver.answer(driver.nextRenewal(), List.of());
     assertThat(driver.starts(100)).hasSize(1);
   }
 
@@ -74,6 +79,7 @@
   void lateFailureOfARenewalDoesNotHideTheNextCrashOfASuspectedTask() {
     driver.answerStart(order("suspected"), StartOutcome.STARTED);
     driver.refuse(driver.nextRenewal());
+    driver.answer(driver.nextRenewal(), List.of());
     driver.advance(5);
     Action.StartTask second = driver.nextStart();
     driver.answerStart(second, StartOutcome.STARTED);
@@ -97,6 +103,7 @@
     driver.list(CoordinatorDriver.FIRST_INCARNATION);
     driver.refuse(renewal);
     assertThat(driver.starts(50)).isEmpty();
+    assertThat(driver.takeReleased(ReleaseReason.REPLACED)).isEmpty();
   }
 
   /** Guards against ending the runs of the worker that answers at an address listed twice. */
--- /dev/null
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/RestartedWorkerTest.java
@@ -0,0 +1,55 @@
+package org.cicadaford.cell;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import net.jqwik.api.Example;
+
+/** Tests orders to a worker that may have restarted under its id. */
+class RestartedWorkerTest {
+
+  /** Guards against a cursor that a worker receives after a restart behind a failed renewal. */
+  @Example
+  void renewalAfterAFailedOneAcknowledgesNothing() {
+    CoordinatorDriver driver = new CoordinatorDriver();
+    driver.submit("ended");
+    Action.StartTask start = driver.nextStart();
+    driver.answerStart(start, StartOutcome.STARTED);
+    driver.answerEnd(driver.nextRenewal(), new ReportedEnd(1, start.task(), 1, EndKind.DONE, ""));
+    CoordinatorDriver.SentRenewal renewal = driver.nextRenewal();
+    assertThat(renewal.order().acknowledgedEnd()).isEqualTo(1);
+    driver.fail(renewal);
+    CoordinatorDriver.SentRenewal next = driver.nextRenewal();
+    assertThat(next.order().acknowledgedEnd()).isZero();
+    driver.answer(next, List.of());
+    assertThat(driver.nextRenewal().order().acknowledgedEnd()).isEqualTo(1);
+  }
+
+  /** Guards against a start on the next incarnation before its first answer is handled. */
+  @Example
+  void workerWithAnUnansweredStartGetsNoOtherUntilItAnswers() {
+    CoordinatorDriver driver = new CoordinatorDriver();
+    driver.submit("unanswered");
+    Action.StartTask start = driver.nextStart();
+    CoordinatorDriver.SentRenewal renewal = driver.nextImmediateRenewal();
+    driver.submit("waiting");
+    assertThat(renewal.order().acknowledgedEnd()).isZero();
+    assertThat(driver.starts(0)).isEmpty();
+    List<ReportedRun> running = List.of(new ReportedRun(start.task(), start.run(), "", 10, 0));
+    driver.answer(renewal, running);
+    assertThat(driver.starts(50)).hasSize(1);
+  }
+
+  /** Guards against starts on a worker whose answer shows that its clock has started anew. */
+  @Example
+  void startAnsweredWithALowerClockIsFollowedByAReport() {
+    CoordinatorDriver driver = new CoordinatorDriver();
+    driver.advance(500);
+    driver.submit("restarted");
+    Action.StartTask start = driver.nextStart();
+    driver.answerStart(start, StartOutcome.STARTED, 1);
+    driver.nextImmediateRenewal();
+    driver.submit("waiting");
+    assertThat(driver.starts(50)).isEmpty();
+  }
+}
