Judge a refused token before a failed renewal raises it

OrderDispatcherTest failed on: the refusal of the newest token no longer ended the role at once, as the failed renewal had raised the token first. The comparison comes before that now, and the token rises only for a worker that has answered before.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/EarlierOrderGuard.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/EarlierOrderGuard.java
@@ -35,7 +35,7 @@
   /** Records a failed renewal; {@code gone} means that another worker has the address. */
   void renewalFailed(Worker worker, boolean gone) {
     worker.incarnations().doubt(state.events().next());
-    if (worker.failedRenewals() == 1) {
+    if (worker.failedRenewals() == 1 && worker.clockKnown()) {
       worker.incarnations().raiseToken();
       lostContact.add(worker);
     }
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/OrderDispatcher.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/OrderDispatcher.java
@@ -119,6 +119,8 @@
         .thenAccept(
             answer -> {
               metrics.recordOrderOutcome("renew", answer.outcome().name());
+              // A failed renewal may raise the token.
+              boolean newest = isNewest(order.workerId(), token);
               ClockReading now = clock.get();
               if (answer.outcome() == RenewalOutcome.REPORTED) {
                 coordinator.reportReceived(answer.report(), requestNumber, now);
@@ -131,8 +133,7 @@
                 boolean gone = answer.outcome() == RenewalOutcome.GONE;
                 coordinator.renewalFailed(order, gone, requestNumber, now);
               }
-              afterAnswer(
-                  answer.outcome() == RenewalOutcome.FENCED && isNewest(order.workerId(), token));
+              afterAnswer(answer.outcome() == RenewalOutcome.FENCED && newest);
             })
         .exceptionally(this::reportFault);
   }
