Acknowledge stored ends while later ones are unstored

Cause: a renewal more than 200 ms after the last answer acknowledges nothing. With a store that takes longer than that, the next answer may bring a new unstored end, which delays the next renewal by another such gap. As long as tasks kept ending, no end was acknowledged and the worker's list of ends grew.

Ruled out: a shorter gap for the rule, as it guards against a restart that is not noticed.

Change: if the last renewal withheld the acknowledgement, the next one follows the answer at once, at the cost of one call.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/RenewalPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/RenewalPlanner.java
@@ -45,6 +45,10 @@
       return false;
     }
     boolean endsUnstored = worker.storedEnd() < worker.processedEnd();
+    if (worker.acknowledgementWithheld() && incarnationCertain(worker, nowMillis)) {
+      // While the store is slow, new ends may be unstored whenever the worker has just answered.
+      return true;
+    }
     // Run ends that are not stored yet would be reported again immediately.
     return !endsUnstored || worker.renewalOverdue(nowMillis, END_STORE_MILLIS);
   }
@@ -65,6 +69,7 @@
       worker.deadlineSent(deadlineMillis, settings.maxClockSlowdown());
     }
     worker.renewalSent(nowMillis, nowMillis + waitMillis);
+    worker.acknowledgementWithheld(!certain && worker.storedEnd() > 0);
     return new Action.Renew(
         worker.id(),
         worker.incarnation(),
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
@@ -42,6 +42,7 @@
   private long storedEnd;
   private int renewalsInFlight;
   private boolean immediateReportRequested;
+  private boolean acknowledgementWithheld;
   private OptionalLong renewalDueMillis = OptionalLong.empty();
   private OptionalLong renewalSentAtMillis = OptionalLong.empty();
   private OptionalLong nextRenewalAtMillis = OptionalLong.empty();
@@ -268,6 +269,15 @@
     storedEnd = Math.max(storedEnd, number);
   }
 
+  /** Returns whether the last renewal did not acknowledge the stored ends. */
+  boolean acknowledgementWithheld() {
+    return acknowledgementWithheld;
+  }
+
+  void acknowledgementWithheld(boolean withheld) {
+    acknowledgementWithheld = withheld;
+  }
+
   int renewalsInFlight() {
     return renewalsInFlight;
   }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/RestartedWorkerTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/RestartedWorkerTest.java
@@ -25,6 +25,27 @@
     assertThat(driver.nextRenewal().order().acknowledgedEnd()).isEqualTo(1);
   }
 
+  /** Guards against ends that are never acknowledged while the store is slow and tasks end. */
+  @Example
+  void endsAreAcknowledgedWhileLaterOnesAreUnstored() {
+    CoordinatorDriver driver = new CoordinatorDriver();
+    driver.submit("first");
+    Action.StartTask first = driver.nextStart();
+    driver.answerStart(first, StartOutcome.STARTED);
+    driver.submit("second");
+    Action.StartTask second = driver.nextStart();
+    driver.answerStart(second, StartOutcome.STARTED);
+    driver.storing = false;
+    driver.answerEnd(driver.nextRenewal(), new ReportedEnd(1, first.task(), 1, EndKind.DONE, ""));
+    driver.advance(300);
+    driver.storing = true;
+    CoordinatorDriver.SentRenewal late = driver.nextRenewal();
+    assertThat(late.order().acknowledgedEnd()).isZero();
+    driver.storing = false;
+    driver.answerEnd(late, new ReportedEnd(2, second.task(), 1, EndKind.DONE, ""));
+    assertThat(driver.nextRenewal().order().acknowledgedEnd()).isEqualTo(1);
+  }
+
   /** Guards against a start on the next incarnation before its first answer is handled. */
   @Example
   void workerWithAnUnansweredStartGetsNoOtherUntilItAnswers() {
