Contact a worker at once after a renewal fails beside a delayed one

Cause: the answer to a renewal that was sent before a failure does not end the doubt, and while one was in transit no other was sent. On links that lose packets a worker thus got no start until the delayed renewal was answered or timed out.

Ruled out: letting the earlier renewal end the doubt, as it may have reached the earlier incarnation.

Change: the first failed renewal after an answer requests a report at once. The comment on the tokens of an epoch names failed renewals, which use them up too.

The share of workers in doubt on lossy links was not measured.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/EarlierOrderGuard.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/EarlierOrderGuard.java
@@ -35,9 +35,13 @@
   /** Records a failed renewal; {@code gone} means that another worker has the address. */
   void renewalFailed(Worker worker, boolean gone) {
     worker.incarnations().doubt(state.events().next());
-    if (worker.failedRenewals() == 1 && worker.clockKnown()) {
-      worker.incarnations().raiseToken();
-      lostContact.add(worker);
+    if (worker.failedRenewals() == 1) {
+      // A delayed renewal in transit cannot end the doubt, and its answer may take seconds.
+      state.requestImmediateReport(worker);
+      if (worker.clockKnown()) {
+        worker.incarnations().raiseToken();
+        lostContact.add(worker);
+      }
     }
     if (gone) {
       lostContact.remove(worker);
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/FencingToken.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/FencingToken.java
@@ -3,9 +3,10 @@
 /**
  * The fencing token of an order to a worker.
  *
- * <p>The offset grows with each incarnation of the worker that the coordinator learns of. A worker
- * that checks tokens thus refuses the orders to its earlier incarnations from the first order to
- * the present one on.
+ * <p>The offset grows with each incarnation of the worker that the coordinator learns of, and with
+ * the first failed renewal after an answer, as the worker may have restarted. A worker that checks
+ * tokens thus refuses the orders to its earlier incarnations from the first order to the present
+ * one on.
  *
  * @param epoch epoch of the coordinator
  * @param offset difference between the token and the epoch, below {@link #COUNT_PER_EPOCH}
@@ -14,8 +15,8 @@
 
   /**
    * Number of tokens of an epoch; the next epoch is higher than all of them. A worker that restarts
-   * every 3 s uses them up in two days. From then on only stops keep it from carrying out orders to
-   * its earlier incarnations.
+   * or loses a renewal every 3 s uses them up in two days. From then on only stops keep it from
+   * carrying out orders to its earlier incarnations.
    */
   public static final int COUNT_PER_EPOCH = 1 << 16;
 
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/RestartedWorkerTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/RestartedWorkerTest.java
@@ -46,6 +46,19 @@
     assertThat(driver.nextRenewal().order().acknowledgedEnd()).isEqualTo(1);
   }
 
+  /** Guards against a doubt that lasts as long as a delayed renewal in transit. */
+  @Example
+  void failedRenewalIsFollowedByAnotherBesideADelayedOne() {
+    CoordinatorDriver driver = new CoordinatorDriver();
+    driver.advance(50);
+    driver.submit("unanswered");
+    Action.StartTask start = driver.nextStart();
+    CoordinatorDriver.SentRenewal immediate = driver.nextImmediateRenewal();
+    driver.answerStart(start, StartOutcome.STARTED);
+    driver.fail(immediate);
+    driver.nextImmediateRenewal();
+  }
+
   /** Guards against a start on the next incarnation before its first answer is handled. */
   @Example
   void workerWithAnUnansweredStartGetsNoOtherUntilItAnswers() {
