Limit the contacts of workers that are lost together

Cause: each worker that refuses connections and has a start without an answer is contacted each 5 ms.

Ruled out: a longer interval for a single worker, which leaves a late start more time.

Change: at most four workers are contacted each 5 ms, in turn, 800 calls a second. Up to four lost workers are contacted as before.

No deployment was run.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/EarlierOrderGuard.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/EarlierOrderGuard.java
@@ -1,6 +1,8 @@
 package org.cicadaford.cell;
 
 import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /** Keeps the next incarnation of a worker from carrying out orders to the earlier one. */
@@ -18,9 +20,19 @@
   /** Maximum number of probes in transit to a worker; a host that is down answers none of them. */
   private static final int MAX_PROBES = 4;
 
+  /**
+   * Maximum number of workers probed in an interval, 800 a second. The regular renewals of 250
+   * workers are as many; 80 workers that refuse connections would get 16,000 a second.
+   */
+  private static final int MAX_PROBED_WORKERS = 4;
+
   private final CellState state;
+
+  /** Workers to be probed, the one that was probed last at the end. */
   private final Set<Worker> lostContact = new LinkedHashSet<>();
 
+  private OptionalLong probedAtMillis = OptionalLong.empty();
+
   EarlierOrderGuard(CellState state) {
     this.state = state;
   }
@@ -62,11 +74,20 @@
                 || worker.listing() == null
                 || state.workers().get(worker.id()) != worker
                 || !worker.earlierOrders().unanswered(nowMillis, lateOrderMillis));
-    for (Worker worker : lostContact) {
-      if (worker.renewalsInFlight() < MAX_PROBES
-          && !worker.renewalSentWithin(nowMillis, PROBE_INTERVAL_MILLIS - 1)) {
-        state.requestImmediateReport(worker);
-      }
+    if (ElapsedTime.within(probedAtMillis, nowMillis, PROBE_INTERVAL_MILLIS - 1)) {
+      return;
+    }
+    List<Worker> due =
+        lostContact.stream()
+            .filter(worker -> worker.renewalsInFlight() < MAX_PROBES)
+            .filter(worker -> !worker.renewalSentWithin(nowMillis, PROBE_INTERVAL_MILLIS - 1))
+            .limit(MAX_PROBED_WORKERS)
+            .toList();
+    for (Worker worker : due) {
+      probedAtMillis = OptionalLong.of(nowMillis);
+      state.requestImmediateReport(worker);
+      lostContact.remove(worker);
+      lostContact.add(worker);
     }
   }
 
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/RestartedWorkerTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/RestartedWorkerTest.java
@@ -2,7 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import net.jqwik.api.Example;
 
 /** Tests orders to a worker that may have restarted under its id. */
@@ -59,6 +61,34 @@
     driver.nextImmediateRenewal();
   }
 
+  /** Guards against a flood of calls when a zone is cut off whose connections are refused. */
+  @Example
+  void workersThatAreLostTogetherAreContactedInTurn() {
+    CellState state = new CellState(CoordinatorSettings.forPlatform(6_000, 60_000));
+    EarlierOrderGuard guard = new EarlierOrderGuard(state);
+    Map<Worker, Integer> contacts = new HashMap<>();
+    for (int index = 0; index < 80; index++) {
+      Worker worker = WorkerKindTest.worker(state, "w" + index, "a");
+      worker.earlierOrders().recordStart("task" + index, 1, 1_000, 12_000);
+      worker.renewalFailed();
+      guard.renewalFailed(worker, false);
+      worker.renewalSent(1_000, 1_000);
+      worker.renewalFinished();
+      contacts.put(worker, 0);
+    }
+    for (long nowMillis = 1_001; nowMillis <= 2_000; nowMillis++) {
+      guard.probe(nowMillis);
+      for (Worker worker : contacts.keySet()) {
+        if (worker.immediateReportRequested()) {
+          worker.renewalSent(nowMillis, nowMillis);
+          worker.renewalFinished();
+          contacts.merge(worker, 1, Integer::sum);
+        }
+      }
+    }
+    assertThat(contacts.values()).allMatch(count -> count >= 9 && count <= 10);
+  }
+
   /** Guards against a start on the next incarnation before its first answer is handled. */
   @Example
   void workerWithAnUnansweredStartGetsNoOtherUntilItAnswers() {
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/WorkerKindTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/WorkerKindTest.java
@@ -100,7 +100,8 @@
     assertThat(step.waitingTasks()).containsExactly(step.tasks().get(1), step.tasks().get(2));
   }
 
-  private static Worker worker(CellState state, String id, String label) {
+  /** Returns a worker that is listed with a label and has answered at 1,000 ms. */
+  static Worker worker(CellState state, String id, String label) {
     Worker worker = state.workerOrNew(id, 1);
     worker.updateListing(
         new ListedWorker(
