--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -22,6 +22,7 @@
   private final CellState state;
   private final RunEndHandler endHandler;
   private final OrderAnswerHandler answerHandler;
+  private final EarlierOrderGuard earlierOrderGuard;
   private final WorkerMonitor monitor;
   private final SpeedLearner speeds;
   private final RenewalPlanner renewalPlanner;
@@ -45,10 +46,11 @@
     admissionPolicy = new AdmissionPolicy(state);
     PlacementReporter reporter = new PlacementReporter(state);
     endHandler = new RunEndHandler(state, reporter);
-    answerHandler = new OrderAnswerHandler(state, endHandler);
+    earlierOrderGuard = new EarlierOrderGuard(state);
+    answerHandler = new OrderAnswerHandler(state, endHandler, earlierOrderGuard);
     CrashAttributor crashes = new CrashAttributor(state, endHandler, reporter);
     speeds = new SpeedLearner(state, minSpeedWorkers);
-    monitor = new WorkerMonitor(state, endHandler, reporter, crashes, speeds);
+    monitor = new WorkerMonitor(state, endHandler, reporter, crashes, speeds, earlierOrderGuard);
     renewalPlanner = new RenewalPlanner(state);
     dispatcher = new AdviceDispatcher(state);
     SchedulableWorkerIndex workerIndex = new SchedulableWorkerIndex(state);
@@ -197,6 +199,11 @@
     answerHandler.stopConfirmed(workerId, task, run, requestNumber, now);
   }
 
+  /** Returns whether the next call of {@link #advance} is to follow within 5 ms. */
+  public boolean needsShortRounds() {
+    return earlierOrderGuard.probing();
+  }
+
   /** Returns the number of the last event, which a request that is sent now follows. */
   public long lastEventNumber() {
     return state.events().last();
@@ -247,6 +254,7 @@
       planner.plan(now);
     }
     endedJobRemover.tick(now);
+    earlierOrderGuard.probe(now.monotonicMillis());
     state.actions().addAll(renewalPlanner.dueRenewals(state.takeWorkersToRenew(), now));
   }
 
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/IncarnationTracker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/IncarnationTracker.java
@@ -23,6 +23,8 @@
   private ListedWorker lowerListing;
   private long lowerListingEvent;
   private long lowerListingAtMillis;
+  private boolean inDoubt;
+  private long doubtEvent;
 
   IncarnationTracker(long current, int tokenOffset) {
     this.current = current;
@@ -46,6 +48,33 @@
     return currentEvent <= requestNumber;
   }
 
+  /** Records that the worker may have restarted, because it has not answered or not as expected. */
+  void doubt(long eventNumber) {
+    inDoubt = true;
+    doubtEvent = eventNumber;
+  }
+
+  /**
+   * Raises the token, so that a worker that has restarted refuses the orders in transit to its
+   * earlier incarnation from the first contact on, before its answer shows the restart.
+   */
+  void raiseToken() {
+    tokenOffset = Math.min(tokenOffset + 1, FencingToken.COUNT_PER_EPOCH - 1);
+  }
+
+  /** Returns whether the worker may have restarted since its last answer. */
+  boolean inDoubt() {
+    return inDoubt;
+  }
+
+  /**
+   * Records a report of the current incarnation. It ends a doubt only if it was requested after
+   * that, as an answer may be delayed.
+   */
+  void answered(long requestNumber) {
+    inDoubt &= requestNumber < doubtEvent;
+  }
+
   /** Records that the current incarnation is listed at another address. */
   void addressChanged(long eventNumber) {
     addressEvent = eventNumber;
@@ -66,7 +95,7 @@
     }
     current = incarnation;
     currentEvent = eventNumber;
-    tokenOffset = Math.min(tokenOffset + 1, FencingToken.COUNT_PER_EPOCH - 1);
+    raiseToken();
     lowerListing = null;
   }
 
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StartIssuer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StartIssuer.java
@@ -33,7 +33,9 @@
       if (placement.task().placement() != placement) {
         continue;
       }
-      if (mayStart(placement, now) && fitsCapacity(placement, admitted)) {
+      if (mayStart(placement, now)
+          && fitsCapacity(placement, admitted)
+          && withinTaskLimit(placement, admitted)) {
         admitted.add(placement);
       } else {
         endHandler.runLost(placement, ReleaseReason.NOT_SENT, now);
@@ -56,10 +58,12 @@
     boolean permitted =
         !state.queueOf(step.job()).advice().required()
             || step.ticketFor(worker, now.monotonicMillis()) != null;
-    boolean sameIncarnation = worker.incarnation() == placement.incarnation();
+    boolean sameIncarnation =
+        worker.incarnation() == placement.incarnation() && !worker.incarnations().inDoubt();
     boolean zoneOpen =
         worker.listing() != null && !state.zonesOut().contains(worker.listing().zone());
     boolean schedulable = worker.listed() && !worker.listing().draining();
+    boolean suitable = worker.listing() != null && suits(step, worker.listing(), worker);
     // A report may have listed a run that is not placed, since the placement was decided.
     boolean unplacedRun = placement.task().hasUnplacedRun() || !worker.unplacedRuns().isEmpty();
     boolean listCurrent = state.workerListAge().isCurrent(now);
@@ -69,7 +73,34 @@
         && permitted
         && sameIncarnation
         && zoneOpen
-        && schedulable;
+        && schedulable
+        && suitable;
+  }
+
+  /** Returns whether a worker still has the service and the label that a step requires. */
+  private boolean suits(StepRun step, ListedWorker listing, Worker worker) {
+    return listing.incarnation() == worker.incarnation()
+        && listing.service().equals(state.queueOf(step.job()).service())
+        && WorkerEvaluator.hasRequiredLabel(step.spec(), worker);
+  }
+
+  /**
+   * Returns whether a worker has at most the permitted number of tasks of the step, including runs
+   * that were found there since the placement was decided.
+   */
+  private static boolean withinTaskLimit(Placement placement, Set<Placement> admitted) {
+    StepRun step = placement.task().step();
+    int limit = step.spec().maxTasksPerWorker();
+    Worker worker = placement.worker();
+    if (limit <= 0 || step.placedOn(worker) <= limit) {
+      return true;
+    }
+    long others =
+        worker.placements().values().stream()
+            .filter(other -> other != placement && other.task().step() == step)
+            .filter(other -> other.orderSent() || admitted.contains(other))
+            .count();
+    return others < limit;
   }
 
   /**
@@ -95,7 +126,8 @@
     long nowMillis = now.monotonicMillis();
     boolean advised = state.queueOf(step.job()).advice().required();
     String ticket = advised ? step.ticketFor(worker, nowMillis).value() : "";
-    long deadlineMillis = worker.clockAt(nowMillis) + state.workerListAge().startValidMillis(now);
+    long deadlineMillis =
+        worker.clock().at(nowMillis) + state.workerListAge().startValidMillis(now);
     worker.deadlineSent(deadlineMillis, state.settings().maxClockSlowdown());
     placement.orderSent(state.events().next(), nowMillis);
     worker
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Worker.java
@@ -35,9 +35,7 @@
   private final StartSurvivalTracker startSurvival = new StartSurvivalTracker();
   private final UnplacedRuns unplacedRuns = new UnplacedRuns();
   private WorkerSpeed speed = new WorkerSpeed();
-  private long reportedClockMillis;
-  private long reportedClockAtMillis;
-  private boolean clockKnown;
+  private WorkerClock clock = new WorkerClock();
   private long highestDeadlineMillis;
   private OptionalLong leaseExpiryMillis = OptionalLong.empty();
   private OptionalLong lastAnswerAtMillis = OptionalLong.empty();
@@ -45,6 +43,7 @@
   private long storedEnd;
   private int renewalsInFlight;
   private boolean immediateReportRequested;
+  private boolean acknowledgementWithheld;
   private OptionalLong renewalDueMillis = OptionalLong.empty();
   private OptionalLong renewalSentAtMillis = OptionalLong.empty();
   private OptionalLong nextRenewalAtMillis = OptionalLong.empty();
@@ -108,7 +107,7 @@
   /** Resets the clock, the run ends and the failures for a new incarnation of the worker. */
   void beginIncarnation(long newIncarnation, long eventNumber) {
     incarnations.begin(newIncarnation, eventNumber);
-    clockKnown = false;
+    clock = new WorkerClock();
     highestDeadlineMillis = 0;
     leaseExpiryMillis = OptionalLong.empty();
     renewalsInFlight = 0;
@@ -172,29 +171,15 @@
     return listing.capacity().minus(used);
   }
 
-  /** Updates the clock of the worker from an answer that arrived at {@code nowMillis}. */
-  void clock(long clockMillis, long nowMillis) {
-    if (!clockKnown || clockMillis >= reportedClockMillis) {
-      clockKnown = true;
-      reportedClockMillis = clockMillis;
-      reportedClockAtMillis = nowMillis;
-    }
-  }
-
-  boolean clockKnown() {
-    return clockKnown;
-  }
-
-  /** Returns a lower bound of the clock of the worker. */
-  long clockAt(long nowMillis) {
-    return reportedClockMillis + (nowMillis - reportedClockAtMillis);
+  /** Returns the clock of this incarnation, as its answers show it. */
+  WorkerClock clock() {
+    return clock;
   }
 
   /** Records that an order with this deadline on the clock of the worker was sent. */
   void deadlineSent(long deadlineMillis, double maxClockSlowdown) {
     highestDeadlineMillis = Math.max(highestDeadlineMillis, deadlineMillis);
-    long remaining = highestDeadlineMillis - reportedClockMillis;
-    recordLeaseExpiry(reportedClockAtMillis + (long) Math.ceil(remaining / (1 - maxClockSlowdown)));
+    recordLeaseExpiry(clock.latestTimeOf(highestDeadlineMillis, maxClockSlowdown));
   }
 
   /** Returns whether all leases of this incarnation expired more than {@code marginMillis} ago. */
@@ -219,12 +204,13 @@
   }
 
   /**
-   * Returns whether the worker can run tasks: its clock is known, it has answered recently, and its
-   * capacity is only used by placements.
+   * Returns whether the worker can run tasks: its clock and incarnation are known, it has answered
+   * recently, and its capacity is only used by placements.
    */
   boolean reachable(long nowMillis, long unreachableMillis) {
     boolean capacityKnown = unplacedRuns.isEmpty() && !earlierOrders.mayStart();
-    return clockKnown && capacityKnown && answeredWithin(nowMillis, unreachableMillis);
+    boolean known = clock.known() && !incarnations.inDoubt();
+    return known && capacityKnown && answeredWithin(nowMillis, unreachableMillis);
   }
 
   boolean answeredWithin(long nowMillis, long millis) {
@@ -266,6 +252,19 @@
     storedEnd = Math.max(storedEnd, number);
   }
 
+  /** Returns whether the last renewal did not acknowledge the stored ends. */
+  boolean acknowledgementWithheld() {
+    return acknowledgementWithheld;
+  }
+
+  void acknowledgementWithheld(boolean withheld) {
+    acknowledgementWithheld = withheld;
+  }
+
+  int renewalsInFlight() {
+    return renewalsInFlight;
+  }
+
   boolean renewalInFlight() {
     return renewalsInFlight > 0;
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -32,19 +32,22 @@
   private final CrashAttributor crashes;
   private final SpeedLearner speeds;
   private final StallDetector stallDetector;
+  private final EarlierOrderGuard earlierOrderGuard;
 
   WorkerMonitor(
       CellState state,
       RunEndHandler endHandler,
       PlacementReporter reporter,
       CrashAttributor crashes,
-      SpeedLearner speeds) {
+      SpeedLearner speeds,
+      EarlierOrderGuard earlierOrderGuard) {
     this.state = state;
     this.endHandler = endHandler;
     this.reporter = reporter;
     this.crashes = crashes;
     this.speeds = speeds;
     this.stallDetector = new StallDetector(state, endHandler);
+    this.earlierOrderGuard = earlierOrderGuard;
     this.unknownRuns = new UnknownRunHandler(state, reporter);
   }
 
@@ -138,6 +141,7 @@
       Optional<ListedWorker> listing =
           worker.incarnations().confirmedListing(report.incarnation(), requestNumber);
       if (listing.isEmpty()) {
+        applyCompletedRuns(report, now);
         return;
       }
       incarnationChanged(worker, report.incarnation(), now);
@@ -145,8 +149,9 @@
     }
     boolean prompt = worker.answeredWithin(now.monotonicMillis(), promptMillis());
     worker.answered(now.monotonicMillis());
+    worker.incarnations().answered(requestNumber);
     worker.startSurvival().signOfLife(report.sentAtMillis());
-    worker.clock(report.clockMillis(), now.monotonicMillis());
+    worker.clock().update(report.clockMillis(), now.monotonicMillis());
     worker.nextRenewalAtMillis(now.monotonicMillis());
     state.checkRenewal(worker);
     applyEnds(worker, report, prompt, now);
@@ -155,6 +160,17 @@
     state.markChanged(worker);
   }
 
+  /** Applies the runs that a late report of another incarnation shows as completed. */
+  private void applyCompletedRuns(WorkerReport report, ClockReading now) {
+    for (ReportedEnd end : report.ended()) {
+      if (end.kind() == EndKind.DONE) {
+        state
+            .task(end.task())
+            .ifPresent(task -> endHandler.completedByEarlierRun(task, end.run(), now));
+      }
+    }
+  }
+
   private static List<Placement> ordered(Collection<Placement> placements) {
     return placements.stream().filter(Placement::orderSent).toList();
   }
@@ -260,6 +276,7 @@
     }
     worker.renewalFinished();
     worker.renewalFailed();
+    earlierOrderGuard.renewalFailed(worker, gone);
     state.checkRenewal(worker);
     state.markChanged(worker);
     worker.nextRenewalAtMillis(
@@ -294,11 +311,13 @@
       endHandler.expireFailures(worker, now);
       checkUnansweredStarts(worker, now);
       checkIsolatedStarts(worker, now.monotonicMillis());
-      stopEarlierOrders(worker, now.monotonicMillis());
+      earlierOrderGuard.stopEarlierOrders(worker, now.monotonicMillis());
       state.checkRenewal(worker);
       boolean vacant = worker.placements().isEmpty() && worker.unplacedRuns().isEmpty();
       boolean idle = vacant && !worker.renewalInFlight();
-      if (!worker.listed() && idle && !mayExecuteOrders(worker, now)) {
+      if (!worker.listed()
+          && idle
+          && !earlierOrderGuard.mayExecuteOrders(worker, now.monotonicMillis())) {
         removed.add(worker);
       }
     }
@@ -306,14 +325,6 @@
     List.copyOf(state.stopping()).forEach(placement -> repeatStop(placement, now));
   }
 
-  /** Returns whether the worker may come back while orders to it are in transit. */
-  private boolean mayExecuteOrders(Worker worker, ClockReading now) {
-    long nowMillis = now.monotonicMillis();
-    long lateOrderMillis = state.settings().lateOrderMillis();
-    return worker.earlierOrders().inTransit(nowMillis, lateOrderMillis)
-        || worker.renewalSentWithin(nowMillis, lateOrderMillis);
-  }
-
   /**
    * Requests a report on starts that the worker has not answered. A later answer is not needed; a
    * run that is not reported is stopped before its task is placed again.
@@ -322,7 +333,7 @@
     for (Placement placement : List.copyOf(worker.unconfirmed())) {
       if (placement.startUnansweredFor(now.monotonicMillis(), START_CHECK_MILLIS)) {
         placement.markUncertain(state.events().next(), now.monotonicMillis());
-        state.requestImmediateReport(worker);
+        earlierOrderGuard.doubtIncarnation(worker);
       }
     }
   }
@@ -336,16 +347,6 @@
     }
   }
 
-  private void stopEarlierOrders(Worker worker, long nowMillis) {
-    if (worker.listing() != null && worker.earlierOrders().mayStart()) {
-      long lateOrderMillis = state.settings().lateOrderMillis();
-      for (EarlierOrders.Run run :
-          worker.earlierOrders().takeDue(nowMillis, STOP_RETRY_MILLIS, lateOrderMillis)) {
-        state.sendStop(worker, run.task(), run.number(), StopReason.UNCERTAIN);
-      }
-    }
-  }
-
   private void expireLeases(Worker worker, ClockReading now) {
     long nowMillis = now.monotonicMillis();
     boolean unresponsive = !worker.answeredWithin(nowMillis, state.settings().unreachableMillis());
@@ -384,6 +385,9 @@
     boolean due =
         !placement.stopConfirmed() && !placement.stopSentWithin(nowMillis, STOP_RETRY_MILLIS);
     if (placement.orderSent() && due) {
+      if (placement.stopSent() && !placement.worker().incarnations().inDoubt()) {
+        earlierOrderGuard.doubtIncarnation(placement.worker());
+      }
       state.sendStop(placement, nowMillis);
     }
   }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/PlacementPlannerTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/PlacementPlannerTest.java
@@ -76,7 +76,7 @@
             "rack" + index % 3),
         nowMillis);
     worker.answered(nowMillis);
-    worker.clock(nowMillis, nowMillis);
+    worker.clock().update(nowMillis, nowMillis);
     state.markChanged(worker);
     return worker;
   }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedWorker.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedWorker.java
@@ -142,6 +142,9 @@
 
   String address;
 
+  /** Labels of the present incarnation. */
+  Set<String> labels = Set.of("a");
+
   /** Runs by task and run number; several runs of a task may be present. */
   final Map<String, Run> runs = new LinkedHashMap<>();
 
@@ -184,7 +187,7 @@
         draining,
         remainingMillis,
         capacity.listed(),
-        Set.of("a"),
+        labels,
         "rack-" + zone);
   }
 
