--- a/cicadaford-daemon/src/main/java/org/cicadaford/daemon/SettingsPageRenderer.java
+++ b/cicadaford-daemon/src/main/java/org/cicadaford/daemon/SettingsPageRenderer.java
@@ -30,10 +30,11 @@
       | `CICADAFORD_DRAIN_MILLIS` | ms | 0 to 3600000 | 2000 | Time for which a draining worker \
       serves, if it does not report the remaining time. |
       | `CICADAFORD_GANG_TIMEOUT_MILLIS` | ms | 0 to 3600000 | 3000 | Time for which a gang member \
-      waits for the others. |
-      | `CICADAFORD_NOTICE_MILLIS` | ms | 0 to 3600000 | 4500 | Notice before a worker is taken away. |
+      waits for the others. No effect yet. |
+      | `CICADAFORD_NOTICE_MILLIS` | ms | 0 to 3600000 | 4500 | Notice before a worker is taken away. \
+      No effect yet. |
       | `CICADAFORD_MAX_RECORD_BYTES` | bytes | 4096 to 2097152 | 262144 | Maximum size of a record in \
-      the store. |
+      the store. No effect yet: records are bounded by the default. |
 
       What follows from them, in milliseconds:
 
