Reserve for gangs by expected start, for a bounded time

Ruled out: the team's limit and tickets (the case has none), the worker list. A mere time limit on the old reservations would hold the workers again and again. Exactly the capacity needed with a short grace was tried: large gangs lost their reservations shortly before they could start.

Change: the package org.cicadaford.cell.gang plans gangs one after the other for the earliest time at which all tasks fit, from expected ends of runs. What fits at no time reserves nothing; work that ends in time by twice its estimate runs on reserved capacity; a reservation ends after a grace, then pauses, and the next one is longer and keeps off the same priority too. Advice is requested so that the answer arrives about the expected start. GangPlacer and the planner take the capacity that is left beside reservations.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/AdviceDispatcher.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/AdviceDispatcher.java
@@ -158,7 +158,7 @@
     List<String> workerIds = workers.stream().map(Worker::id).toList();
     long callId = ++nextCallId;
     openCalls.put(callId, new OpenCall(step, caller, workerIds, endMillis));
-    step.adviceInFlight(true);
+    step.adviceRequested(endMillis);
     long timeoutMillis = endMillis - nowMillis + caller.timeoutMarginMillis();
     state
         .actions()
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.cicadaford.cell.gang.RemainingTime;
 
 /**
  * Makes the scheduling decisions of a cell, from submission to the recorded result.
@@ -35,6 +36,7 @@
   private final WorkerMonitor monitor;
   private final RenewalPlanner renewalPlanner;
   private final AdviceDispatcher dispatcher;
+  private final GangReservations reservations;
   private final PlacementPlanner planner;
   private final StartIssuer startIssuer;
   private final DrainEvictor drainEvictor;
@@ -61,7 +63,7 @@
     renewalPlanner = new RenewalPlanner(state);
     dispatcher = new AdviceDispatcher(state);
     SchedulableWorkerIndex workerIndex = new SchedulableWorkerIndex(state);
-    GangReservations reservations = new GangReservations();
+    reservations = new GangReservations(state, workerIndex, RemainingTime.fromProgress());
     AdvicePlanner advicePlanner = new AdvicePlanner(state, workerIndex, reservations, dispatcher);
     planner = new PlacementPlanner(state, workerIndex, reservations, advicePlanner);
     startIssuer = new StartIssuer(state, endHandler);
@@ -363,6 +365,7 @@
     counts.put("jobs", (long) state.jobs().size());
     counts.put("ready_steps", (long) state.waiting().all().size());
     counts.put("early_cancellations", (long) state.earlyCancellations().count());
+    counts.put("reserved_workers", (long) reservations.workerCount());
     counts.put("workers", (long) state.workers().size());
     return counts;
   }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/GangPlacer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/GangPlacer.java
@@ -73,7 +73,7 @@
   }
 
   /** Fills the candidates in ascending order of penalty and free processor capacity. */
-  private static List<Worker> fill(StepRun step, List<Worker> candidates) {
+  private List<Worker> fill(StepRun step, List<Worker> candidates) {
     Task first = step.tasks().getFirst();
     List<Worker> inOrder = new ArrayList<>(candidates);
     inOrder.sort(
@@ -84,7 +84,7 @@
     int limit = step.spec().maxTasksPerWorker();
     List<Worker> selected = new ArrayList<>();
     for (Worker worker : inOrder) {
-      Resources left = worker.free();
+      Resources left = reservations.availableTo(step, worker);
       int placed = 0;
       while (selected.size() < step.tasks().size()
           && demand.fitsIn(left)
@@ -98,7 +98,7 @@
   }
 
   private boolean canRun(Task first, Worker worker) {
-    int priority = first.step().job().queue().priority();
-    return !reservations.reservedAgainst(worker, priority) && WorkerEvaluator.fits(first, worker);
+    return !reservations.reservedAgainst(worker, first.step())
+        && WorkerEvaluator.fits(first, worker);
   }
 }
