Take gang reservations by expected start back

Cause: the part is not whole. Ruled out: landing it with both open. An early return that should lower the cost was added and not measured.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/AdviceDispatcher.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/AdviceDispatcher.java
@@ -161,7 +161,7 @@
     List<String> workerIds = List.copyOf(incarnations.keySet());
     long callId = ++nextCallId;
     openCalls.put(callId, new OpenCall(step, caller, incarnations, endMillis));
-    step.adviceRequested(endMillis);
+    step.adviceInFlight(true);
     long timeoutMillis = endMillis - nowMillis + caller.timeoutMarginMillis();
     state
         .actions()
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/AdvicePlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/AdvicePlanner.java
@@ -7,10 +7,8 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
-import java.util.function.ToIntFunction;
 
 /** Decides which workers a call for advice on a waiting step names, and when to make it. */
 final class AdvicePlanner {
@@ -18,12 +16,6 @@
   /** Remaining validity of a ticket when its renewal arrives, in milliseconds. */
   private static final long RENEWAL_MARGIN_MILLIS = 250;
 
-  /**
-   * Time by which the answer to a call for a waiting gang may precede its expected start, in
-   * milliseconds: the interval at which waiting steps are tried, and the delay of a call.
-   */
-  private static final long CALL_LEAD_MILLIS = 500;
-
   /** Delay before all workers are named again when none may run a step, in milliseconds. */
   private static final long REASK_ALL_MILLIS = 1_000;
 
@@ -119,21 +111,9 @@
     discardEarlierTickets(step);
     boolean first = step.tickets().isEmpty() && step.advisedAgainst().isEmpty();
     if (first) {
-      return untestedWorkers(
-          step, wantedSlots, 0, worker -> true, worker -> availableSlots(step, worker));
+      return untestedWorkers(step, wantedSlots, 0, worker -> true);
     }
     List<Worker> permitted = workersWithTickets(step);
-    boolean lacksWorkers = lacksPermittedWorkers(step, permitted);
-    ToIntFunction<Worker> untestedSlots =
-        worker -> lacksWorkers ? wholeSlots(step, worker) : availableSlots(step, worker);
-    Predicate<Worker> withSlots = worker -> untestedSlots.applyAsInt(worker) > 0;
-    long marginMillis = callMarginMillis(step, policy, nowMillis);
-    if (marginMillis > policy.callMillis(MAX_WORKERS)) {
-      // Untested workers with room may let the gang start earlier; tickets are renewed later.
-      return untestedWorkers(step, wantedSlots, 0, withSlots, untestedSlots);
-    } else if (marginMillis > 0) {
-      return List.of();
-    }
     long answerMillis = nowMillis + policy.callMillis(permitted.size()) + RENEWAL_MARGIN_MILLIS;
     List<Worker> stale = new ArrayList<>();
     double validSlots = 0;
@@ -141,7 +121,7 @@
       if (step.ticketFor(worker, answerMillis) == null) {
         stale.add(worker);
       } else {
-        validSlots += usableSlots(step, worker);
+        validSlots += availableSlots(step, worker);
       }
     }
     if (validSlots >= wantedSlots) {
@@ -150,7 +130,7 @@
     List<Worker> named = new ArrayList<>();
     double slots = validSlots;
     for (Worker worker : stale) {
-      int freeSlots = usableSlots(step, worker);
+      int freeSlots = availableSlots(step, worker);
       if (slots < wantedSlots && named.size() < MAX_WORKERS && freeSlots > 0) {
         named.add(worker);
         slots += freeSlots;
@@ -158,7 +138,8 @@
     }
     if (slots < wantedSlots) {
       named.addAll(
-          untestedWorkers(step, wantedSlots - slots, named.size(), withSlots, untestedSlots));
+          untestedWorkers(
+              step, wantedSlots - slots, named.size(), w -> availableSlots(step, w) > 0));
     }
     if (named.isEmpty() && permitted.isEmpty()) {
       // No permitted or untested worker is left, so earlier refusals are discarded.
@@ -190,44 +171,13 @@
     }
   }
 
-  /** Returns the time until a call for the expected start of a gang is due; 0 if it is due now. */
-  private long callMarginMillis(StepRun step, AdvicePolicy policy, long nowMillis) {
-    OptionalLong startMillis = reservations.expectedStartMillis(step);
-    if (startMillis.isEmpty()) {
-      return 0;
-    }
-    long callMillis = policy.callMillis(Math.min(step.tickets().size(), MAX_WORKERS));
-    return Math.max(0, startMillis.getAsLong() - nowMillis - callMillis - CALL_LEAD_MILLIS);
-  }
-
-  /** Returns whether a gang does not fit on its permitted workers even when these are empty. */
-  private static boolean lacksPermittedWorkers(StepRun step, List<Worker> permitted) {
-    if (!step.spec().gang()) {
-      return false;
-    }
-    int slots = 0;
-    for (Worker worker : permitted) {
-      slots += wholeSlots(step, worker);
-    }
-    return slots < step.tasks().size();
-  }
-
-  private static int wholeSlots(StepRun step, Worker worker) {
-    return step.spec().slotsIn(worker.listing().capacity());
-  }
-
-  /** Returns how many waiting tasks can start on a permitted worker now, or when a gang starts. */
-  private int usableSlots(StepRun step, Worker worker) {
-    return Math.max(availableSlots(step, worker), reservations.plannedTasks(step, worker));
-  }
-
   private static int tasksToPlace(StepRun step) {
     return step.spec().gang() ? step.tasks().size() : step.waitingTasks().size();
   }
 
   /** Returns how many waiting tasks could start on a worker now, given a ticket. */
   private int availableSlots(StepRun step, Worker worker) {
-    boolean reserved = reservations.reservedAgainst(worker, step);
+    boolean reserved = reservations.reservedAgainst(worker, step.job().queue().priority());
     return reserved ? 0 : WorkerEvaluator.availableSlots(step, worker);
   }
 
@@ -249,15 +199,10 @@
 
   /** Returns untested workers: first those with capacity in the zone of the job, then all. */
   private List<Worker> untestedWorkers(
-      StepRun step,
-      double wantedSlots,
-      int alreadyNamed,
-      Predicate<Worker> allowed,
-      ToIntFunction<Worker> slots) {
+      StepRun step, double wantedSlots, int alreadyNamed, Predicate<Worker> allowed) {
     String service = state.queueOf(step.job()).service();
     String label = step.spec().requiredLabel();
-    CandidateCollector collector =
-        new CandidateCollector(step, wantedSlots, alreadyNamed, allowed, slots);
+    CandidateCollector collector = new CandidateCollector(step, wantedSlots, alreadyNamed, allowed);
     workerIndex.visitLargestInZone(
         service,
         step.job().zone(),
@@ -287,22 +232,16 @@
     private final double wantedSlots;
     private final int alreadyNamed;
     private final Predicate<Worker> allowed;
-    private final ToIntFunction<Worker> slots;
     private final double permittedShare;
     private final Set<Worker> workers = new LinkedHashSet<>();
     private double expectedSlots;
 
     private CandidateCollector(
-        StepRun step,
-        double wantedSlots,
-        int alreadyNamed,
-        Predicate<Worker> allowed,
-        ToIntFunction<Worker> slots) {
+        StepRun step, double wantedSlots, int alreadyNamed, Predicate<Worker> allowed) {
       this.step = step;
       this.wantedSlots = wantedSlots;
       this.alreadyNamed = alreadyNamed;
       this.allowed = allowed;
-      this.slots = slots;
       this.permittedShare = dispatcher.permittedShare(step.job().queueName());
     }
 
@@ -310,7 +249,7 @@
       boolean untested =
           !step.hasTicket(worker) && !step.isAdvisedAgainst(worker) && allowed.test(worker);
       if (untested && workers.add(worker)) {
-        expectedSlots += permittedShare * slots.applyAsInt(worker);
+        expectedSlots += permittedShare * availableSlots(step, worker);
       }
     }
 
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import org.cicadaford.cell.gang.RemainingTime;
 import org.cicadaford.cell.learning.SpeedClass;
 
 /**
@@ -28,7 +27,6 @@
   private final SpeedLearner speeds;
   private final RenewalPlanner renewalPlanner;
   private final AdviceDispatcher dispatcher;
-  private final GangReservations reservations;
   private final PlacementPlanner planner;
   private final BatchTracker batches;
   private final DrainEvictor drainEvictor;
@@ -56,7 +54,7 @@
     renewalPlanner = new RenewalPlanner(state);
     dispatcher = new AdviceDispatcher(state);
     SchedulableWorkerIndex workerIndex = new SchedulableWorkerIndex(state);
-    reservations = new GangReservations(state, workerIndex, RemainingTime.fromProgress());
+    GangReservations reservations = new GangReservations();
     AdvicePlanner advicePlanner = new AdvicePlanner(state, workerIndex, reservations, dispatcher);
     planner = new PlacementPlanner(state, workerIndex, reservations, advicePlanner);
     batches =
@@ -326,7 +324,6 @@
     counts.put("jobs", (long) state.jobs().size());
     counts.put("ready_steps", (long) state.waiting().all().size());
     counts.put("early_cancellations", (long) state.earlyCancellations().count());
-    counts.put("reserved_workers", (long) reservations.workerCount());
     counts.put("workers", (long) state.workers().size());
     counts.putAll(speeds.counts());
     counts.put("short_services", state.shortages().shortServiceCount());
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/GangPlacer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/GangPlacer.java
@@ -104,7 +104,7 @@
   }
 
   /** Fills the candidates in ascending order of penalty and free processor capacity. */
-  private List<Worker> fill(StepRun step, List<Worker> candidates) {
+  private static List<Worker> fill(StepRun step, List<Worker> candidates) {
     Task first = step.tasks().getFirst();
     List<Worker> inOrder = new ArrayList<>(candidates);
     inOrder.sort(
@@ -115,7 +115,7 @@
     int limit = step.spec().maxTasksPerWorker();
     List<Worker> selected = new ArrayList<>();
     for (Worker worker : inOrder) {
-      Resources left = reservations.availableTo(step, worker);
+      Resources left = worker.free();
       int placed = 0;
       while (selected.size() < step.tasks().size()
           && demand.fitsIn(left)
@@ -129,7 +129,7 @@
   }
 
   private boolean canRun(Task first, Worker worker) {
-    return !reservations.reservedAgainst(worker, first.step())
-        && WorkerEvaluator.fits(first, worker);
+    int priority = first.step().job().queue().priority();
+    return !reservations.reservedAgainst(worker, priority) && WorkerEvaluator.fits(first, worker);
   }
 }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/IsolatedStartPlacer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/IsolatedStartPlacer.java
@@ -49,8 +49,8 @@
 
     /** Considers a worker; returns whether a better one may follow. */
     private boolean offer(Worker worker) {
-      if (!reservations.reservedAgainst(worker, task.step())
-          && WorkerEvaluator.fits(task, worker)) {
+      int priority = task.step().job().queue().priority();
+      if (!reservations.reservedAgainst(worker, priority) && WorkerEvaluator.fits(task, worker)) {
         int starts = worker.startSurvival().unsurvived(worker.placements().values()).size();
         if (selected == null || starts < selectedStarts) {
           selected = worker;
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
@@ -1,7 +1,9 @@
 package org.cicadaford.cell;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -31,7 +33,7 @@
   private static final long RETRY_INTERVAL_MILLIS = 250;
 
   /** Key of the steps that compete for the same workers at the same priority. */
-  private record DemandKey(String service, String label, int priority, long estimateMillis) {}
+  private record DemandKey(String service, String label, int priority) {}
 
   private final CellState state;
   private final SchedulableWorkerIndex workerIndex;
@@ -158,7 +160,7 @@
   private Worker bestAmong(List<Worker> candidates, Task task, ClockReading now) {
     Worker best = null;
     for (Worker worker : candidates) {
-      if (canRun(task, worker)
+      if (WorkerEvaluator.fits(task, worker)
           && (best == null || SpeedPreference.isBetter(task, worker, best, now))) {
         best = worker;
       }
@@ -171,9 +173,7 @@
     StepSpec spec = step.spec();
     String service = service(step);
     int priority = step.job().queue().priority();
-    // What is reserved is open to tasks that end in time, so the estimate matters then.
-    long estimateMillis = reservations.any() ? spec.estimateMillis() : 0;
-    DemandKey demand = new DemandKey(service, spec.requiredLabel(), priority, estimateMillis);
+    DemandKey demand = new DemandKey(service, spec.requiredLabel(), priority);
     Resources failed = unplaceableDemands.get(demand);
     if (failed != null && failed.fitsIn(spec.reservation())) {
       return null;
@@ -188,7 +188,7 @@
             spec.reservation(),
             worker ->
                 WorkerEvaluator.hasRequiredLabel(spec, worker)
-                    && canRun(task, worker)
+                    && canRun(task, worker, priority)
                     && WorkerEvaluator.penalty(task, worker) <= (hasPreferences ? 0 : maxPenalty));
     for (int allowed = hasPreferences ? 0 : maxPenalty;
         best == null && allowed <= maxPenalty;
@@ -199,7 +199,8 @@
               service,
               spec.requiredLabel(),
               spec.reservation(),
-              worker -> canRun(task, worker) && WorkerEvaluator.penalty(task, worker) <= limit);
+              worker ->
+                  canRun(task, worker, priority) && WorkerEvaluator.penalty(task, worker) <= limit);
     }
     if (best != null) {
       return best;
@@ -210,8 +211,8 @@
     return null;
   }
 
-  private boolean canRun(Task task, Worker worker) {
-    return !reservations.reservedAgainst(worker, task.step()) && WorkerEvaluator.fits(task, worker);
+  private boolean canRun(Task task, Worker worker, int priority) {
+    return !reservations.reservedAgainst(worker, priority) && WorkerEvaluator.fits(task, worker);
   }
 
   /** Places all tasks of a gang or none. */
@@ -230,7 +231,6 @@
     for (Task task : step.tasks()) {
       start(task, chosen.get(task.index()), run, now);
     }
-    reservations.release(step).forEach(workerIndex::markNewCapacity);
   }
 
   private String service(StepRun step) {
@@ -244,13 +244,14 @@
   /** Returns the workers that the step has a valid ticket for and that are not reserved. */
   private List<Worker> permitted(StepRun step, ClockReading now) {
     String service = service(step);
+    int priority = step.job().queue().priority();
     long untilMillis = now.monotonicMillis() + state.settings().ticketMarginMillis();
     List<Worker> permitted = new ArrayList<>();
     for (String workerId : step.tickets().keySet()) {
       Worker worker = state.workers().get(workerId);
       if (worker != null
           && workerIndex.contains(worker, service)
-          && !reservations.reservedAgainst(worker, step)
+          && !reservations.reservedAgainst(worker, priority)
           && step.ticketFor(worker, untilMillis) != null) {
         permitted.add(worker);
       }
@@ -279,7 +280,6 @@
     Placement placement =
         new Placement(task, run, worker, worker.incarnation(), now.monotonicMillis());
     state.place(placement);
-    reservations.placed(placement);
     if (task.suspected()) {
       worker.startSurvival().isolate(placement);
     }
@@ -303,10 +303,12 @@
       }
     }
     waiting.sort(StepOrder.at(now.unixMillis()));
-    reservations.update(waiting, workerIndex.count(), now).forEach(workerIndex::markNewCapacity);
+    Map<StepRun, List<Worker>> gangs = new LinkedHashMap<>();
+    waiting.forEach(step -> gangs.put(step, reservableWorkers(step)));
+    reservations.reserve(gangs, workerIndex.count()).forEach(workerIndex::markNewCapacity);
   }
 
-  private List<Worker> knownWorkers(StepRun step) {
+  private List<Worker> reservableWorkers(StepRun step) {
     if (!requiresAdvice(step)) {
       return workerIndex.largest(
           service(step), step.spec().requiredLabel(), step.tasks().size(), worker -> true);
@@ -321,13 +323,17 @@
         permitted.add(worker);
       }
     }
+    permitted.sort(
+        Comparator.comparing((Worker worker) -> !WorkerEvaluator.inSubmissionZone(step, worker))
+            .thenComparingLong(worker -> -worker.free().processorsMillicores())
+            .thenComparing(Worker::id));
     return permitted;
   }
 
   /** Reports why a step waits, for the log. */
   private void report(StepRun step, ClockReading now) {
     Resources demand = step.spec().reservation();
-    List<Worker> known = knownWorkers(step);
+    List<Worker> known = reservableWorkers(step);
     List<Worker> permitted = requiresAdvice(step) ? permitted(step, now) : known;
     long withRoom = known.stream().filter(worker -> demand.fitsIn(worker.free())).count();
     String inputs =
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/StepRun.java
@@ -25,7 +25,6 @@
   private int placedCount;
   private int unplacedRunCount;
   private boolean adviceInFlight;
-  private long adviceExpectedAtMillis;
   private OptionalLong adviceRetryAtMillis = OptionalLong.empty();
   private OptionalLong nextReportMillis = OptionalLong.empty();
   private OptionalLong firstTryMillis = OptionalLong.empty();
@@ -264,17 +263,6 @@
     adviceInFlight = inFlight;
   }
 
-  /** Records that a call for advice was made whose answer is expected at a time. */
-  void adviceRequested(long expectedAtMillis) {
-    adviceInFlight = true;
-    adviceExpectedAtMillis = expectedAtMillis;
-  }
-
-  /** Returns the time at which the answer to the last call for advice was expected. */
-  long adviceExpectedAtMillis() {
-    return adviceExpectedAtMillis;
-  }
-
   /** Returns whether calls for advice are delayed after a failed or empty one. */
   boolean adviceDelayed(long nowMillis) {
     return ElapsedTime.isFuture(adviceRetryAtMillis, nowMillis);
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerEvaluator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerEvaluator.java
@@ -1,7 +1,5 @@
 package org.cicadaford.cell;
 
-import java.util.Comparator;
-
 /** Evaluates whether a worker can run a task and how well it suits. */
 final class WorkerEvaluator {
 
@@ -90,11 +88,4 @@
   static boolean inSubmissionZone(StepRun step, Worker worker) {
     return step.job().zone().equals(worker.listing().zone());
   }
-
-  /** Returns the order in which workers suit a gang: its own zone first, then the emptiest. */
-  static Comparator<Worker> preferredFor(StepRun step) {
-    return Comparator.comparing((Worker worker) -> !inSubmissionZone(step, worker))
-        .thenComparingLong(worker -> -worker.free().processorsMillicores())
-        .thenComparing(Worker::id);
-  }
 }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/PlacementPlannerTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/PlacementPlannerTest.java
@@ -13,7 +13,6 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
-import org.cicadaford.cell.gang.RemainingTime;
 import org.cicadaford.model.Resources;
 
 /** Tests that steps are retried when, and only when, a condition that they wait for has changed. */
@@ -25,8 +24,7 @@
   private final CellState state = new CellState(CoordinatorSettings.forPlatform(6_000, 60_000));
   private final AdviceDispatcher dispatcher = new AdviceDispatcher(state);
   private final SchedulableWorkerIndex workerIndex = new SchedulableWorkerIndex(state);
-  private final GangReservations reservations =
-      new GangReservations(state, workerIndex, RemainingTime.fromProgress());
+  private final GangReservations reservations = new GangReservations();
   private final PlacementPlanner planner =
       new PlacementPlanner(
           state,
