Suspend gang reservations that do not lead to a start

Cause: a gang of 10 tasks, one a worker, waited for the 8 workers with its label; a reservation had no end. The same holds for a gang larger than the whole workers, for one that fits but waits behind a task of ten minutes, and for several of them in turn.

Ruled out: the team's limit, tickets (none in the case). A check whether a gang can ever run does not help behind a long task. The plan by expected starts was not taken up again for its cost.

Change: a worker that has been reserved for 2 s, or for 10 s while half of its service is in use, is not reserved for 1.5 s, with all workers of the same gang. A log line for each suspension.

After: all pass; with 2 s for a busy service the fifth fails.

Conclusion: the smallest change that ends all variants.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/PlacementPlanner.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -303,9 +302,28 @@
       }
     }
     waiting.sort(StepOrder.at(now.unixMillis()));
-    Map<StepRun, List<Worker>> gangs = new LinkedHashMap<>();
-    waiting.forEach(step -> gangs.put(step, reservableWorkers(step)));
-    reservations.reserve(gangs, workerIndex.count()).forEach(workerIndex::markNewCapacity);
+    Map<String, Boolean> busyByService = new HashMap<>();
+    List<GangReservations.WaitingGang> gangs = new ArrayList<>();
+    for (StepRun step : waiting) {
+      boolean busy = busyByService.computeIfAbsent(service(step), workerIndex::halfInUse);
+      gangs.add(new GangReservations.WaitingGang(step, reservableWorkers(step), busy));
+    }
+    reservations
+        .reserve(gangs, workerIndex.count(), now.monotonicMillis())
+        .forEach(workerIndex::markNewCapacity);
+    reservations.takeSuspensions().forEach(this::report);
+  }
+
+  private void report(GangReservations.Suspension suspension) {
+    StepRun step = suspension.gang().step();
+    String inputs =
+        "workers="
+            + suspension.workerCount()
+            + " tasks="
+            + step.tasks().size()
+            + " service_busy="
+            + suspension.gang().serviceBusy();
+    state.actions().add(new Action.ReportDecision("reservation", step.name(), "suspended", inputs));
   }
 
   private List<Worker> reservableWorkers(StepRun step) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/SchedulableWorkerIndex.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/SchedulableWorkerIndex.java
@@ -161,6 +161,23 @@
     return entryByWorker.size();
   }
 
+  /** Returns whether at least half of a resource of the workers of a service is in use. */
+  boolean halfInUse(String service) {
+    long freeMillicores = 0;
+    long millicores = 0;
+    long freeMebibytes = 0;
+    long mebibytes = 0;
+    for (IndexEntry entry : entryByWorker.values()) {
+      if (entry.listing().service().equals(service)) {
+        freeMillicores += entry.millicores();
+        millicores += entry.listing().capacity().processorsMillicores();
+        freeMebibytes += entry.mebibytes();
+        mebibytes += entry.listing().capacity().memoryMebibytes();
+      }
+    }
+    return 2 * freeMillicores <= millicores || 2 * freeMebibytes <= mebibytes;
+  }
+
   private boolean contains(Worker worker) {
     return entryByWorker.containsKey(worker);
   }
