--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/EndAcknowledgements.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/EndAcknowledgements.java
@@ -51,8 +51,8 @@
     return storedEnd > forgottenEnd;
   }
 
-  /** Returns the number of the last end to acknowledge now. */
-  long send(long nowMillis) {
+  /** Records that all stored ends are acknowledged now; returns the number of the last one. */
+  long acknowledge(long nowMillis) {
     lastSentEnd = storedEnd;
     lastSentAtMillis = OptionalLong.of(nowMillis);
     return storedEnd;
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/GangReservations.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/GangReservations.java
@@ -83,7 +83,7 @@
     suspendedUntilMillis.values().removeIf(untilMillis -> untilMillis <= nowMillis);
     byWorker = new HashMap<>();
     gangs.forEach(gang -> reserveFor(gang, workerCount, nowMillis));
-    continueReservations(before, gangs);
+    continueDurations(before, gangs);
     suspendExpired(nowMillis);
     List<Worker> released = new ArrayList<>();
     before.forEach(
@@ -114,10 +114,11 @@
   }
 
   /**
-   * Keeps the beginning of each reservation, unless the gang that it was made for has started. A
-   * worker that is reserved for one gang after the other is thus suspended as well.
+   * Counts the duration of a reservation from when its worker was first reserved, unless the gang
+   * that it was reserved for then has started. A worker that is reserved for one gang after the
+   * other is thus suspended as well.
    */
-  private void continueReservations(Map<Worker, Reservation> before, List<WaitingGang> gangs) {
+  private void continueDurations(Map<Worker, Reservation> before, List<WaitingGang> gangs) {
     Set<StepRun> waiting = new HashSet<>();
     gangs.forEach(gang -> waiting.add(gang.step()));
     byWorker.replaceAll(
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/RenewalPlanner.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/RenewalPlanner.java
@@ -90,7 +90,7 @@
         worker.id(),
         worker.incarnation(),
         worker.renewalAddress(nowMillis, settings.unreachableMillis()),
-        acknowledges && certain ? worker.ends().send(nowMillis) : 0,
+        acknowledges && certain ? worker.ends().acknowledge(nowMillis) : 0,
         deadlineMillis,
         waitMillis,
         waitMillis + settings.answerMillis());
