--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/ShortageMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/ShortageMonitor.java
@@ -28,6 +28,23 @@
   /** Interval at which the capacity of the services is summed up, in milliseconds. */
   private static final long CAPACITY_INTERVAL_MILLIS = 1_000;
 
+  /**
+   * Placements of a team on a service and what they reserve. Only their number tells whether there
+   * are any, since tasks may reserve nothing.
+   */
+  private record TeamUsage(int placementCount, Resources reserved) {
+
+    private static final TeamUsage NONE = new TeamUsage(0, Resources.NONE);
+
+    TeamUsage plus(Resources reservation) {
+      return new TeamUsage(placementCount + 1, reserved.plus(reservation));
+    }
+
+    TeamUsage minus(Resources reservation) {
+      return new TeamUsage(placementCount - 1, reserved.minus(reservation));
+    }
+  }
+
   /** Work of one service that waits, by team. */
   private static final class Waiting {
     private final Map<String, Resources> byTeam = new HashMap<>();
@@ -35,7 +52,7 @@
   }
 
   private final CellState state;
-  private final Map<String, Map<String, Resources>> usedByService = new HashMap<>();
+  private final Map<String, Map<String, TeamUsage>> usageByService = new HashMap<>();
   private final Map<String, ServiceShares> sharesByService = new TreeMap<>();
   private final Map<String, Resources> capacityByService = new HashMap<>();
   private final Set<String> reportedTeams = new HashSet<>();
@@ -53,26 +70,32 @@
   /** Adds a placement to the usage of its team. */
   void placed(Placement placement) {
     StepRun step = placement.task().step();
-    usedByService
+    usageByService
         .computeIfAbsent(service(step), key -> new HashMap<>())
-        .merge(step.job().team(), step.spec().reservation(), Resources::plus);
+        .compute(
+            step.job().team(),
+            (team, usage) ->
+                (usage == null ? TeamUsage.NONE : usage).plus(step.spec().reservation()));
   }
 
   /** Subtracts a placement from the usage of its team. */
   void released(Placement placement) {
     StepRun step = placement.task().step();
-    Map<String, Resources> usedByTeam = usedByService.get(service(step));
-    Resources left = usedByTeam.get(step.job().team()).minus(step.spec().reservation());
-    if (left.equals(Resources.NONE)) {
-      usedByTeam.remove(step.job().team());
+    Map<String, TeamUsage> usageByTeam = usageByService.get(service(step));
+    TeamUsage left = usageByTeam.get(step.job().team()).minus(step.spec().reservation());
+    if (left.placementCount() == 0) {
+      usageByTeam.remove(step.job().team());
     } else {
-      usedByTeam.put(step.job().team(), left);
+      usageByTeam.put(step.job().team(), left);
     }
   }
 
   /** Returns the resources of a service that the tasks of a team reserve. */
   Resources usageOf(String service, String team) {
-    return usedByService.getOrDefault(service, Map.of()).getOrDefault(team, Resources.NONE);
+    return usageByService
+        .getOrDefault(service, Map.of())
+        .getOrDefault(team, TeamUsage.NONE)
+        .reserved();
   }
 
   /** Returns whether any service is short. */
@@ -155,8 +178,8 @@
   }
 
   private List<TeamDemand> demands(String service, Map<String, Resources> waitingByTeam) {
-    Map<String, Resources> usedByTeam = usedByService.getOrDefault(service, Map.of());
-    Set<String> teams = new HashSet<>(usedByTeam.keySet());
+    Map<String, TeamUsage> usageByTeam = usageByService.getOrDefault(service, Map.of());
+    Set<String> teams = new HashSet<>(usageByTeam.keySet());
     teams.addAll(waitingByTeam.keySet());
     teams.addAll(sharesByService.get(service).teamsBeyondShare());
     List<TeamDemand> demands = new ArrayList<>();
@@ -164,7 +187,7 @@
       Resources waiting = waitingByTeam.getOrDefault(team, Resources.NONE);
       TeamShare share = state.config().team(team).orElse(null);
       double weight = share == null ? 0 : share.weight();
-      Resources used = usedByTeam.getOrDefault(team, Resources.NONE);
+      Resources used = usageByTeam.getOrDefault(team, TeamUsage.NONE).reserved();
       demands.add(
           new TeamDemand(
               team, weight, used, share == null ? waiting : withinLimit(share, waiting)));
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SharesUnderShortageTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SharesUnderShortageTest.java
@@ -26,19 +26,7 @@
   private static SimulatedCell cell(double weight) {
     List<Queue> queues = new ArrayList<>();
     for (int priority = 0; priority < 3; priority++) {
-      queues.add(
-          new Queue(
-              "q" + priority,
-              "h",
-              "/" + priority,
-              "svc",
-              priority,
-              4,
-              30,
-              250,
-              3_000,
-              false,
-              AdvicePolicy.NONE));
+      queues.add(SimulatedJobs.queue("q" + priority, priority, AdvicePolicy.NONE));
     }
     List<TeamShare> teams = new ArrayList<>();
     for (String team : SMALL_TEAMS) {
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedJobs.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/SimulatedJobs.java
@@ -22,10 +22,23 @@
   private SimulatedJobs() {}
 
   static CellConfig config(Resources limit, AdvicePolicy advice) {
-    Queue queue =
-        new Queue("q", "h", "/q/", "svc", 0, MAX_ATTEMPTS, STRETCH, 250, 3_000, false, advice);
     TeamShare team = new TeamShare("team", Set.of("key"), 0, limit);
-    return new CellConfig(1, List.of(queue), List.of(team));
+    return new CellConfig(1, List.of(queue("q", 0, advice)), List.of(team));
+  }
+
+  static Queue queue(String name, int priority, AdvicePolicy advice) {
+    return new Queue(
+        name,
+        "h",
+        "/" + name + "/",
+        "svc",
+        priority,
+        MAX_ATTEMPTS,
+        STRETCH,
+        250,
+        3_000,
+        false,
+        advice);
   }
 
   static StepSpec step(int count, long millicores, long millis, boolean gang, Integer... after) {
