Log which input and which run an internal fault was met with

Cause: after an internal fault the log had the stack only.

Change: the coordinator keeps the name of the input that it is applying and of the run that this concerns.

Ruled out: building the description for each input, which would cost on each report; four fields are set instead.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
@@ -23,6 +23,7 @@
 
   private final RemovedWorkerTokens removedTokens = new RemovedWorkerTokens();
   private final EventSequence events = new EventSequence();
+  private final CurrentInput currentInput = new CurrentInput();
   private final TeamUsageTracker usageTracker = new TeamUsageTracker();
   private final LimitReservations limitReservations = new LimitReservations(this);
   private final LimitPreemptor preemptor = new LimitPreemptor(this);
@@ -55,6 +56,11 @@
     return settings;
   }
 
+  /** Returns the name of the input that is being applied. */
+  CurrentInput currentInput() {
+    return currentInput;
+  }
+
   void roleConfirmed(ClockReading sentAt) {
     boolean newer =
         roleConfirmedAt == null || sentAt.monotonicMillis() > roleConfirmedAt.monotonicMillis();
@@ -320,6 +326,7 @@
 
   void place(Placement placement) {
     Task task = placement.task();
+    currentInput.concerns(task.name(), placement.run());
     task.place(placement);
     task.lastRun(Math.max(task.lastRun(), placement.run()));
     placement.worker().add(placement);
@@ -340,6 +347,7 @@
     if (task.placement() != placement) {
       return;
     }
+    currentInput.concerns(task.name(), placement.run());
     task.place(null);
     stopping.remove(placement);
     placement.worker().remove(placement);
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -67,6 +67,7 @@
 
   /** Restores the state from stored records; returns the keys of those that cannot be decoded. */
   public List<String> restore(List<RecordWrite> records, ClockReading now) {
+    state.currentInput().begin("restore", "");
     return new JobRestorer(state, monitor).restore(records, now);
   }
 
@@ -86,6 +87,7 @@
   /** Updates the workers from the list of the platform that was requested at a time. */
   public void workersListed(
       List<ListedWorker> workers, ClockReading requestedAt, ClockReading now) {
+    state.currentInput().begin("worker-list", "");
     monitor.updateListings(workers, now);
     state.workerListAge().read(requestedAt);
   }
@@ -98,6 +100,7 @@
   /** Accepts or refuses a submitted job; a job id that is already known is not accepted twice. */
   public AdmissionDecision submit(
       String jobId, Queue queue, Submitter submitter, JobSpec spec, ClockReading now) {
+    state.currentInput().begin("submission", jobId);
     Job existing = state.jobs().get(jobId);
     if (existing != null) {
       if (existing.stored()) {
@@ -133,6 +136,7 @@
 
   /** Cancels a job; returns whether it is known, in which case a confirmation action follows. */
   public boolean cancel(String jobId, ClockReading now) {
+    state.currentInput().begin("cancellation", jobId);
     Job job = state.jobs().get(jobId);
     if (job == null) {
       return false;
@@ -185,6 +189,8 @@
       StartOutcome outcome,
       long clockMillis,
       ClockReading now) {
+    state.currentInput().begin("start-answer", workerId);
+    state.currentInput().concerns(task, run);
     answerHandler.startAnswered(workerId, task, run, outcome, clockMillis, now);
   }
 
@@ -196,6 +202,8 @@
    */
   public void stopConfirmed(
       String workerId, String task, int run, long requestNumber, ClockReading now) {
+    state.currentInput().begin("stop-answer", workerId);
+    state.currentInput().concerns(task, run);
     answerHandler.stopConfirmed(workerId, task, run, requestNumber, now);
   }
 
@@ -215,6 +223,7 @@
    * @param requestNumber {@link #lastEventNumber} when the renewal was sent
    */
   public void reportReceived(WorkerReport report, long requestNumber, ClockReading now) {
+    state.currentInput().begin("report", report.workerId());
     monitor.report(report, requestNumber, now);
   }
 
@@ -225,22 +234,26 @@
    */
   public void renewalFailed(
       Action.Renew renewal, boolean gone, long requestNumber, ClockReading now) {
+    state.currentInput().begin("failed-renewal", renewal.workerId());
     monitor.renewalFailed(renewal, gone, requestNumber, now);
   }
 
   /** Handles the answer to a call for advice: the tickets by worker id. */
   public void adviceAnswered(
       long callId, Map<String, String> tickets, long validMillis, ClockReading now) {
+    state.currentInput().begin("advice", "");
     dispatcher.callAnswered(callId, tickets, validMillis, now.monotonicMillis());
   }
 
   /** Handles the failure of a call for advice. */
   public void adviceFailed(long callId, ClockReading now) {
+    state.currentInput().begin("failed-advice", "");
     dispatcher.callFailed(callId, now.monotonicMillis());
   }
 
   /** Runs the periodic checks that are due and places tasks if anything has changed. */
   public void advance(ClockReading now) {
+    state.currentInput().begin("round", "");
     if (!ElapsedTime.isFuture(nextTickMillis, now.monotonicMillis())) {
       nextTickMillis = OptionalLong.of(now.monotonicMillis() + TICK_INTERVAL_MILLIS);
       monitor.tick(now);
@@ -279,11 +292,13 @@
    * #batchStored} follows, for all others.
    */
   public void recordsRefused(List<RecordWrite> records, ClockReading now) {
+    state.currentInput().begin("refused-records", "");
     batches.recordsRefused(records, now);
   }
 
   /** Handles the confirmation that the last batch is stored. */
   public void batchStored(ClockReading now) {
+    state.currentInput().begin("stored-batch", "");
     batches.stored(now);
   }
 
@@ -300,6 +315,14 @@
     return worker == null ? 0 : worker.incarnations().tokenOffset();
   }
 
+  /**
+   * Returns the input that was applied last, its worker or job, and the run that it concerned, as
+   * {@code name=value} pairs. After an exception, that is the input which led to it.
+   */
+  public String lastInput() {
+    return state.currentInput().toString();
+  }
+
   /** Returns the number of known workers. */
   public int workerCount() {
     return state.workers().size();
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -187,6 +187,7 @@
       if (end.number() <= worker.ends().processedEnd()) {
         continue;
       }
+      state.currentInput().concerns(end.task(), end.run());
       worker.ends().processed(end.number());
       state.workersWithUnstoredEnds().add(worker);
       Placement placement = worker.placements().get(end.task());
@@ -208,6 +209,7 @@
     Set<Placement> reported = new HashSet<>();
     List<ReportedRun> unplaced = new ArrayList<>();
     for (ReportedRun row : report.running()) {
+      state.currentInput().concerns(row.task(), row.run());
       Placement placement = worker.placements().get(row.task());
       if (placement == null || placement.run() != row.run()) {
         unplaced.add(row);
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
@@ -35,6 +35,9 @@
   /** Maximum length of the keys of unreadable records in a log line. */
   private static final int MAX_LOGGED_KEYS_LENGTH = 400;
 
+  /** Maximum length of the input and the exception of an internal fault in a log line. */
+  private static final int MAX_LOGGED_FAULT_LENGTH = 600;
+
   /** Interval between updates of the reachable helpers, in milliseconds. */
   private static final long HELPERS_INTERVAL_MILLIS = 20;
 
@@ -227,7 +230,18 @@
    * Ends this coordinator after an internal fault; its successor restores the state from the store.
    */
   private void handleFault(Throwable failure) {
-    LOGGER.error("internal fault, stopping the coordinator of epoch {}", epoch, failure);
+    String input = coordinator.lastInput();
+    LOGGER.error(
+        "internal fault, stopping the coordinator of epoch {} after {}",
+        epoch,
+        LogText.bounded(input, MAX_LOGGED_FAULT_LENGTH),
+        failure);
+    metrics.recordElectionEvent("internal-fault");
+    log.write(
+        "fault",
+        "epoch-" + epoch,
+        "stepped-down",
+        LogText.bounded(input + " exception=" + failure, MAX_LOGGED_FAULT_LENGTH));
     stepDown();
   }
 
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceHarness.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceHarness.java
@@ -54,6 +54,9 @@
   boolean storing = true;
   boolean deposed;
 
+  /** Checkpoint of the runs that the worker reports. */
+  String reportedCheckpoint = "";
+
   /** Whether the store rejects an append with a record for its content. */
   Predicate<RecordWrite> refuses = write -> false;
 
@@ -127,7 +130,7 @@
   private WorkerClient.RenewalAnswer report(long sentAtMillis) {
     List<ReportedRun> running =
         starts.stream()
-            .map(start -> new ReportedRun(start.task(), start.run(), "", 50, 0))
+            .map(start -> new ReportedRun(start.task(), start.run(), reportedCheckpoint, 50, 0))
             .toList();
     WorkerReport report =
         new WorkerReport("w", 1, workerClockMillis(), sentAtMillis, running, List.of(), true);
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceTest.java
@@ -34,6 +34,24 @@
     assertThat(starts).hasSize(1);
   }
 
+  /** Guards against an internal fault of which the log does not tell what led to it. */
+  @Example
+  void internalFaultNamesTheInputAndTheRun() {
+    try (LogLines log = new LogLines("org.cicadaford.decision")) {
+      CoordinatorService service = service();
+      service.requests().submit("job", QUEUE, new Submitter("t", "z"), SPEC);
+      reportedCheckpoint = null;
+      advanceTime(2_000);
+      assertThat(deposed).isTrue();
+      assertThat(log.lines())
+          .filteredOn(line -> line.startsWith("fault "))
+          .singleElement()
+          .asString()
+          .startsWith(
+              "fault id=epoch-7 outcome=stepped-down input=report from=w task=job.0.0.0 run=1 ");
+    }
+  }
+
   /** Guards against starts by a coordinator that was replaced while its process was paused. */
   @Example
   void pausedProcessStartsNothingBeforeItsRoleIsConfirmed() {
