--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/AdmissionPolicy.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/AdmissionPolicy.java
@@ -47,8 +47,9 @@
     JobDefinition definition = job.definition();
     long waitMillis =
         delayEstimator.waitMillis(job.team(), job.queue().priority(), definition.excess(), now);
-    if (state.pendingCount() >= MAX_PENDING_JOBS) {
-      String reason = state.pendingCount() + " jobs are waiting; retry later";
+    int pendingCount = state.pendingJobs().certainCount();
+    if (pendingCount >= MAX_PENDING_JOBS) {
+      String reason = pendingCount + " jobs are waiting; retry later";
       return Optional.of(
           new AdmissionDecision.Refused(reason, Math.max(MIN_RETRY_MILLIS, waitMillis)));
     }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/BatchTracker.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/BatchTracker.java
@@ -61,6 +61,7 @@
         writes.add(JobRecordFactory.definition(job));
       }
       writes.add(JobRecordFactory.progress(job));
+      job.markRecorded();
       if (job.definitionObsolete()) {
         job.markDefinitionDeleted();
         writes.add(JobRecordFactory.definitionDeletion(job));
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
@@ -35,7 +35,8 @@
   private final Set<Worker> workersWithUnstoredEnds = new LinkedHashSet<>();
   private final Set<Placement> stopping = new LinkedHashSet<>();
   private final Set<Worker> workersToRenew = new LinkedHashSet<>();
-  private final PendingJobCounter pendingJobs = new PendingJobCounter();
+  private final BegunJobRecorder begunJobs = new BegunJobRecorder(this);
+  private final PendingJobCounter pendingJobs = new PendingJobCounter(begunJobs);
   private final Deque<Job> endedJobs = new ArrayDeque<>();
   private final Set<Job> jobsToStore = new LinkedHashSet<>();
   private final EarlyCancellations earlyCancellations = new EarlyCancellations();
@@ -213,19 +214,14 @@
     }
   }
 
-  /** Records that a task of a job has started. */
-  void markBegun(Job job) {
-    pendingJobs.markBegun(job);
+  /** Returns the count of the jobs that have not begun. */
+  PendingJobCounter pendingJobs() {
+    return pendingJobs;
   }
 
-  /** Returns the number of stored jobs of which no task has started. */
-  int pendingCount() {
-    return pendingJobs.count();
-  }
-
-  /** Returns the number of stored jobs of a queue of which no task has started. */
-  int pendingCount(String queueName) {
-    return pendingJobs.count(queueName);
+  /** Returns the recorder of the jobs that have begun. */
+  BegunJobRecorder begunJobs() {
+    return begunJobs;
   }
 
   /** Returns the retained ended jobs, in the order in which their end was stored. */
@@ -356,6 +352,7 @@
     Job job = task.step().job();
     usageTracker.remove(job.team(), job.queue().priority(), task.step().spec().demand());
     job.removeIfIdle(task.step().occurrence());
+    pendingJobs.placementReleased(job);
     markForStore(job);
     markChanged(placement.worker());
     waiting.retryTeam(job.team());
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -176,9 +176,9 @@
                     job.phase().terminal() && !job.storedPhase().terminal()));
   }
 
-  /** Returns the number of stored jobs of a queue that have not started. */
+  /** Returns the number of stored jobs of a queue of which no task is known to have started. */
   public int pendingCount(String queueName) {
-    return state.pendingCount(queueName);
+    return state.pendingJobs().count(queueName);
   }
 
   /** Handles the answer to a start order. */
@@ -258,6 +258,7 @@
       nextTickMillis = OptionalLong.of(now.monotonicMillis() + TICK_INTERVAL_MILLIS);
       monitor.tick(now);
       speeds.tick(now);
+      state.begunJobs().tick(now.monotonicMillis());
       drainEvictor.tick(now);
       state.recurringJobs().removeIf(job -> job.phase().terminal());
       state.recurringJobs().forEach(job -> beginDueOccurrences(job, now));
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/EndedJobCodec.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/EndedJobCodec.java
@@ -64,7 +64,7 @@
         throw new MalformedRecordException(JobProgress.class, null);
       }
       return new JobProgress(
-          queue, team, phase, endedAtMillis, List.of(), new OccurrenceRanges(), List.of());
+          queue, team, phase, endedAtMillis, List.of(), new OccurrenceRanges(), List.of(), false);
     } catch (IOException | MessagePackException | IllegalArgumentException e) {
       throw new MalformedRecordException(JobProgress.class, e);
     }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Job.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Job.java
@@ -18,7 +18,8 @@
   private JobPhase phase = JobPhase.PENDING;
   private JobPhase storedPhase = JobPhase.PENDING;
   private boolean stored;
-  private boolean begun;
+  private JobStart start = JobStart.PENDING;
+  private boolean begunRecorded;
   private boolean definitionDeleted;
   private long endedAtMillis;
   private final WaitTimeTracker waitTimes = new WaitTimeTracker();
@@ -100,13 +101,28 @@
     storedPhase = newPhase;
   }
 
-  /** Returns whether a task has started, as far as this coordinator knows. */
+  /** Returns what this coordinator knows of whether a task has started. */
+  JobStart start() {
+    return start;
+  }
+
+  void start(JobStart newStart) {
+    start = newStart;
+  }
+
+  /** Returns whether a task is known to have started. */
   boolean begun() {
-    return begun;
+    return start == JobStart.BEGUN;
+  }
+
+  /** Returns whether the newest record of the job tells that it has begun. */
+  boolean begunRecorded() {
+    return begunRecorded;
   }
 
-  void markBegun() {
-    begun = true;
+  /** Marks that the present state of the job is written to a record. */
+  void markRecorded() {
+    begunRecorded = begun();
   }
 
   /** Returns whether the stored definition is obsolete and has not been deleted. */
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobProgress.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobProgress.java
@@ -15,6 +15,8 @@
  * @param workers workers that its placements refer to
  * @param doneOccurrences occurrences that are done
  * @param occurrences occurrences that are in progress
+ * @param begun whether a task has started. It is the last element of the array, so that versions
+ *     without it skip it and this one reads false from their records.
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 record JobProgress(
@@ -24,7 +26,18 @@
     long endedAtMillis,
     List<WorkerKey> workers,
     OccurrenceRanges doneOccurrences,
-    List<OccurrenceProgress> occurrences) {
+    List<OccurrenceProgress> occurrences,
+    boolean begun) {
+
+  /** Returns the stored elements: without {@code begun}, as before it existed, if it is not set. */
+  @JsonValue
+  Object[] elements() {
+    return begun
+        ? new Object[] {
+          queue, team, phase, endedAtMillis, workers, doneOccurrences, occurrences, begun
+        }
+        : new Object[] {queue, team, phase, endedAtMillis, workers, doneOccurrences, occurrences};
+  }
 
   /**
    * An incarnation of a worker.
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRecordFactory.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRecordFactory.java
@@ -100,7 +100,8 @@
             job.endedAtMillis(),
             workers,
             runsOnly ? new OccurrenceRanges() : job.doneOccurrences(),
-            occurrences));
+            occurrences,
+            job.begun()));
   }
 
   private static TaskProgress progressOf(Task task, List<WorkerKey> workers, String checkpoint) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
@@ -98,9 +98,7 @@
     job.phase(progress.phase());
     job.endedAtMillis(progress.endedAtMillis());
     job.doneOccurrences().addAll(progress.doneOccurrences());
-    if (progress.doneOccurrences().count() > 0) {
-      job.markBegun();
-    }
+    state.pendingJobs().restore(job, startOf(progress));
     for (OccurrenceProgress stored : progress.occurrences()) {
       List<Task> tasks = new ArrayList<>();
       job.beginOccurrence(stored.occurrence()).forEach(step -> tasks.addAll(step.tasks()));
@@ -111,16 +109,27 @@
   }
 
   /**
-   * Returns whether a task has started as far as its record tells. A placement is taken for a start
-   * until its worker reports; otherwise all running jobs would count as pending after a takeover,
-   * and submissions would be refused.
+   * Returns what a record tells of the start of a job. A placement alone is no start: its order may
+   * never have reached the worker.
    */
+  private static JobStart startOf(JobProgress progress) {
+    boolean begun = progress.begun() || progress.doneOccurrences().count() > 0;
+    boolean placed = false;
+    for (OccurrenceProgress occurrence : progress.occurrences()) {
+      for (TaskProgress task : occurrence.tasks()) {
+        begun |= showsStart(task);
+        placed |= task.workerIndex() >= 0;
+      }
+    }
+    if (begun) {
+      return JobStart.BEGUN;
+    }
+    return placed ? JobStart.UNKNOWN : JobStart.PENDING;
+  }
+
+  /** Returns whether the record of a task shows that a run of it has started. */
   private static boolean showsStart(TaskProgress stored) {
-    return stored.done()
-        || stored.workerIndex() >= 0
-        || stored.failedCount() > 0
-        || stored.startLossCount() > 0
-        || !stored.checkpoint().isEmpty();
+    return stored.done() || stored.failedCount() > 0 || !stored.checkpoint().isEmpty();
   }
 
   private void apply(Task task, TaskProgress stored, JobProgress progress, ClockReading now) {
@@ -132,9 +141,6 @@
     if (stored.done()) {
       task.markDone();
     }
-    if (showsStart(stored)) {
-      task.step().job().markBegun();
-    }
     if (stored.workerIndex() < 0) {
       return;
     }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/OrderAnswerHandler.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/OrderAnswerHandler.java
@@ -56,7 +56,7 @@
     switch (outcome) {
       case STARTED -> {
         placement.markConfirmed(state.events().next(), nowMillis);
-        state.markBegun(placement.task().step().job());
+        state.pendingJobs().markBegun(placement.task().step().job());
         placement.worker().startSurvival().signOfLife(placement.orderedAtMillis());
         if (placement.stopRequested()) {
           state.sendStop(placement, nowMillis);
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/RunEndHandler.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/RunEndHandler.java
@@ -21,7 +21,7 @@
   /** Applies a run end that the worker reported. */
   void runEnded(Placement placement, EndKind kind, String checkpoint, ClockReading now) {
     Task task = placement.task();
-    state.markBegun(task.step().job());
+    state.pendingJobs().markBegun(task.step().job());
     if (kind != EndKind.DONE) {
       reportLostRun(placement, kind.name(), kind == EndKind.STOPPED, now);
     }
@@ -115,7 +115,7 @@
     if (!relevant || step.job().phase().terminal()) {
       return;
     }
-    state.markBegun(step.job());
+    state.pendingJobs().markBegun(step.job());
     task.members().forEach(Task::markDone);
     for (Task member : task.members()) {
       if (member.placement() != null) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/UnknownRunHandler.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/UnknownRunHandler.java
@@ -92,7 +92,7 @@
     placement.markConfirmed(state.events().next(), nowMillis);
     placement.progress(row.progressPercent(), row.checkpoint(), nowMillis);
     Job job = task.step().job();
-    state.markBegun(job);
+    state.pendingJobs().markBegun(job);
     state.markForStore(job);
     boolean needed = !task.done() && !job.phase().terminal() && row.run() == task.lastRun();
     if (!needed || task.step().spec().gang()) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -217,7 +217,7 @@
       }
       reported.add(placement);
       placement.markConfirmed(state.events().next(), now.monotonicMillis());
-      state.markBegun(placement.task().step().job());
+      state.pendingJobs().markBegun(placement.task().step().job());
       placement.progress(row.progressPercent(), row.checkpoint(), now.monotonicMillis());
       if (ElapsedTime.isOlderThan(
           placement.stopConfirmedAtMillis(),
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/AdmissionPolicyTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/AdmissionPolicyTest.java
@@ -12,6 +12,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
+import org.cicadaford.model.RecordCodec;
 import org.cicadaford.model.Resources;
 
 /** Tests the admission of jobs when a team submits more work than fits. */
@@ -105,6 +106,52 @@
     assertThat(cell.ended.get("calm")).isLessThan(OBJECTIVE_MILLIS);
   }
 
+  /** Returns the cell after a takeover with records that do not tell which jobs have begun. */
+  private static SimulatedCell takenOverWithoutStarts(int jobs) throws Exception {
+    SimulatedCell cell =
+        new SimulatedCell(5, SimulatedJobs.config(Resources.NONE, AdvicePolicy.NONE), 10);
+    cell.run(500);
+    for (int index = 0; index < jobs; index++) {
+      cell.submit("long" + index, SimulatedJobs.longRunningStep(1, 1));
+      if (index % 100 == 0) {
+        cell.run(100);
+      }
+    }
+    cell.run(1_000);
+    assertThat(cell.coordinator.pendingCount("q")).isZero();
+    for (Map.Entry<String, byte[]> stored : cell.store.entrySet()) {
+      if (stored.getKey().startsWith(JobRecordFactory.PROGRESS_PREFIX)) {
+        JobProgress progress = RecordCodec.decode(stored.getValue(), JobProgress.class);
+        stored.setValue(
+            RecordCodec.encode(
+                new JobProgress(
+                    progress.queue(),
+                    progress.team(),
+                    progress.phase(),
+                    progress.endedAtMillis(),
+                    progress.workers(),
+                    progress.doneOccurrences(),
+                    progress.occurrences(),
+                    false)));
+      }
+    }
+    cell.takeOver();
+    return cell;
+  }
+
+  /**
+   * Guards against refusals after a takeover because running jobs, whose records do not tell that
+   * they have begun, use up the room for pending ones.
+   */
+  @Example
+  void runningJobsOfUnknownStartDoNotRefuseOthers() throws Exception {
+    SimulatedCell cell = takenOverWithoutStarts(AdmissionPolicy.MAX_PENDING_JOBS);
+    assertThat(cell.coordinator.pendingCount("q")).isEqualTo(AdmissionPolicy.MAX_PENDING_JOBS);
+    assertThat(submit(cell, job("next"), "team")).isInstanceOf(AdmissionDecision.Storing.class);
+    cell.run(1_000);
+    assertThat(cell.coordinator.pendingCount("q")).isZero();
+  }
+
   /** Guards against refusing work that only waits briefly. */
   @Example
   void workThatCanStartInTimeIsAccepted() {
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/EndedJobCodecTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/EndedJobCodecTest.java
@@ -36,7 +36,7 @@
   void generalFormIsNotCompact() {
     JobProgress progress =
         new JobProgress(
-            "q", "t", JobPhase.RUNNING, 0, List.of(), new OccurrenceRanges(), List.of());
+            "q", "t", JobPhase.RUNNING, 0, List.of(), new OccurrenceRanges(), List.of(), false);
     assertThat(EndedJobCodec.isCompact(RecordCodec.encode(progress))).isFalse();
     assertThat(EndedJobCodec.isCompact(new byte[0])).isFalse();
   }
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/JobProgressTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/JobProgressTest.java
@@ -28,6 +28,10 @@
       boolean done, int lastRun, int failedCount, int workerIndex, String checkpoint) {}
 
   private static JobProgress progress() {
+    return progress(false);
+  }
+
+  private static JobProgress progress(boolean begun) {
     return new JobProgress(
         "q",
         "team",
@@ -40,7 +44,8 @@
                 0,
                 List.of(
                     new TaskProgress(true, 1, 0, -1, "", 0, 0, 0),
-                    new TaskProgress(false, 3, 2, 0, "00ff", 0, 0, 0)))));
+                    new TaskProgress(false, 3, 2, 0, "00ff", 0, 0, 0)))),
+        begun);
   }
 
   /** Guards against losing the jobs of the version before at an upgrade. */
@@ -57,6 +62,34 @@
         .isEqualTo(RECORD_WITHOUT_CRASH_COUNT);
   }
 
+  /** The progress of a job as commit 36bdcba reads it. */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record EarlierJobProgress(
+      String queue,
+      String team,
+      JobPhase phase,
+      long endedAtMillis,
+      List<WorkerKey> workers,
+      OccurrenceRanges doneOccurrences,
+      List<OccurrenceProgress> occurrences) {}
+
+  /** Guards against a job that is known to have begun and that a takeover counts as pending. */
+  @Example
+  void begunIsStored() throws Exception {
+    byte[] content = RecordCodec.encode(progress(true));
+    assertThat(RecordCodec.decode(content, JobProgress.class)).isEqualTo(progress(true));
+    assertThat(content).hasSize(RECORD_WITHOUT_CRASH_COUNT.length() / 2 + 1);
+  }
+
+  /** Guards against losing the jobs that have begun when an earlier version takes over. */
+  @Example
+  void recordWithBegunIsReadByTheVersionBefore() throws Exception {
+    EarlierJobProgress read =
+        RecordCodec.decode(RecordCodec.encode(progress(true)), EarlierJobProgress.class);
+    assertThat(read.phase()).isEqualTo(JobPhase.RUNNING);
+    assertThat(read.occurrences()).isEqualTo(progress().occurrences());
+  }
+
   /** Guards against counts that a takeover forgets. */
   @Example
   void countsAreStored() throws Exception {
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/JobRestorerTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/JobRestorerTest.java
@@ -61,6 +61,12 @@
         List.of(Arrays.asList(occurrence, tasks)));
   }
 
+  private static JobProgress jobProgress(
+      JobPhase phase, List<WorkerKey> workers, OccurrenceRanges doneOccurrences) {
+    List<JobProgress.OccurrenceProgress> occurrences = workers == null ? null : List.of();
+    return new JobProgress("q", "t", phase, 0, workers, doneOccurrences, occurrences, false);
+  }
+
   private static TaskProgress task(int lastRun, int workerIndex, String checkpoint) {
     return new TaskProgress(false, lastRun, 0, workerIndex, checkpoint, 0, 0, 0);
   }
@@ -141,12 +147,10 @@
     progresses.put(
         "done in threes", progress(List.of(task(1, 0, "")), 0, List.of(List.of(0, 0, 0))));
     progresses.put("done as text", progress(List.of(task(1, 0, "")), 0, List.of("0")));
-    progresses.put("no phase", new JobProgress("q", "t", null, 0, List.of(), NONE, List.of()));
-    progresses.put("no lists", new JobProgress("q", "t", JobPhase.RUNNING, 0, null, null, null));
+    progresses.put("no phase", jobProgress(null, List.of(), NONE));
+    progresses.put("no lists", jobProgress(JobPhase.RUNNING, null, null));
     progresses.put(
-        "no worker id",
-        new JobProgress(
-            "q", "t", JobPhase.RUNNING, 0, List.of(new WorkerKey(null, 5)), NONE, List.of()));
+        "no worker id", jobProgress(JobPhase.RUNNING, List.of(new WorkerKey(null, 5)), NONE));
     progresses.forEach(
         (name, progress) -> {
           if (!restoresWithout("p/", write("d/", ODD, sound), write("p/", ODD, progress))) {
