Give up a job on a run of which two coordinators have fallen

Cause: an internal fault ends the coordinator, and nothing told its successors which input it had been applying.

Change: the coordinator that falls stores the run that it was applying an input to, and decides and answers nothing more. A successor that finds the same run stored twice fails the job instead of restoring it; workers that list its runs are told to stop them, as with all runs that are not placed.

--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CellState.java
@@ -35,11 +35,11 @@
   private final Set<Worker> workersWithUnstoredEnds = new LinkedHashSet<>();
   private final Set<Placement> stopping = new LinkedHashSet<>();
   private final Set<Worker> workersToRenew = new LinkedHashSet<>();
-  private final BegunJobRecorder begunJobs = new BegunJobRecorder(this);
-  private final PendingJobCounter pendingJobs = new PendingJobCounter(begunJobs);
+  private final PendingJobCounter pendingJobs = new PendingJobCounter(new BegunJobRecorder(this));
   private final Deque<Job> endedJobs = new ArrayDeque<>();
   private final Set<Job> jobsToStore = new LinkedHashSet<>();
   private final EarlyCancellations earlyCancellations = new EarlyCancellations();
+  private final FaultHistory faultHistory = new FaultHistory();
   private final List<RecordWrite> otherWrites = new ArrayList<>();
   private final List<Action> actionsAfterStore = new ArrayList<>();
   private final List<Placement> startsAfterStore = new ArrayList<>();
@@ -219,11 +219,6 @@
     return pendingJobs;
   }
 
-  /** Returns the recorder of the jobs that have begun. */
-  BegunJobRecorder begunJobs() {
-    return begunJobs;
-  }
-
   /** Returns the retained ended jobs, in the order in which their end was stored. */
   Deque<Job> endedJobs() {
     return endedJobs;
@@ -286,6 +281,10 @@
     return earlyCancellations;
   }
 
+  FaultHistory faultHistory() {
+    return faultHistory;
+  }
+
   /** Returns the actions to be released once the next batch is stored. */
   List<Action> actionsAfterStore() {
     return actionsAfterStore;
@@ -322,7 +321,7 @@
 
   void place(Placement placement) {
     Task task = placement.task();
-    currentInput.concerns(task.name(), placement.run());
+    currentInput.beginAccounting(placement);
     task.place(placement);
     task.lastRun(Math.max(task.lastRun(), placement.run()));
     placement.worker().add(placement);
@@ -335,6 +334,7 @@
         job.queue().priority(),
         task.step().spec().demand(),
         placement.orderedAtMillis());
+    currentInput.endAccounting();
   }
 
   /** Releases the resources of a placement; the task may be placed again afterwards. */
@@ -343,7 +343,7 @@
     if (task.placement() != placement) {
       return;
     }
-    currentInput.concerns(task.name(), placement.run());
+    currentInput.beginAccounting(placement);
     task.place(null);
     stopping.remove(placement);
     placement.worker().remove(placement);
@@ -356,6 +356,7 @@
     markForStore(job);
     markChanged(placement.worker());
     waiting.retryTeam(job.team());
+    currentInput.endAccounting();
   }
 
   /** Returns the placements whose runs are to be stopped. */
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/Coordinator.java
@@ -258,7 +258,7 @@
       nextTickMillis = OptionalLong.of(now.monotonicMillis() + TICK_INTERVAL_MILLIS);
       monitor.tick(now);
       speeds.tick(now);
-      state.begunJobs().tick(now.monotonicMillis());
+      state.pendingJobs().tick(now.monotonicMillis());
       drainEvictor.tick(now);
       state.recurringJobs().removeIf(job -> job.phase().terminal());
       state.recurringJobs().forEach(job -> beginDueOccurrences(job, now));
@@ -324,6 +324,19 @@
     return state.currentInput().toString();
   }
 
+  /**
+   * Returns the record of an internal fault while the last input was applied to a run of a known
+   * job, for the successors. Without such a run, no job is known to be the cause.
+   */
+  public Optional<RecordWrite> faultRecord() {
+    CurrentInput input = state.currentInput();
+    return state
+        .task(input.task())
+        .map(Task::step)
+        .map(step -> step.job().id())
+        .map(jobId -> state.faultHistory().recordOf(jobId, input.task(), input.run()));
+  }
+
   /** Returns the number of known workers. */
   public int workerCount() {
     return state.workers().size();
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/CurrentInput.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/CurrentInput.java
@@ -11,12 +11,15 @@
   private String task = "";
   private int run;
 
+  /** Placement whose effects are being accounted for, or null. */
+  private Placement placement;
+
   /** Records that an input is being applied, which concerns no run yet. */
   void begin(String newKind, String newId) {
     kind = newKind;
     id = newId;
-    task = "";
-    run = 0;
+    placement = null;
+    concerns("", 0);
   }
 
   /** Records the run that the input is being applied to. */
@@ -25,9 +28,33 @@
     run = newRun;
   }
 
+  /** Records that the input is applied to no run in particular from now on. */
+  void concernsNoRun() {
+    concerns("", 0);
+  }
+
+  /** Records that a placement is being added or released, whatever led to it. */
+  void beginAccounting(Placement accounted) {
+    placement = accounted;
+  }
+
+  void endAccounting() {
+    placement = null;
+  }
+
+  /** Returns the task that the input is being applied to, or an empty string. */
+  String task() {
+    return placement == null ? task : placement.task().name();
+  }
+
+  /** Returns the number of the run that the input is being applied to, or 0. */
+  int run() {
+    return placement == null ? run : placement.run();
+  }
+
   /** Returns a description as {@code name=value} pairs. */
   @Override
   public String toString() {
-    return "input=" + kind + " from=" + id + " task=" + task + " run=" + run;
+    return "input=" + kind + " from=" + id + " task=" + task() + " run=" + run();
   }
 }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/EndedJobRemover.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/EndedJobRemover.java
@@ -39,6 +39,7 @@
       state.jobs().remove(job.id());
       state.jobsToStore().remove(job);
       state.otherWrites().add(JobRecordFactory.progressDeletion(job));
+      state.faultHistory().remove(job.id()).ifPresent(state.otherWrites()::add);
     }
   }
 
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/JobRestorer.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.cicadaford.cell.JobProgress.OccurrenceProgress;
 import org.cicadaford.cell.JobProgress.TaskProgress;
 import org.cicadaford.model.MalformedRecordException;
@@ -45,18 +46,20 @@
             state.jobs().computeIfAbsent(jobId, id -> Job.ended(id, progress));
           }
         });
+    state.otherWrites().addAll(state.faultHistory().retainJobs(state.jobs().keySet()));
     for (Job job : state.jobs().values()) {
       JobProgress progress = progressById.get(job.id());
       String progressKey = JobRecordFactory.PROGRESS_PREFIX + job.id();
-      if (progress != null && StoredRecordChecker.fits(progress, job.spec())) {
+      Optional<RunFault> fault = state.faultHistory().exhausted(job.id());
+      if (fault.isPresent()) {
+        giveUp(job, fault.get(), progress, now);
+      } else if (progress != null && StoredRecordChecker.fits(progress, job.spec())) {
         apply(job, progress, now);
       } else if (progress != null) {
         unreadable.add(progressKey);
       }
       if (unreadable.contains(progressKey)) {
-        job.phase(JobPhase.FAILED);
-        job.endedAtMillis(now.unixMillis());
-        state.markForStore(job);
+        fail(job, now);
       }
       state.markStored(job, job.phase());
       if (job.definitionObsolete()) {
@@ -91,7 +94,31 @@
       progressById.put(jobId, progress);
     } else if (EarlyCancellations.isKey(write.key())) {
       state.earlyCancellations().restore(write);
+    } else if (FaultHistory.isKey(write.key())) {
+      state.faultHistory().restore(write);
+    }
+  }
+
+  private void fail(Job job, ClockReading now) {
+    job.phase(JobPhase.FAILED);
+    job.endedAtMillis(now.unixMillis());
+    state.markForStore(job);
+  }
+
+  /**
+   * Gives up a job because of a run that coordinators have met internal faults on. Its runs are not
+   * placed, as the fault may lie in their accounting. Workers that list them are told to stop them
+   * and get no other work until they have.
+   */
+  private void giveUp(Job job, RunFault fault, JobProgress progress, ClockReading now) {
+    if (progress != null && progress.phase().terminal()) {
+      job.phase(progress.phase());
+      job.endedAtMillis(progress.endedAtMillis());
+    } else {
+      fail(job, now);
     }
+    String inputs = "task=" + fault.task() + " run=" + fault.run() + " faults=" + fault.count();
+    state.actions().add(new Action.ReportDecision("fault", job.id(), "given-up", inputs));
   }
 
   private void apply(Job job, JobProgress progress, ClockReading now) {
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/PendingJobCounter.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/PendingJobCounter.java
@@ -37,6 +37,11 @@
     }
   }
 
+  /** Marks jobs for the store that have begun, if that is due. */
+  void tick(long nowMillis) {
+    begunJobs.tick(nowMillis);
+  }
+
   /** Records what the records of a predecessor tell of the start of a job. */
   void restore(Job job, JobStart start) {
     markStart(job, start);
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/UnknownRunHandler.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/UnknownRunHandler.java
@@ -33,9 +33,11 @@
       ClockReading now) {
     Set<UnplacedRuns.Run> listed = new HashSet<>();
     for (ReportedRun row : rows) {
+      state.currentInput().concerns(row.task(), row.run());
       listed.add(new UnplacedRuns.Run(row.task(), row.run()));
       handle(worker, row, report.sentAtMillis(), now);
     }
+    state.currentInput().concernsNoRun();
     if (report.complete()) {
       release(worker, listed, requestNumber);
     }
--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/WorkerMonitor.java
@@ -202,6 +202,7 @@
             .ifPresent(task -> endHandler.completedByEarlierRun(task, end.run(), now));
       }
     }
+    state.currentInput().concernsNoRun();
   }
 
   private void applyRunning(
@@ -229,6 +230,7 @@
       stallDetector.stopIfStalled(placement, now);
       endHandler.checkProbe(placement, now);
     }
+    state.currentInput().concernsNoRun();
     unknownRuns.handle(worker, unplaced, report, requestNumber, now);
     if (!report.complete()) {
       return;
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
@@ -38,6 +38,9 @@
   /** Maximum length of the input and the exception of an internal fault in a log line. */
   private static final int MAX_LOGGED_FAULT_LENGTH = 600;
 
+  /** Time for which an internal fault is stored before the role ends, in milliseconds. */
+  private static final long MAX_FAULT_STORE_MILLIS = 500;
+
   /** Interval between updates of the reachable helpers, in milliseconds. */
   private static final long HELPERS_INTERVAL_MILLIS = 20;
 
@@ -55,6 +58,7 @@
   private final JobRequestExecutor requests;
   private ScheduledFuture<?> rounds;
   private boolean running;
+  private boolean storingFault;
   private boolean roundScheduled;
   private boolean shortRoundScheduled;
   private OptionalLong nextHelpersMillis = OptionalLong.empty();
@@ -150,12 +154,18 @@
    * Stops immediately. Open requests are answered as unknown, so that they are retried elsewhere.
    */
   public void stop() {
-    if (!running) {
+    if (!running && !storingFault) {
       return;
     }
+    halt();
+    storingFault = false;
+    journal.stop();
+  }
+
+  /** Stops to decide and to answer. */
+  private void halt() {
     running = false;
     rounds.cancel(false);
-    journal.stop();
     requests.completeAll(CellReply.of(CellOutcome.UNKNOWN, "the coordinator has changed"));
   }
 
@@ -228,8 +238,14 @@
 
   /**
    * Ends this coordinator after an internal fault; its successor restores the state from the store.
+   * The fault is stored before, unless that takes too long, so that the successors do not all fall
+   * on the same run. Nothing else is decided or acknowledged with the state as it is now.
    */
   private void handleFault(Throwable failure) {
+    if (!running) {
+      LOGGER.error("internal fault of a stopped coordinator of epoch {}", epoch, failure);
+      return;
+    }
     String input = coordinator.lastInput();
     LOGGER.error(
         "internal fault, stopping the coordinator of epoch {} after {}",
@@ -242,7 +258,15 @@
         "epoch-" + epoch,
         "stepped-down",
         LogText.bounded(input + " exception=" + failure, MAX_LOGGED_FAULT_LENGTH));
-    stepDown();
+    Optional<RecordWrite> record = coordinator.faultRecord();
+    if (record.isEmpty()) {
+      stepDown();
+      return;
+    }
+    halt();
+    storingFault = true;
+    loop.schedule(this::stepDown, MAX_FAULT_STORE_MILLIS, TimeUnit.MILLISECONDS);
+    journal.appendLast(record.get(), this::stepDown);
   }
 
   private void applyWorkerList(
@@ -287,11 +311,14 @@
   }
 
   private void handleRejectedRecords(List<RecordWrite> records) {
+    if (!running) {
+      return;
+    }
     coordinator.recordsRefused(records, clock.get());
   }
 
   private void stepDown() {
-    if (running) {
+    if (running || storingFault) {
       stop();
       onDeposed.run();
     }
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/JournalWriter.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/JournalWriter.java
@@ -78,6 +78,10 @@
 
   private boolean running = true;
   private boolean appendPending;
+
+  /** Append that follows the pending one in place of the effects of that, or null. */
+  private Runnable last;
+
   private long sequence;
   private ClockReading lastStoredAt;
   private OptionalLong lastAppendAtMillis = OptionalLong.empty();
@@ -180,6 +184,23 @@
     appendNextPart(onStored);
   }
 
+  /**
+   * Appends a record after the pending append, whose callback does not run any more. {@code
+   * onStored} runs once the record is stored, or is rejected.
+   */
+  void appendLast(RecordWrite record, Runnable onStored) {
+    last = () -> append(List.of(record), onStored);
+    if (!appendPending) {
+      appendLast();
+    }
+  }
+
+  private void appendLast() {
+    Runnable appending = last;
+    last = null;
+    appending.run();
+  }
+
   /** Divides a batch into parts within the limit on a call; too large records are rejected here. */
   private void divide(List<RecordWrite> records) {
     Map<String, List<RecordWrite>> byOwner = new LinkedHashMap<>();
@@ -340,6 +361,11 @@
     probed = false;
     rejectionSeen = false;
     resending = false;
+    if (last != null) {
+      rejected.clear();
+      appendLast();
+      return;
+    }
     if (!rejected.isEmpty()) {
       List<RecordWrite> reported = List.copyOf(rejected);
       rejected.clear();
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceHarness.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceHarness.java
@@ -5,7 +5,9 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -54,8 +56,11 @@
   boolean storing = true;
   boolean deposed;
 
-  /** Checkpoint of the runs that the worker reports. */
-  String reportedCheckpoint = "";
+  /** Stored records by key. */
+  final Map<String, RecordWrite> stored = new LinkedHashMap<>();
+
+  /** Job of which the worker reports runs that end the coordinator with an exception. */
+  String faultyJob = "none";
 
   /** Whether the store rejects an append with a record for its content. */
   Predicate<RecordWrite> refuses = write -> false;
@@ -89,7 +94,7 @@
         CompletableFuture<AppendOutcome> outcome = new CompletableFuture<>();
         if (storing) {
           boolean refused = records.stream().anyMatch(refuses);
-          return answer(5, () -> refused ? AppendOutcome.REJECTED : AppendOutcome.STORED);
+          return answer(5, () -> refused ? AppendOutcome.REJECTED : store(records));
         }
         appends.add(new Append(records, outcome));
         return outcome;
@@ -97,6 +102,17 @@
     };
   }
 
+  private AppendOutcome store(List<RecordWrite> records) {
+    for (RecordWrite write : records) {
+      if (write.value().length == 0) {
+        stored.remove(write.key());
+      } else {
+        stored.put(write.key(), write);
+      }
+    }
+    return AppendOutcome.STORED;
+  }
+
   private WorkerClient workerClient() {
     return new WorkerClient() {
       @Override
@@ -130,13 +146,18 @@
   private WorkerClient.RenewalAnswer report(long sentAtMillis) {
     List<ReportedRun> running =
         starts.stream()
-            .map(start -> new ReportedRun(start.task(), start.run(), reportedCheckpoint, 50, 0))
+            .map(start -> new ReportedRun(start.task(), start.run(), checkpointOf(start), 50, 0))
             .toList();
     WorkerReport report =
         new WorkerReport("w", 1, workerClockMillis(), sentAtMillis, running, List.of(), true);
     return new WorkerClient.RenewalAnswer(WorkerClient.RenewalOutcome.REPORTED, report);
   }
 
+  private String checkpointOf(Action.StartTask start) {
+    // No worker reports null, as its reports are decoded; it stands for any fault.
+    return start.task().startsWith(faultyJob + ".") ? null : "";
+  }
+
   private CellDirectory directory() {
     return new CellDirectory() {
       @Override
@@ -199,7 +220,8 @@
             () -> deposed = true);
     CellConfig config =
         new CellConfig(1, List.of(QUEUE), List.of(new TeamShare("t", Set.of(), 0, Resources.NONE)));
-    service.start(List.of(), new CellDirectory.PublishedConfig(config, Set.of()));
+    service.start(
+        List.copyOf(stored.values()), new CellDirectory.PublishedConfig(config, Set.of()));
     return service;
   }
 
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceTest.java
@@ -40,7 +40,7 @@
     try (LogLines log = new LogLines("org.cicadaford.decision")) {
       CoordinatorService service = service();
       service.requests().submit("job", QUEUE, new Submitter("t", "z"), SPEC);
-      reportedCheckpoint = null;
+      faultyJob = "job";
       advanceTime(2_000);
       assertThat(deposed).isTrue();
       assertThat(log.lines())
@@ -52,6 +52,52 @@
     }
   }
 
+  /**
+   * Guards against a run that ends all coordinators: the second one that falls on it is the last,
+   * and jobs of others go on.
+   */
+  @Example
+  void runThatEndedTwoCoordinatorsEndsNoThird() {
+    CoordinatorService first = service();
+    first.requests().submit("job", QUEUE, new Submitter("t", "z"), SPEC);
+    first.requests().submit("other", QUEUE, new Submitter("t", "z"), SPEC);
+    advanceTime(200);
+    assertThat(starts).hasSize(2);
+    faultyJob = "job";
+    advanceTime(2_000);
+    assertThat(deposed).as("first").isTrue();
+    assertThat(stored).containsKey("f/job");
+
+    deposed = false;
+    service();
+    advanceTime(2_000);
+    assertThat(deposed).as("second").isTrue();
+
+    deposed = false;
+    CoordinatorService third = service();
+    third.requests().submit("next", QUEUE, new Submitter("t", "z"), SPEC);
+    advanceTime(5_000);
+    assertThat(deposed).as("third").isFalse();
+    assertThat(third.requests().jobPhase("job", QUEUE.name(), "t", 0))
+        .isCompletedWithValue(CellReply.done("FAILED"));
+    assertThat(third.requests().jobPhase("other", QUEUE.name(), "t", 0))
+        .isCompletedWithValue(CellReply.done("RUNNING"));
+    assertThat(starts).extracting(Action.StartTask::task).doesNotHaveDuplicates();
+  }
+
+  /** Guards against a role that is kept for as long as the store does not take the fault. */
+  @Example
+  void faultThatCannotBeStoredEndsTheRole() {
+    CoordinatorService service = service();
+    service.requests().submit("job", QUEUE, new Submitter("t", "z"), SPEC);
+    advanceTime(200);
+    storing = false;
+    faultyJob = "job";
+    advanceTime(2_000);
+    assertThat(deposed).isTrue();
+    assertThat(service.isRoleConfirmed()).isFalse();
+  }
+
   /** Guards against starts by a coordinator that was replaced while its process was paused. */
   @Example
   void pausedProcessStartsNothingBeforeItsRoleIsConfirmed() {
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/JournalWriterTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/JournalWriterTest.java
@@ -293,6 +293,21 @@
     assertThat(faults).containsExactly(fault);
   }
 
+  /** Guards against effects of a batch, and against a last record that is lost beside it. */
+  @Example
+  void lastRecordFollowsThePendingAppendWithoutItsEffects() {
+    outcomes.add(AppendOutcome.UNKNOWN);
+    JournalWriter writer = writer();
+    writer.append(RECORDS, () -> storedCount++);
+    List<String> ended = new ArrayList<>();
+    writer.appendLast(new RecordWrite("last", new byte[] {1}), () -> ended.add("last"));
+    assertThat(ended).isEmpty();
+    advanceTime(60);
+    assertThat(ended).containsExactly("last");
+    assertThat(storedCount).isZero();
+    assertThat(stored).extracting(RecordWrite::key).containsSubsequence("k", "last");
+  }
+
   /** Guards against a batch that the store rejects for its size, after an outage for example. */
   @Example
   void batchLargerThanACallIsStoredInSeveral() {
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/StoredFormatTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/StoredFormatTest.java
@@ -28,7 +28,7 @@
   @Example
   void recordsOfAnEarlierBuildAreReadAndWrittenUnchanged() throws Exception {
     List<String> lines = lines();
-    assertThat(lines).hasSize(38);
+    assertThat(lines).hasSize(40);
     for (String line : lines) {
       String[] labelAndContent = line.split(" ");
       byte[] content = HexFormat.of().parseHex(labelAndContent[1]);
@@ -49,6 +49,7 @@
       case "JobDefinition" -> JobDefinition.class;
       case "EarlyCancellation" -> Class.forName("org.cicadaford.cell.EarlyCancellation");
       case "JobProgress" -> Class.forName("org.cicadaford.cell.JobProgress");
+      case "RunFault" -> Class.forName("org.cicadaford.cell.RunFault");
       case "StartTask" -> Action.StartTask.class;
       case "StopTask" -> Action.StopTask.class;
       case "Renew" -> Action.Renew.class;
