--- a/cicadaford-cell/src/main/java/org/cicadaford/cell/FaultHistory.java
+++ b/cicadaford-cell/src/main/java/org/cicadaford/cell/FaultHistory.java
@@ -11,9 +11,9 @@
 /**
  * Remembers, across coordinators, the runs on which internal faults occurred.
  *
- * <p>A successor reads the input that its predecessor fell on, so without this one run can end all
- * coordinators of the cell. The job of a run that has ended {@link #MAX_FAULTS} coordinators is not
- * restored: it fails, and its runs are stopped where workers list them.
+ * <p>A successor reads the input that its predecessor failed on, so without this one run can end
+ * all coordinators of the cell. The job of a run that has ended {@link #MAX_FAULTS} coordinators is
+ * not restored: it fails, and its runs are stopped where workers list them.
  */
 final class FaultHistory {
 
--- a/cicadaford-cell/src/test/java/org/cicadaford/cell/FaultHistoryTest.java
+++ b/cicadaford-cell/src/test/java/org/cicadaford/cell/FaultHistoryTest.java
@@ -11,7 +11,7 @@
 import org.cicadaford.model.MalformedRecordException;
 import org.cicadaford.model.Resources;
 
-/** Tests that coordinators do not fall one after the other on the same run. */
+/** Tests that coordinators do not fail one after the other on the same run. */
 class FaultHistoryTest {
 
   private static final int WORKERS = 3;
--- a/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
+++ b/cicadaford-coordinator/src/main/java/org/cicadaford/coordinator/CoordinatorService.java
@@ -238,7 +238,7 @@
 
   /**
    * Ends this coordinator after an internal fault; its successor restores the state from the store.
-   * The fault is stored before, unless that takes too long, so that the successors do not all fall
+   * The fault is stored before, unless that takes too long, so that the successors do not all fail
    * on the same run. Nothing else is decided or acknowledged with the state as it is now.
    */
   private void handleFault(Throwable failure) {
--- a/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceTest.java
+++ b/cicadaford-coordinator/src/test/java/org/cicadaford/coordinator/CoordinatorServiceTest.java
@@ -53,7 +53,7 @@
   }
 
   /**
-   * Guards against a run that ends all coordinators: the second one that falls on it is the last,
+   * Guards against a run that ends all coordinators: the second one that fails on it is the last,
    * and jobs of others go on.
    */
   @Example
